--- /dev/null
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -0,0 +1,78 @@
+package org.cuminwell.app;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.shell.gateway.GatewayProcess;
+import org.cuminwell.shell.gateway.GatewaySettings;
+
+/** Runs an entry host. */
+@Parameters(commandDescription = "Run an entry host that serves callers")
+final class GatewayCommand implements Command {
+
+  @Parameter(names = "--host-id", required = true, description = "name of this host")
+  private String hostId = "";
+
+  @Parameter(names = "--region", required = true, description = "region of this host")
+  private String region = "";
+
+  @Parameter(names = "--data-centre", required = true, description = "data centre of this host")
+  private String dataCentre = "";
+
+  @Parameter(names = "--http", required = true, description = "HOST:PORT for callers")
+  private String http = "";
+
+  @Parameter(
+      names = "--inner",
+      required = true,
+      description = "HOST:PORT for endpoints, other gateways and monitoring")
+  private String inner = "";
+
+  @Parameter(
+      names = "--peer",
+      required = true,
+      description = "HOST:PORT for messages of the system's own processes")
+  private String peer = "";
+
+  @Parameter(names = "--control", description = "peer HOST:PORT of each control host")
+  private List<String> control = new ArrayList<>();
+
+  @Parameter(
+      names = "--stop-timeout-s",
+      description = "how long running requests may take after SIGTERM, in seconds")
+  private int stopTimeoutSeconds = 120;
+
+  @Override
+  public int run() throws SettingException, InterruptedException {
+    GatewayProcess process = GatewayProcess.start(settings());
+    Shutdown.awaitSignal(() -> process.stop(Duration.ofSeconds(stopTimeoutSeconds)));
+    return OK;
+  }
+
+  /** Returns the checked settings. */
+  GatewaySettings settings() throws SettingException {
+    HostDescription self =
+        new HostDescription(
+            Settings.checked("--host-id", hostId, HostId::new),
+            new Place(
+                Settings.checked("--region", region, RegionId::new),
+                Settings.checked("--data-centre", dataCentre, DataCentreId::new)),
+            Settings.checked("--http", http, HostAddress::parse),
+            Settings.checked("--inner", inner, HostAddress::parse),
+            Settings.checked("--peer", peer, HostAddress::parse),
+            0,
+            false);
+    if (stopTimeoutSeconds < 0) {
+      throw new SettingException("--stop-timeout-s", "must be 0 or more");
+    }
+    return new GatewaySettings(self, Settings.addresses("--control", control));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/directory/HostDescription.java
@@ -0,0 +1,23 @@
+package org.cuminwell.core.directory;
+
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.Place;
+
+/**
+ * Describes an entry host as it tells of itself. Immutable and thread safe.
+ *
+ * @param callers where callers reach it
+ * @param inner where endpoints and other gateways reach its HTTP side
+ * @param peer where the system's own messages reach it
+ * @param load the share of its capacity that is in use, 0 and up
+ * @param stopping whether it has begun a graceful shutdown and takes no new callers
+ */
+public record HostDescription(
+    HostId id,
+    Place place,
+    HostAddress callers,
+    HostAddress inner,
+    HostAddress peer,
+    double load,
+    boolean stopping) {}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/gateway/CallBody.java
@@ -0,0 +1,27 @@
+package org.cuminwell.core.gateway;
+
+import org.cuminwell.core.model.RequestId;
+
+/** Holds what decisions need of a request's body; the bytes stay with the front end. */
+public sealed interface CallBody {
+
+  /** Returns the request that the body belongs to. */
+  RequestId id();
+
+  /**
+   * Holds the parts of a completion.
+   *
+   * @param promptTokens the estimated length of the prompt, in tokens
+   * @param maxCompletionTokens the most that the answer may take, in tokens
+   */
+  record Completion(
+      RequestId id, String model, boolean stream, long promptTokens, long maxCompletionTokens)
+      implements CallBody {}
+
+  /**
+   * Holds the parts of a plain call.
+   *
+   * @param bytes the length of the body, in bytes
+   */
+  record Plain(RequestId id, long bytes) implements CallBody {}
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/gateway/CallRecord.java
@@ -0,0 +1,27 @@
+package org.cuminwell.core.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.cuminwell.core.model.CustomerId;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.model.Usage;
+import org.cuminwell.core.model.VersionId;
+
+/**
+ * Sums up a request that has ended, for the metrics. Immutable and thread safe.
+ *
+ * @param version the version that answered or was tried last
+ * @param firstByteAfter the time from the headers to the first part of the answer
+ * @param endedAfter the time from the headers to the end
+ * @param failure why there was no whole answer
+ */
+public record CallRecord(
+    Optional<CustomerId> customer,
+    Optional<RouteId> route,
+    Optional<VersionId> version,
+    int attempts,
+    Optional<Duration> firstByteAfter,
+    Duration endedAfter,
+    Usage usage,
+    Optional<Failure> failure) {}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
@@ -0,0 +1,51 @@
+package org.cuminwell.core.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.peer.PeerMessage;
+
+/** Is something that a gateway has decided to do. Immutable and thread safe. */
+public sealed interface GatewayAction {
+
+  /** Reads the body of a request. */
+  record ReadBody(RequestId id) implements GatewayAction {}
+
+  /** Answers a request with a failure. */
+  record Refuse(RequestId id, Failure failure) implements GatewayAction {}
+
+  /** Sends a request to an endpoint. */
+  record SendToEndpoint(
+      RequestId id, int attempt, EndpointId endpoint, HostAddress address, Duration timeout)
+      implements GatewayAction {}
+
+  /** Answers with the names of the models. */
+  record AnswerModels(RequestId id, List<String> models) implements GatewayAction {
+    /** Copies the list. */
+    public AnswerModels {
+      models = List.copyOf(models);
+    }
+  }
+
+  /** Answers with the entry hosts to use, best first. */
+  record AnswerEntryHosts(RequestId id, List<HostDescription> hosts) implements GatewayAction {
+    /** Copies the list. */
+    public AnswerEntryHosts {
+      hosts = List.copyOf(hosts);
+    }
+  }
+
+  /** Sends a message to another process of the system. */
+  record TellPeer(HostId peer, PeerMessage message) implements GatewayAction {}
+
+  /** Counts a request that has ended. */
+  record Count(RequestId id, CallRecord call) implements GatewayAction {}
+
+  /** Says that all running requests have ended after a stop was asked for. */
+  record Stopped() implements GatewayAction {}
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayEvent.java
@@ -0,0 +1,61 @@
+package org.cuminwell.core.gateway;
+
+import java.util.Optional;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.membership.LoadReport;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.KeyHash;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.peer.PeerMessage;
+
+/** Is something that a gateway must decide about. Immutable and thread safe. */
+public sealed interface GatewayEvent {
+
+  /** The headers of a request have come. */
+  record CallOpened(CallHead head) implements GatewayEvent {}
+
+  /** The body of a request has come whole. */
+  record CallRead(CallBody body) implements GatewayEvent {}
+
+  /** The caller went away, or its body was bad, before anything was sent. */
+  record CallDropped(RequestId id) implements GatewayEvent {}
+
+  /** The first part of an answer is about to go to the caller. */
+  record AnswerBegan(RequestId id, int attempt) implements GatewayEvent {}
+
+  /** An attempt at an endpoint has ended. */
+  record AttemptEnded(RequestId id, int attempt, AttemptEnd end) implements GatewayEvent {}
+
+  /** A caller asks which models there are. */
+  record ModelsAsked(RequestId id, Optional<KeyHash> key) implements GatewayEvent {}
+
+  /** A caller asks which entry hosts to use. */
+  record EntryHostsAsked(RequestId id, Optional<KeyHash> key, Optional<RouteId> route)
+      implements GatewayEvent {}
+
+  /** An endpoint has announced itself. */
+  record EndpointAnnounced(Announcement announcement) implements GatewayEvent {}
+
+  /** An endpoint has reported its load. */
+  record EndpointReported(LoadReport report) implements GatewayEvent {}
+
+  /** An endpoint has said that it leaves. */
+  record EndpointLeft(EndpointId endpoint, long incarnation) implements GatewayEvent {}
+
+  /** A process of the system can be reached. */
+  record PeerConnected(HostId peer) implements GatewayEvent {}
+
+  /** A process of the system can't be reached any more. */
+  record PeerLost(HostId peer) implements GatewayEvent {}
+
+  /** A message of another process has come. */
+  record PeerHeard(HostId peer, PeerMessage message) implements GatewayEvent {}
+
+  /** Some time has gone by. */
+  record Ticked() implements GatewayEvent {}
+
+  /** A graceful shutdown has been asked for. */
+  record StopAsked() implements GatewayEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
@@ -0,0 +1,125 @@
+package org.cuminwell.core.gateway;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Route;
+import org.cuminwell.core.model.Service;
+import org.cuminwell.core.model.Usage;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows one admitted request through its attempts.
+ *
+ * <p>Not thread safe: the gateway's decide thread owns it.
+ */
+final class RunningCall {
+
+  private final CallHead head;
+  private final Instant openedAt;
+  private final Customer customer;
+  private final Set<EndpointId> tried = new HashSet<>();
+  private @Nullable Route route;
+  private @Nullable Announcement endpoint;
+  private @Nullable Instant firstByteAt;
+  private long estimate;
+  private int attempts;
+
+  RunningCall(CallHead head, Customer customer, Instant openedAt) {
+    this.head = head;
+    this.customer = customer;
+    this.openedAt = openedAt;
+  }
+
+  RequestId id() {
+    return head.id();
+  }
+
+  CallHead head() {
+    return head;
+  }
+
+  Customer customer() {
+    return customer;
+  }
+
+  Route route() {
+    if (route == null) {
+      throw new IllegalStateException("request " + id() + " has no route yet");
+    }
+    return route;
+  }
+
+  void resolve(Route resolved, long estimatedTokens) {
+    route = resolved;
+    estimate = estimatedTokens;
+  }
+
+  /** Returns the tokens that were charged at admission. */
+  long estimate() {
+    return estimate;
+  }
+
+  Instant deadline() {
+    return openedAt.plus(route().timeout());
+  }
+
+  Set<EndpointId> tried() {
+    return tried;
+  }
+
+  int attempts() {
+    return attempts;
+  }
+
+  /** Notes that the next attempt goes to the endpoint, and returns the number of the attempt. */
+  int begin(Announcement target) {
+    endpoint = target;
+    tried.add(target.endpoint());
+    attempts++;
+    return attempts;
+  }
+
+  Optional<Announcement> endpoint() {
+    return Optional.ofNullable(endpoint);
+  }
+
+  void answerBegan(Instant now) {
+    if (firstByteAt == null) {
+      firstByteAt = now;
+    }
+  }
+
+  boolean hasAnswerBegun() {
+    return firstByteAt != null;
+  }
+
+  /** Returns whether running the request twice does no harm. */
+  boolean isIdempotent() {
+    return switch (head.target()) {
+      case CallHead.Target.Completion c -> true;
+      case CallHead.Target.Plain p ->
+          route().service() instanceof Service.Plain plain
+              && plain.repeatableMethods().contains(p.method());
+    };
+  }
+
+  CallRecord record(Instant now, Usage usage, Optional<Failure> failure) {
+    return new CallRecord(
+        Optional.of(customer.id()),
+        Optional.ofNullable(route).map(Route::id),
+        endpoint().map(Announcement::version),
+        attempts,
+        Optional.ofNullable(firstByteAt).map(at -> Duration.between(openedAt, at)),
+        Duration.between(openedAt, now),
+        usage,
+        failure);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/membership/LoadReport.java
@@ -0,0 +1,27 @@
+package org.cuminwell.core.membership;
+
+import org.cuminwell.core.model.EndpointId;
+
+/**
+ * Says how busy an endpoint was a moment ago. Immutable and thread safe.
+ *
+ * <p>Invariant: the counts are not negative.
+ *
+ * @param running how many requests it was running
+ * @param queued how many requests waited in it
+ * @param reportedSequence grows with each report of one incarnation
+ */
+public record LoadReport(
+    EndpointId endpoint, long incarnation, long reportedSequence, int running, int queued) {
+
+  /**
+   * Checks the counts.
+   *
+   * @throws IllegalArgumentException if a count is negative
+   */
+  public LoadReport {
+    if (running < 0 || queued < 0) {
+      throw new IllegalArgumentException("load counts must not be negative");
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/membership/package-info.java
@@ -0,0 +1,5 @@
+/** Knows which endpoints may be given work. */
+@NullMarked
+package org.cuminwell.core.membership;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/model/Names.java
@@ -0,0 +1,39 @@
+package org.cuminwell.core.model;
+
+import java.util.regex.Pattern;
+
+/** Holds the one rule for names, so that a name accepted anywhere is accepted everywhere. */
+public final class Names {
+
+  /** The length of the longest name, in characters. */
+  public static final int MAX_LENGTH = 64;
+
+  private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:-]{0,63}");
+
+  private Names() {}
+
+  /** Returns whether {@code value} may be used as a name. */
+  public static boolean isName(String value) {
+    return NAME.matcher(value).matches();
+  }
+
+  /**
+   * Returns {@code value} if it is a name.
+   *
+   * @param kind what the name is for, as it should stand in the message
+   * @throws IllegalArgumentException if {@code value} is not a name; the message says what is
+   *     allowed
+   */
+  public static String requireName(String value, String kind) {
+    if (!isName(value)) {
+      throw new IllegalArgumentException(
+          kind
+              + " must be 1 to "
+              + MAX_LENGTH
+              + " letters, digits, '.', '_', ':' or '-', and start with a letter or digit; found '"
+              + value
+              + "'");
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/model/Rollout.java
@@ -0,0 +1,25 @@
+package org.cuminwell.core.model;
+
+import java.time.Instant;
+
+/**
+ * States a version move that operators asked for.
+ *
+ * <p>Invariant: the two versions differ. Immutable and thread safe.
+ *
+ * @param deadline the time by which all traffic must have moved
+ */
+public record Rollout(
+    RouteId route, VersionId from, VersionId to, Instant deadline, RolloutBounds bounds) {
+
+  /**
+   * Checks the versions.
+   *
+   * @throws IllegalArgumentException if both versions are the same
+   */
+  public Rollout {
+    if (from.equals(to)) {
+      throw new IllegalArgumentException("a rollout must move to another version; found " + to);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/model/Route.java
@@ -0,0 +1,35 @@
+package org.cuminwell.core.model;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Describes a route as its last ticket left it.
+ *
+ * <p>Immutable and thread safe.
+ *
+ * @param boundTo the regions that requests of the route must stay in; empty if it is not bound
+ * @param openAs the customer that requests without a key run for and are charged to; empty if a key
+ *     is needed
+ * @param timeout how long one request may take, all attempts together
+ */
+public record Route(
+    RouteId id,
+    Service service,
+    Set<RegionId> boundTo,
+    Optional<CustomerId> openAs,
+    Duration timeout) {
+
+  /**
+   * Copies the set and checks the timeout.
+   *
+   * @throws IllegalArgumentException if the timeout is not positive
+   */
+  public Route {
+    boundTo = Set.copyOf(boundTo);
+    if (!timeout.isPositive()) {
+      throw new IllegalArgumentException("route timeout must be positive; found " + timeout);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/model/Service.java
@@ -0,0 +1,40 @@
+package org.cuminwell.core.model;
+
+import java.util.Set;
+
+/** Says what stands behind a route. Immutable and thread safe. */
+public sealed interface Service {
+
+  /** Returns the name that endpoints announce for this service. */
+  String name();
+
+  /** Serves completions of one model. A completion may run again without harm. */
+  record Model(String name) implements Service {
+    /**
+     * Checks the name.
+     *
+     * @throws IllegalArgumentException if it is not a name
+     */
+    public Model {
+      Names.requireName(name, "model");
+    }
+  }
+
+  /**
+   * Serves plain HTTP calls.
+   *
+   * @param repeatableMethods the HTTP methods whose calls are idempotent; a call with any other
+   *     method runs at most once
+   */
+  record Plain(String name, Set<String> repeatableMethods) implements Service {
+    /**
+     * Checks the name and copies the set.
+     *
+     * @throws IllegalArgumentException if the name is not a name
+     */
+    public Plain {
+      Names.requireName(name, "service");
+      repeatableMethods = Set.copyOf(repeatableMethods);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
@@ -0,0 +1,14 @@
+package org.cuminwell.core.peer;
+
+import org.cuminwell.core.directory.DirectoryMessage;
+import org.cuminwell.core.distribution.DistributionMessage;
+
+/** Is one message between two processes of the system, by subject. Immutable and thread safe. */
+public sealed interface PeerMessage {
+
+  /** Concerns the configuration. */
+  record Distribution(DistributionMessage message) implements PeerMessage {}
+
+  /** Concerns the entry hosts. */
+  record Directory(DirectoryMessage message) implements PeerMessage {}
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/retry/package-info.java
@@ -0,0 +1,5 @@
+/** Decides whether a failed attempt may be made again. */
+@NullMarked
+package org.cuminwell.core.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/routing/package-info.java
@@ -0,0 +1,5 @@
+/** Chooses the endpoint for a request. */
+@NullMarked
+package org.cuminwell.core.routing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -0,0 +1,125 @@
+package org.cuminwell.shell.control;
+
+import java.time.Duration;
+import org.cuminwell.core.control.Control;
+import org.cuminwell.core.control.ControlAction;
+import org.cuminwell.core.control.ControlEvent;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.shell.duty.Duty;
+import org.cuminwell.shell.duty.MonotonicTime;
+import org.cuminwell.shell.duty.Ring;
+import org.cuminwell.shell.duty.TimerDuty;
+import org.cuminwell.shell.http.HttpSystem;
+import org.cuminwell.shell.http.OpsPages;
+import org.cuminwell.shell.metrics.Telemetry;
+import org.cuminwell.shell.peer.PeerListener;
+import org.cuminwell.shell.peer.PeerNode;
+
+/**
+ * Runs a control host: network threads put events into one ring, and the decide thread turns them
+ * into actions that a dispatch thread starts.
+ *
+ * <p>Thread safe.
+ */
+public final class ControlProcess implements AutoCloseable {
+
+  private static final System.Logger LOG = System.getLogger(ControlProcess.class.getName());
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final int RING = 16_384;
+
+  private final MonotonicTime time = new MonotonicTime();
+  private final Telemetry telemetry = new Telemetry();
+  private final Ring<ControlEvent> events = new Ring<>(RING);
+  private final Ring<ControlAction> actions = new Ring<>(RING);
+  private final Control control;
+  private final HttpSystem http;
+  private final PeerNode peers;
+  private final OperatorFront operators;
+  private final Duty<ControlEvent> decide;
+  private final Duty<ControlAction> dispatch;
+  private final TimerDuty timer;
+
+  private ControlProcess(ControlSettings settings) {
+    control = new Control(settings.self());
+    http = HttpSystem.start("control");
+    peers = new PeerNode(settings.self(), listener());
+    OpsPages pages = new OpsPages(() -> true, telemetry);
+    operators = new OperatorFront(http, pages, events::offer, control.view());
+    decide = Duty.start("decide", events, this::decide);
+    dispatch = Duty.start("dispatch", actions, this::perform);
+    timer = TimerDuty.start("timer", TICK, () -> events.offer(new ControlEvent.Ticked()));
+  }
+
+  /**
+   * Starts a control host.
+   *
+   * @throws IllegalStateException if an address can't be used
+   */
+  public static ControlProcess start(ControlSettings settings) {
+    ControlProcess process = new ControlProcess(settings);
+    process.http.serve(settings.operators(), process.operators::handle);
+    process.peers.listen(settings.peer());
+    settings.controls().stream()
+        .filter(address -> isAfter(address, settings.peer()))
+        .forEach(process.peers::dial);
+    LOG.log(System.Logger.Level.INFO, "control host started at " + settings.operators());
+    return process;
+  }
+
+  @Override
+  public void close() {
+    timer.close();
+    decide.close();
+    dispatch.close();
+    peers.close();
+    http.close();
+  }
+
+  private void decide(ControlEvent event) {
+    for (ControlAction action : control.handle(event, time.instant())) {
+      if (!actions.offer(action)) {
+        telemetry.count("actions_dropped", 1);
+      }
+    }
+  }
+
+  private void perform(ControlAction action) {
+    switch (action) {
+      case ControlAction.AnswerTicket a -> operators.answer(a.id(), a.answer());
+      case ControlAction.TellPeer a -> {
+        if (!peers.send(a.peer(), a.message())) {
+          telemetry.count("peer_messages_dropped", 1);
+        }
+      }
+      case ControlAction.Show a -> operators.show(a.view());
+    }
+  }
+
+  /** Orders addresses, so that of two control hosts only one dials the other. */
+  private static boolean isAfter(HostAddress address, HostAddress own) {
+    return address.toString().compareTo(own.toString()) > 0;
+  }
+
+  private PeerListener listener() {
+    return new PeerListener() {
+      @Override
+      public void connected(HostId peer) {
+        LOG.log(System.Logger.Level.INFO, "connected to " + peer);
+        events.offer(new ControlEvent.PeerConnected(peer));
+      }
+
+      @Override
+      public void lost(HostId peer) {
+        LOG.log(System.Logger.Level.INFO, "lost " + peer);
+        events.offer(new ControlEvent.PeerLost(peer));
+      }
+
+      @Override
+      public void heard(HostId peer, PeerMessage message) {
+        events.offer(new ControlEvent.PeerHeard(peer, message));
+      }
+    };
+  }
+}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/control/ScreenPage.java
@@ -0,0 +1,24 @@
+package org.cuminwell.shell.control;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+
+/** Loads the screen that operators watch. Stateless and thread safe. */
+final class ScreenPage {
+
+  private static final String RESOURCE = "screen.html";
+
+  private ScreenPage() {}
+
+  static byte[] html() {
+    try (InputStream in = ScreenPage.class.getResourceAsStream(RESOURCE)) {
+      if (in == null) {
+        throw new IllegalStateException(RESOURCE + " is missing from the build");
+      }
+      return in.readAllBytes();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/duty/package-info.java
@@ -0,0 +1,5 @@
+/** Runs each duty on a thread of its own and joins the threads by bounded rings. */
+@NullMarked
+package org.cuminwell.shell.duty;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/CallerFront.java
@@ -0,0 +1,225 @@
+package org.cuminwell.shell.gateway;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpMethods;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.util.ByteString;
+import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.gateway.CallBody;
+import org.cuminwell.core.gateway.CallHead;
+import org.cuminwell.core.gateway.GatewayEvent;
+import org.cuminwell.core.model.ErrorCode;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.KeyHash;
+import org.cuminwell.core.model.Names;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.RouteId;
+import org.cuminwell.shell.http.BodyReader;
+import org.cuminwell.shell.http.HttpAnswers;
+import org.cuminwell.shell.http.HttpSystem;
+
+/**
+ * Parses callers' requests into events and turns decisions into answers.
+ *
+ * <p>Thread safe.
+ */
+final class CallerFront {
+
+  static final String PLAIN_PREFIX = "/r/";
+
+  private static final String COMPLETIONS = "/v1/chat/completions";
+  private static final String MODELS = "/v1/models";
+  private static final String ENTRY_HOSTS = "/v1/entry-hosts";
+  private static final String HOP_HEADER = "Cuminwell-Hop";
+  private static final String ROUTE_HEADER = "Cuminwell-Route";
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final HttpSystem http;
+  private final PendingCalls calls;
+  private final EventSink events;
+
+  CallerFront(HttpSystem http, PendingCalls calls, EventSink events) {
+    this.http = http;
+    this.calls = calls;
+    this.events = events;
+  }
+
+  /** Handles one request; the stage never fails. */
+  CompletionStage<HttpResponse> handle(HttpRequest request) {
+    RequestId id = new RequestId(UUID.randomUUID().toString());
+    try {
+      return handle(id, request);
+    } catch (IllegalArgumentException e) {
+      return refuse(
+          id, request, Failure.notRun(ErrorCode.BAD_REQUEST, String.valueOf(e.getMessage())));
+    }
+  }
+
+  /** Reads the body of a call that may be read. */
+  void readBody(PendingCall call) {
+    BodyReader.read(call.request(), http.actors())
+        .whenComplete(
+            (body, error) -> {
+              if (error == null) {
+                bodyRead(call, body);
+              } else {
+                drop(call, BodyReader.failure(error));
+              }
+            });
+  }
+
+  /** Refuses a call whose body was left unread or is not needed any more. */
+  void refuse(PendingCall call, Failure failure) {
+    if (call.body().isEmpty()) {
+      BodyReader.leaveUnread(call.request(), http.actors());
+    }
+    call.fail(failure);
+  }
+
+  void answerModels(PendingCall call, List<String> models) {
+    ObjectNode root = MAPPER.createObjectNode();
+    root.put("object", "list");
+    var data = root.putArray("data");
+    models.forEach(
+        model ->
+            data.addObject().put("id", model).put("object", "model").put("owned_by", "cuminwell"));
+    call.succeed(HttpAnswers.json(200, root));
+  }
+
+  void answerEntryHosts(PendingCall call, List<HostDescription> hosts) {
+    ObjectNode root = MAPPER.createObjectNode();
+    var list = root.putArray("entry_hosts");
+    hosts.forEach(
+        host ->
+            list.addObject()
+                .put("host", host.id().value())
+                .put("address", host.callers().toString())
+                .put("region", host.place().region().value())
+                .put("data_centre", host.place().dataCentre().value()));
+    call.succeed(HttpAnswers.json(200, root));
+  }
+
+  private CompletionStage<HttpResponse> handle(RequestId id, HttpRequest request) {
+    if (request.getHeader(HOP_HEADER).isPresent()) {
+      return refuse(
+          id,
+          request,
+          Failure.notRun(
+              ErrorCode.HOP_MARK_REFUSED, "only gateways set " + HOP_HEADER + "; remove it"));
+    }
+    Optional<KeyHash> key = OutgoingHeaders.key(request).map(KeyHash::of);
+    String path = request.getUri().getPathString();
+    if (path.startsWith(PLAIN_PREFIX)) {
+      var target = new CallHead.Target.Plain(plainRoute(path), request.method().value());
+      return open(new CallHead(id, target, key), request);
+    }
+    return switch (path) {
+      case COMPLETIONS ->
+          request.method().equals(HttpMethods.POST)
+              ? open(
+                  new CallHead(id, new CallHead.Target.Completion(namedRoute(request)), key),
+                  request)
+              : wrongMethod(id, request, "POST");
+      case MODELS -> get(id, request, call -> new GatewayEvent.ModelsAsked(id, key));
+      case ENTRY_HOSTS ->
+          get(
+              id,
+              request,
+              call -> new GatewayEvent.EntryHostsAsked(id, key, queriedRoute(request)));
+      default ->
+          refuse(
+              id,
+              request,
+              Failure.notRun(
+                  ErrorCode.UNKNOWN_PATH,
+                  "use " + COMPLETIONS + ", " + MODELS + ", " + ENTRY_HOSTS + " or /r/ROUTE/..."));
+    };
+  }
+
+  private CompletionStage<HttpResponse> get(
+      RequestId id, HttpRequest request, Function<PendingCall, GatewayEvent> event) {
+    if (!request.method().equals(HttpMethods.GET)) {
+      return wrongMethod(id, request, "GET");
+    }
+    PendingCall call = new PendingCall(id, request);
+    return submit(call, event.apply(call));
+  }
+
+  private CompletionStage<HttpResponse> open(CallHead head, HttpRequest request) {
+    return submit(new PendingCall(head.id(), request), new GatewayEvent.CallOpened(head));
+  }
+
+  private CompletionStage<HttpResponse> submit(PendingCall call, GatewayEvent event) {
+    if (!calls.add(call)) {
+      return refuse(call.id(), call.request(), busy());
+    }
+    if (!events.offer(event)) {
+      calls.remove(call.id());
+      refuse(call, busy());
+    }
+    return call.answer();
+  }
+
+  private void bodyRead(PendingCall call, ByteString bytes) {
+    if (!call.request().getUri().path().equals(COMPLETIONS)) {
+      call.read(bytes, false);
+      events.force(new GatewayEvent.CallRead(new CallBody.Plain(call.id(), bytes.size())));
+      return;
+    }
+    try {
+      CallBody.Completion body = CompletionBody.read(call.id(), bytes.toArray());
+      call.read(bytes, body.stream());
+      events.force(new GatewayEvent.CallRead(body));
+    } catch (IllegalArgumentException e) {
+      drop(call, Failure.notRun(ErrorCode.BAD_REQUEST, String.valueOf(e.getMessage())));
+    }
+  }
+
+  private void drop(PendingCall call, Failure failure) {
+    call.fail(failure);
+    calls.remove(call.id());
+    events.force(new GatewayEvent.CallDropped(call.id()));
+  }
+
+  private CompletionStage<HttpResponse> wrongMethod(
+      RequestId id, HttpRequest request, String allowed) {
+    return refuse(
+        id,
+        request,
+        Failure.notRun(ErrorCode.WRONG_METHOD, "this path takes " + allowed + " only"));
+  }
+
+  private CompletionStage<HttpResponse> refuse(RequestId id, HttpRequest request, Failure failure) {
+    BodyReader.leaveUnread(request, http.actors());
+    return CompletableFuture.completedFuture(
+        HttpAnswers.failure(id, failure).addHeader(RawHeader.create("Connection", "close")));
+  }
+
+  private static Failure busy() {
+    return Failure.notRunRetryAfter(
+        ErrorCode.BUSY, "this host is busy; try again", java.time.Duration.ofSeconds(1));
+  }
+
+  private static RouteId plainRoute(String path) {
+    int end = path.indexOf('/', PLAIN_PREFIX.length());
+    return new RouteId(path.substring(PLAIN_PREFIX.length(), end < 0 ? path.length() : end));
+  }
+
+  private static Optional<RouteId> namedRoute(HttpRequest request) {
+    return request.getHeader(ROUTE_HEADER).map(HttpHeader::value).map(RouteId::new);
+  }
+
+  private static Optional<RouteId> queriedRoute(HttpRequest request) {
+    return request.getUri().query().get("route").filter(Names::isName).map(RouteId::new);
+  }
+}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -0,0 +1,175 @@
+package org.cuminwell.shell.gateway;
+
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.cuminwell.core.gateway.AttemptEnd;
+import org.cuminwell.core.gateway.Gateway;
+import org.cuminwell.core.gateway.GatewayAction;
+import org.cuminwell.core.gateway.GatewayEvent;
+import org.cuminwell.core.model.ErrorCode;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Usage;
+import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.shell.duty.Duty;
+import org.cuminwell.shell.duty.MonotonicTime;
+import org.cuminwell.shell.duty.Ring;
+import org.cuminwell.shell.duty.TimerDuty;
+import org.cuminwell.shell.http.HttpSystem;
+import org.cuminwell.shell.http.OpsPages;
+import org.cuminwell.shell.metrics.Telemetry;
+import org.cuminwell.shell.peer.PeerListener;
+import org.cuminwell.shell.peer.PeerNode;
+
+/**
+ * Runs a gateway: network threads put events into one ring, the decide thread turns them into
+ * actions in a second ring, and the dispatch thread starts the actions.
+ *
+ * <p>Thread safe.
+ */
+public final class GatewayProcess implements AutoCloseable {
+
+  private static final System.Logger LOG = System.getLogger(GatewayProcess.class.getName());
+  private static final Duration TICK = Duration.ofMillis(100);
+  private static final int DISPATCH_RING = 65_536;
+
+  private final MonotonicTime time = new MonotonicTime();
+  private final Telemetry telemetry = new Telemetry();
+  private final PendingCalls calls = new PendingCalls();
+  private final EventSink events = new EventSink();
+  private final Ring<GatewayAction> actions = new Ring<>(DISPATCH_RING);
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final Gateway gateway;
+  private final HttpSystem http;
+  private final PeerNode peers;
+  private final CallerFront callers;
+  private final EndpointClient endpoints;
+  private final Duty<GatewayEvent> decide;
+  private final Duty<GatewayAction> dispatch;
+  private final TimerDuty timer;
+  private volatile boolean ready;
+
+  private GatewayProcess(GatewaySettings settings) {
+    gateway = new Gateway(settings.self());
+    http = HttpSystem.start("gateway");
+    peers = new PeerNode(settings.self().id(), listener());
+    callers = new CallerFront(http, calls, events);
+    endpoints = new EndpointClient(http, events::force);
+    decide = Duty.start("decide", events.ring(), this::decide);
+    dispatch = Duty.start("dispatch", actions, this::perform);
+    timer = TimerDuty.start("timer", TICK, () -> events.offer(new GatewayEvent.Ticked()));
+  }
+
+  /**
+   * Starts a gateway.
+   *
+   * @throws IllegalStateException if an address can't be used
+   */
+  public static GatewayProcess start(GatewaySettings settings) {
+    GatewayProcess process = new GatewayProcess(settings);
+    OpsPages pages = new OpsPages(() -> process.ready, process.telemetry);
+    InnerFront inner = new InnerFront(process.http, process.events, pages);
+    process.http.serve(settings.self().callers(), process.callers::handle);
+    process.http.serve(settings.self().inner(), inner::handle);
+    process.peers.listen(settings.self().peer());
+    settings.controls().forEach(process.peers::dial);
+    LOG.log(System.Logger.Level.INFO, "gateway started at " + settings.self().callers());
+    return process;
+  }
+
+  /** Ends the process gracefully: no new requests, and running ones finish until the timeout. */
+  public void stop(Duration timeout) throws InterruptedException {
+    LOG.log(System.Logger.Level.INFO, "gateway stopping");
+    events.force(new GatewayEvent.StopAsked());
+    if (!stopped.await(timeout.toMillis(), TimeUnit.MILLISECONDS)) {
+      LOG.log(System.Logger.Level.WARNING, "requests cut by the end of the stop timeout");
+    }
+    close();
+  }
+
+  @Override
+  public void close() {
+    timer.close();
+    decide.close();
+    dispatch.close();
+    peers.close();
+    http.close();
+  }
+
+  private void decide(GatewayEvent event) {
+    for (GatewayAction action : gateway.handle(event, time.instant())) {
+      if (!actions.offer(action)) {
+        undo(action);
+      }
+    }
+    ready = gateway.isReady();
+  }
+
+  /** Answers an action that finds no room, so that nothing is left waiting. */
+  private void undo(GatewayAction action) {
+    Failure busy = Failure.notRun(ErrorCode.BUSY, "this host is busy; try again");
+    switch (action) {
+      case GatewayAction.SendToEndpoint a ->
+          decide(
+              new GatewayEvent.AttemptEnded(
+                  a.id(), a.attempt(), new AttemptEnd.Failed(busy, Usage.NONE)));
+      case GatewayAction.ReadBody a -> {
+        perform(new GatewayAction.Refuse(a.id(), busy));
+        decide(new GatewayEvent.CallDropped(a.id()));
+      }
+      case GatewayAction.TellPeer a -> telemetry.count("peer_messages_dropped", 1);
+      default -> perform(action);
+    }
+  }
+
+  private void perform(GatewayAction action) {
+    switch (action) {
+      case GatewayAction.ReadBody a -> calls.with(a.id(), callers::readBody);
+      case GatewayAction.Refuse a -> end(a.id(), call -> callers.refuse(call, a.failure()));
+      case GatewayAction.SendToEndpoint a -> calls.with(a.id(), call -> endpoints.send(call, a));
+      case GatewayAction.AnswerModels a ->
+          end(a.id(), call -> callers.answerModels(call, a.models()));
+      case GatewayAction.AnswerEntryHosts a ->
+          end(a.id(), call -> callers.answerEntryHosts(call, a.hosts()));
+      case GatewayAction.TellPeer a -> {
+        if (!peers.send(a.peer(), a.message())) {
+          telemetry.count("peer_messages_dropped", 1);
+        }
+      }
+      case GatewayAction.Count a -> {
+        calls.remove(a.id());
+        telemetry.record(a.call());
+      }
+      case GatewayAction.Stopped a -> stopped.countDown();
+    }
+  }
+
+  private void end(RequestId id, Consumer<PendingCall> step) {
+    calls.with(id, step);
+    calls.remove(id);
+  }
+
+  private PeerListener listener() {
+    return new PeerListener() {
+      @Override
+      public void connected(HostId peer) {
+        LOG.log(System.Logger.Level.INFO, "connected to " + peer);
+        events.offer(new GatewayEvent.PeerConnected(peer));
+      }
+
+      @Override
+      public void lost(HostId peer) {
+        LOG.log(System.Logger.Level.INFO, "lost " + peer);
+        events.offer(new GatewayEvent.PeerLost(peer));
+      }
+
+      @Override
+      public void heard(HostId peer, PeerMessage message) {
+        events.offer(new GatewayEvent.PeerHeard(peer, message));
+      }
+    };
+  }
+}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/PendingCall.java
@@ -0,0 +1,62 @@
+package org.cuminwell.shell.gateway;
+
+import java.util.concurrent.CompletableFuture;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.util.ByteString;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.shell.http.HttpAnswers;
+
+/**
+ * Holds what the decisions don't need of a request: its bytes and the way back to the caller.
+ *
+ * <p>Invariant: the caller gets one answer; later ones are dropped. Thread safe.
+ */
+final class PendingCall {
+
+  private final RequestId id;
+  private final HttpRequest request;
+  private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+  private volatile ByteString body = ByteString.emptyByteString();
+  private volatile boolean stream;
+
+  PendingCall(RequestId id, HttpRequest request) {
+    this.id = id;
+    this.request = request;
+  }
+
+  RequestId id() {
+    return id;
+  }
+
+  HttpRequest request() {
+    return request;
+  }
+
+  CompletableFuture<HttpResponse> answer() {
+    return answer;
+  }
+
+  ByteString body() {
+    return body;
+  }
+
+  /** Returns whether the caller asked for a streamed answer. */
+  boolean isStream() {
+    return stream;
+  }
+
+  void read(ByteString bytes, boolean streamed) {
+    body = bytes;
+    stream = streamed;
+  }
+
+  void succeed(HttpResponse response) {
+    answer.complete(response);
+  }
+
+  void fail(Failure failure) {
+    answer.complete(HttpAnswers.failure(id, failure));
+  }
+}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/http/BodyReader.java
@@ -0,0 +1,55 @@
+package org.cuminwell.shell.http;
+
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeoutException;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.util.ByteString;
+import org.cuminwell.core.model.ErrorCode;
+import org.cuminwell.core.model.Failure;
+
+/** Reads request bodies whole, within bounds of size and time. Stateless and thread safe. */
+public final class BodyReader {
+
+  /** The largest body that is read, in bytes. */
+  public static final long MAX_BYTES = 8L * 1024 * 1024;
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+  private BodyReader() {}
+
+  /** Returns the body; the stage fails if it is too long, too late or cut off. */
+  public static CompletionStage<ByteString> read(HttpRequest request, ActorSystem system) {
+    return request
+        .entity()
+        .withSizeLimit(MAX_BYTES)
+        .toStrict(TIMEOUT.toMillis(), system)
+        .thenApply(HttpEntity.Strict::getData);
+  }
+
+  /** Leaves the body unread. The connection can't be used again afterwards. */
+  public static void leaveUnread(HttpRequest request, ActorSystem system) {
+    request.entity().getDataBytes().runWith(Sink.cancelled(), system);
+  }
+
+  /** Returns what to tell a caller whose body could not be read. */
+  public static Failure failure(Throwable error) {
+    Throwable cause =
+        error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
+    if (cause instanceof EntityStreamSizeException) {
+      return Failure.notRun(
+          ErrorCode.BODY_TOO_LARGE, "the body must be at most " + MAX_BYTES + " bytes");
+    }
+    if (cause instanceof TimeoutException) {
+      return Failure.notRun(
+          ErrorCode.BAD_REQUEST,
+          "the body did not come within " + TIMEOUT.toSeconds() + " s; send it faster");
+    }
+    return Failure.notRun(ErrorCode.BAD_REQUEST, "the body was cut off; send it whole");
+  }
+}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
@@ -0,0 +1,110 @@
+package org.cuminwell.shell.http;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.cuminwell.core.model.HostAddress;
+
+/**
+ * Runs the HTTP servers and clients of a process.
+ *
+ * <p>Its settings leave every deadline to the project's own code. Thread safe.
+ */
+public final class HttpSystem implements AutoCloseable {
+
+  private static final String SETTINGS =
+      """
+      pekko {
+        loglevel = WARNING
+        stdout-loglevel = WARNING
+        log-dead-letters = off
+        coordinated-shutdown.run-by-jvm-shutdown-hook = off
+        coordinated-shutdown.terminate-actor-system = off
+        jvm-exit-on-fatal-error = on
+        actor.default-dispatcher.fork-join-executor {
+          parallelism-min = 2
+          parallelism-factor = 1.0
+          parallelism-max = 8
+        }
+        http {
+          server {
+            server-header = ""
+            request-timeout = infinite
+            idle-timeout = 300 s
+            max-connections = 16384
+            backlog = 1024
+            pipelining-limit = 1
+            parsing.max-header-count = 64
+            parsing.max-header-value-length = 8k
+            parsing.max-uri-length = 4k
+            parsing.illegal-header-warnings = off
+          }
+          client {
+            user-agent-header = ""
+            connecting-timeout = 2 s
+            idle-timeout = 300 s
+            parsing.max-content-length = infinite
+            parsing.illegal-header-warnings = off
+          }
+          host-connection-pool {
+            max-connections = 4096
+            max-open-requests = 8192
+            max-retries = 0
+            idle-timeout = 60 s
+          }
+        }
+      }
+      """;
+
+  private final ActorSystem system;
+
+  private HttpSystem(ActorSystem system) {
+    this.system = system;
+  }
+
+  /** Starts the HTTP side of a process; {@code name} is for its threads. */
+  public static HttpSystem start(String name) {
+    Config settings = ConfigFactory.parseString(SETTINGS).withFallback(ConfigFactory.load());
+    return new HttpSystem(ActorSystem.create(name, settings));
+  }
+
+  /**
+   * Serves requests at the address.
+   *
+   * @throws IllegalStateException if the address can't be used
+   */
+  public ServerBinding serve(
+      HostAddress address, Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+    try {
+      return http()
+          .newServerAt(address.host(), address.port())
+          .bind(handler::apply)
+          .toCompletableFuture()
+          .join();
+    } catch (CompletionException e) {
+      throw new IllegalStateException("can't listen at HTTP address " + address, e.getCause());
+    }
+  }
+
+  /** Returns the entry point of the HTTP library. */
+  public Http http() {
+    return Http.get(system);
+  }
+
+  /** Returns the actor system, which runs streams. */
+  public ActorSystem actors() {
+    return system;
+  }
+
+  @Override
+  public void close() {
+    system.terminate();
+  }
+}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/metrics/package-info.java
@@ -0,0 +1,5 @@
+/** Counts what the system does and prints the counts. */
+@NullMarked
+package org.cuminwell.shell.metrics;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerFrameHandler.java
@@ -0,0 +1,107 @@
+package org.cuminwell.shell.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.wire.PeerFrame;
+import org.cuminwell.wire.PeerFrameCodec;
+import org.cuminwell.wire.WireFormatException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Handles the frames of one connection.
+ *
+ * <p>The first frame must be a hello; anything else closes the connection. Confined to the network
+ * thread of its connection.
+ */
+final class PeerFrameHandler extends ChannelDuplexHandler {
+
+  private static final System.Logger LOG = System.getLogger(PeerFrameHandler.class.getName());
+
+  private final PeerNode node;
+  private @Nullable HostId peer;
+
+  PeerFrameHandler(PeerNode node) {
+    this.node = node;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    send(context, new PeerFrame.Hello(node.self()));
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    if (peer != null) {
+      node.closed(peer, context.channel());
+    }
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    ByteBuf buffer = (ByteBuf) message;
+    try {
+      handle(context, PeerFrameCodec.decode(ByteBufUtil.getBytes(buffer)));
+    } catch (WireFormatException e) {
+      LOG.log(
+          System.Logger.Level.WARNING,
+          () -> "closing the connection to " + context.channel().remoteAddress() + ": " + e);
+      var _ = context.close();
+    } finally {
+      buffer.release();
+    }
+  }
+
+  @Override
+  public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    var _ = context.write(Unpooled.wrappedBuffer((byte[]) message), promise);
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof IdleStateEvent idle) {
+      if (idle.state() == IdleState.READER_IDLE) {
+        var _ = context.close();
+      } else {
+        send(context, new PeerFrame.Heartbeat());
+      }
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    LOG.log(System.Logger.Level.DEBUG, "connection failed", cause);
+    var _ = context.close();
+  }
+
+  private void handle(ChannelHandlerContext context, PeerFrame frame) throws WireFormatException {
+    switch (frame) {
+      case PeerFrame.Hello hello -> {
+        peer = hello.host();
+        node.opened(hello.host(), context.channel());
+      }
+      case PeerFrame.Heartbeat h -> {}
+      case PeerFrame.Message m -> node.heard(requirePeer(), m.message());
+    }
+  }
+
+  private HostId requirePeer() throws WireFormatException {
+    if (peer == null) {
+      throw new WireFormatException("message before hello");
+    }
+    return peer;
+  }
+
+  private static void send(ChannelHandlerContext context, PeerFrame frame) {
+    var _ =
+        context
+            .channel()
+            .writeAndFlush(PeerFrameCodec.encode(frame), context.channel().voidPromise());
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/cuminwell/wire/ViewJson.java
@@ -0,0 +1,82 @@
+package org.cuminwell.wire;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.cuminwell.core.control.ControlView;
+import org.cuminwell.core.control.ControlView.GatewayView;
+import org.cuminwell.core.ticket.TicketAnswer;
+import org.cuminwell.core.ticket.TicketAnswer.Accepted;
+import org.cuminwell.core.ticket.TicketFault;
+
+/** Writes what operators see as JSON. Stateless and thread safe. */
+public final class ViewJson {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private ViewJson() {}
+
+  /** Returns the state of the whole system. */
+  public static ObjectNode write(ControlView view) {
+    ObjectNode root = MAPPER.createObjectNode();
+    root.put("control_host", view.self().value());
+    root.put("revision", view.configuration().revision().value());
+    var gateways = root.putArray("gateways");
+    view.gateways().forEach(gateway -> gateways.add(write(gateway)));
+    var tickets = root.putArray("tickets");
+    view.tickets().forEach(ticket -> tickets.add(summary(ticket, view)));
+    return root;
+  }
+
+  /** Returns the fate of one ticket with its content. */
+  public static ObjectNode write(Accepted ticket, ControlView view) {
+    ObjectNode node = summary(ticket, view);
+    node.set("content", TicketJson.write(ticket.ticket()));
+    return node;
+  }
+
+  /** Returns the answer to a submitted ticket. */
+  public static ObjectNode write(TicketAnswer answer, ControlView view) {
+    return switch (answer) {
+      case Accepted accepted -> write(accepted, view);
+      case TicketAnswer.Conflict conflict -> {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("fate", "conflict");
+        node.set("winner", write(conflict.winner(), view));
+        yield node;
+      }
+      case TicketAnswer.Refused refused -> write(refused.faults());
+    };
+  }
+
+  /** Returns the faults of a ticket that was refused. */
+  public static ObjectNode write(Iterable<TicketFault> faults) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.put("fate", "refused");
+    var list = node.putArray("faults");
+    faults.forEach(
+        fault -> list.addObject().put("path", fault.path()).put("message", fault.message()));
+    return node;
+  }
+
+  private static ObjectNode summary(Accepted ticket, ControlView view) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.put("number", ticket.ticket().number().value());
+    node.put("fate", "accepted");
+    node.put("revision", ticket.revision().value());
+    node.put("accepted_at", ticket.at().toString());
+    node.put("in_force_at", view.inForceAt(ticket.revision()));
+    node.put("hosts", view.gateways().size());
+    return node;
+  }
+
+  private static ObjectNode write(GatewayView gateway) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.put("host", gateway.host().id().value());
+    node.put("region", gateway.host().place().region().value());
+    node.put("data_centre", gateway.host().place().dataCentre().value());
+    node.put("callers", gateway.host().callers().toString());
+    node.put("revision", gateway.held().value());
+    node.put("connected", gateway.connected());
+    return node;
+  }
+}
