--- a/app/src/main/java/org/cuminwell/app/Main.java
+++ b/app/src/main/java/org/cuminwell/app/Main.java
@@ -20,6 +20,7 @@
     commands.put("ticket", new TicketCommand());
     commands.put("status", new StatusCommand());
     commands.put("watch", new WatchCommand());
+    commands.put("load", new LoadCommand());
   }
 
   /** Runs the program and exits with the code of its subcommand. */
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
@@ -26,7 +26,7 @@
         stdout-loglevel = WARNING
         log-dead-letters = off
         coordinated-shutdown.run-by-jvm-shutdown-hook = off
-        coordinated-shutdown.terminate-actor-system = off
+        coordinated-shutdown.run-by-actor-system-terminate = off
         jvm-exit-on-fatal-error = on
         actor.default-dispatcher.fork-join-executor {
           parallelism-min = 2
