--- a/app/src/main/java/org/cuminwell/app/ControlCommand.java
+++ b/app/src/main/java/org/cuminwell/app/ControlCommand.java
@@ -11,7 +11,7 @@
 
 /** Runs a control host. */
 @Parameters(commandDescription = "Run a control host that keeps the tickets")
-final class ControlCommand implements Command {
+final class ControlCommand implements ProcessCommand {
 
   @Parameter(names = "--host-id", required = true, description = "name of this host")
   private String hostId = "";
@@ -35,8 +35,8 @@
     return OK;
   }
 
-  /** Returns the checked settings. */
-  ControlSettings settings() throws SettingException {
+  @Override
+  public ControlSettings settings() throws SettingException {
     return new ControlSettings(
         Settings.checked("--host-id", hostId, HostId::new),
         Settings.checked("--http", http, HostAddress::parse),
--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -16,7 +16,7 @@
 
 /** Runs an entry host. */
 @Parameters(commandDescription = "Run an entry host that serves callers")
-final class GatewayCommand implements Command {
+final class GatewayCommand implements ProcessCommand {
 
   @Parameter(names = "--host-id", required = true, description = "name of this host")
   private String hostId = "";
@@ -57,8 +57,8 @@
     return OK;
   }
 
-  /** Returns the checked settings. */
-  GatewaySettings settings() throws SettingException {
+  @Override
+  public GatewaySettings settings() throws SettingException {
     HostDescription self =
         new HostDescription(
             Settings.checked("--host-id", hostId, HostId::new),
--- a/app/src/main/java/org/cuminwell/app/Main.java
+++ b/app/src/main/java/org/cuminwell/app/Main.java
@@ -3,15 +3,32 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
 
-/** Starts the subcommand that the command line names. */
+/**
+ * Starts the subcommand that the command line names, or only checks its settings.
+ *
+ * <p>Used once. Not thread safe.
+ */
 public final class Main {
 
-  @Parameter(names = "--help", help = true, description = "print this")
-  private boolean help;
+  private static final String CHECK = "check";
 
+  /** Holds the flag that every command takes. */
+  private static final class HelpFlag {
+    @Parameter(names = "--help", help = true, description = "print this")
+    private boolean help;
+  }
+
+  private final HelpFlag help = new HelpFlag();
   private final Map<String, Command> commands = new LinkedHashMap<>();
 
   private Main() {
@@ -26,19 +43,15 @@
   /** Runs the program and exits with the code of its subcommand. */
   public static void main(String[] args) throws InterruptedException {
     StructuredLog.install();
-    System.exit(new Main().run(args));
+    System.exit(run(args));
   }
 
-  private int run(String[] args) throws InterruptedException {
-    JCommander line = parser();
+  /** Runs the program and returns the exit code. */
+  static int run(String... args) throws InterruptedException {
+    boolean check = args.length > 0 && args[0].equals(CHECK);
+    List<String> words = Arrays.asList(args).subList(check ? 1 : 0, args.length);
     try {
-      line.parse(args);
-      Command command = commands.get(String.valueOf(line.getParsedCommand()));
-      if (help || command == null) {
-        line.usage();
-        return help ? Command.OK : Command.USAGE;
-      }
-      return command.run();
+      return new Main().run(check, words);
     } catch (ParameterException | SettingException e) {
       System.err.println("cuminwell: " + e.getMessage());
       return Command.USAGE;
@@ -48,13 +61,57 @@
     }
   }
 
+  private int run(boolean check, List<String> words) throws SettingException, InterruptedException {
+    JCommander line = parser();
+    line.parse(words.toArray(String[]::new));
+    String name = line.getParsedCommand();
+    Command command = name == null ? null : commands.get(name);
+    if (name == null || command == null || help.help) {
+      printHelp(line, name);
+      return help.help ? Command.OK : Command.USAGE;
+    }
+    if (!check) {
+      return command.run();
+    }
+    JCommander flags = Objects.requireNonNull(line.getCommands().get(name));
+    return check(command, flags, Set.copyOf(words));
+  }
+
+  private static int check(Command command, JCommander line, Set<String> words)
+      throws SettingException {
+    if (!(command instanceof ProcessCommand process)) {
+      throw new SettingException(CHECK, "name gateway or control and its flags");
+    }
+    process.settings();
+    System.out.print(new EffectiveSettings(Settings::fromEnvironment, flags(words)).text(line));
+    return Command.OK;
+  }
+
+  private static Set<String> flags(Set<String> words) {
+    return words.stream()
+        .flatMap(word -> Stream.of(word, word.replaceFirst("=.*", "")))
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
+  private static void printHelp(JCommander line, @Nullable String name) {
+    if (name == null) {
+      line.usage();
+      System.out.println("  Put 'check' before gateway or control to check its settings only.");
+    } else {
+      line.getUsageFormatter().usage(name);
+    }
+    System.out.println("  Each flag can be set by a variable: --host-id as CUMINWELL_HOST_ID.");
+  }
+
   private JCommander parser() {
     JCommander.Builder builder =
         JCommander.newBuilder()
             .programName("cuminwell")
             .defaultProvider(Settings::fromEnvironment)
-            .addObject(this);
+            .addObject(help);
     commands.forEach(builder::addCommand);
-    return builder.build();
+    JCommander line = builder.build();
+    line.getCommands().values().forEach(command -> command.addObject(help));
+    return line;
   }
 }
