Prove peers to each other by mutual TLS

Refused connections are counted.

With the check of the name switched off the case CALLING_ITSELF_BY_ANOTHER_NAME fails; with it all four pass.

--- a/app/src/main/java/org/cuminwell/app/ControlCommand.java
+++ b/app/src/main/java/org/cuminwell/app/ControlCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import java.util.ArrayList;
 import java.util.List;
 import org.cuminwell.core.model.HostAddress;
@@ -28,6 +29,8 @@
   @Parameter(names = "--control", description = "peer HOST:PORT of each control host")
   private List<String> control = new ArrayList<>();
 
+  @ParametersDelegate private final TlsFlags tls = new TlsFlags();
+
   @Override
   public int run() throws SettingException, InterruptedException {
     ControlProcess process = ControlProcess.start(settings());
@@ -41,6 +44,7 @@
         Settings.checked("--host-id", hostId, HostId::new),
         Settings.checked("--http", http, HostAddress::parse),
         Settings.checked("--peer", peer, HostAddress::parse),
-        Settings.addresses("--control", control));
+        Settings.addresses("--control", control),
+        tls.files());
   }
 }
--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -45,6 +46,8 @@
   @Parameter(names = "--control", description = "peer HOST:PORT of each control host")
   private List<String> control = new ArrayList<>();
 
+  @ParametersDelegate private final TlsFlags tls = new TlsFlags();
+
   @Parameter(
       names = "--stop-timeout-s",
       description = "how long running requests may take after SIGTERM, in seconds")
@@ -73,6 +76,6 @@
     if (stopTimeoutSeconds < 0) {
       throw new SettingException("--stop-timeout-s", "must be 0 or more");
     }
-    return new GatewaySettings(self, Settings.addresses("--control", control));
+    return new GatewaySettings(self, Settings.addresses("--control", control), tls.files());
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -1,6 +1,7 @@
 package org.cuminwell.shell.control;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.cuminwell.core.control.Control;
 import org.cuminwell.core.control.ControlAction;
 import org.cuminwell.core.control.ControlEvent;
@@ -16,6 +17,7 @@
 import org.cuminwell.shell.metrics.Telemetry;
 import org.cuminwell.shell.peer.PeerListener;
 import org.cuminwell.shell.peer.PeerNode;
+import org.cuminwell.shell.peer.PeerTls;
 
 /**
  * Runs a control host: network threads put events into one ring, and the decide thread turns them
@@ -35,21 +37,27 @@
   private final Ring<ControlAction> actions = new Ring<>(RING);
   private final Control control;
   private final HttpSystem http;
+  private final Optional<PeerTls> tls;
   private final PeerNode peers;
   private final OperatorFront operators;
   private final Duty<ControlEvent> decide;
   private final Duty<ControlAction> dispatch;
   private final TimerDuty timer;
+  private final TimerDuty certificates;
 
   private ControlProcess(ControlSettings settings) {
     control = new Control(settings.self());
     http = HttpSystem.start("control");
-    peers = new PeerNode(settings.self(), listener());
+    tls = settings.tls().map(PeerTls::orFail);
+    peers = new PeerNode(settings.self(), listener(), tls);
     OpsPages pages = new OpsPages(() -> true, telemetry);
     operators = new OperatorFront(http, pages, events::offer, control.view());
     decide = Duty.start("decide", events, this::decide);
     dispatch = Duty.start("dispatch", actions, this::perform);
     timer = TimerDuty.start("timer", TICK, () -> events.offer(new ControlEvent.Ticked()));
+    certificates =
+        TimerDuty.start(
+            "certificates", PeerTls.RELOAD, () -> tls.ifPresent(PeerTls::reloadIfChanged));
   }
 
   /**
@@ -71,6 +79,7 @@
   @Override
   public void close() {
     timer.close();
+    certificates.close();
     decide.close();
     dispatch.close();
     peers.close();
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
@@ -1,8 +1,10 @@
 package org.cuminwell.shell.control;
 
 import java.util.List;
+import java.util.Optional;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
+import org.cuminwell.shell.peer.TlsFiles;
 
 /**
  * Holds the checked settings of a control host. Immutable and thread safe.
@@ -10,9 +12,14 @@
  * @param operators where operators reach it over HTTP
  * @param peer where the system's own messages reach it
  * @param controls the peer addresses of all control hosts
+ * @param tls proves this host to others; without it peers are believed
  */
 public record ControlSettings(
-    HostId self, HostAddress operators, HostAddress peer, List<HostAddress> controls) {
+    HostId self,
+    HostAddress operators,
+    HostAddress peer,
+    List<HostAddress> controls,
+    Optional<TlsFiles> tls) {
 
   /** Copies the list. */
   public ControlSettings {
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -1,6 +1,7 @@
 package org.cuminwell.shell.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -23,6 +24,7 @@
 import org.cuminwell.shell.metrics.Telemetry;
 import org.cuminwell.shell.peer.PeerListener;
 import org.cuminwell.shell.peer.PeerNode;
+import org.cuminwell.shell.peer.PeerTls;
 
 /**
  * Runs a gateway: network threads put events into one ring, the decide thread turns them into
@@ -44,23 +46,29 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final Gateway gateway;
   private final HttpSystem http;
+  private final Optional<PeerTls> tls;
   private final PeerNode peers;
   private final CallerFront callers;
   private final EndpointClient endpoints;
   private final Duty<GatewayEvent> decide;
   private final Duty<GatewayAction> dispatch;
   private final TimerDuty timer;
+  private final TimerDuty certificates;
   private volatile boolean ready;
 
   private GatewayProcess(GatewaySettings settings) {
     gateway = new Gateway(settings.self());
     http = HttpSystem.start("gateway");
-    peers = new PeerNode(settings.self().id(), listener());
+    tls = settings.tls().map(PeerTls::orFail);
+    peers = new PeerNode(settings.self().id(), listener(), tls);
     callers = new CallerFront(http, calls, events);
     endpoints = new EndpointClient(http, events::force);
     decide = Duty.start("decide", events.ring(), this::decide);
     dispatch = Duty.start("dispatch", actions, this::perform);
     timer = TimerDuty.start("timer", TICK, () -> events.offer(new GatewayEvent.Ticked()));
+    certificates =
+        TimerDuty.start(
+            "certificates", PeerTls.RELOAD, () -> tls.ifPresent(PeerTls::reloadIfChanged));
   }
 
   /**
@@ -93,6 +101,7 @@
   @Override
   public void close() {
     timer.close();
+    certificates.close();
     decide.close();
     dispatch.close();
     peers.close();
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewaySettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewaySettings.java
@@ -1,16 +1,20 @@
 package org.cuminwell.shell.gateway;
 
 import java.util.List;
+import java.util.Optional;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.shell.peer.TlsFiles;
 
 /**
  * Holds the checked settings of a gateway. Immutable and thread safe.
  *
  * @param self how this host describes itself
  * @param controls the peer addresses of the control hosts
+ * @param tls proves this host to others; without it peers are believed
  */
-public record GatewaySettings(HostDescription self, List<HostAddress> controls) {
+public record GatewaySettings(
+    HostDescription self, List<HostAddress> controls, Optional<TlsFiles> tls) {
 
   /** Copies the list. */
   public GatewaySettings {
--- a/shell/src/main/java/org/cuminwell/shell/peer/PeerFrameHandler.java
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerFrameHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.timeout.IdleState;
 import io.netty.handler.timeout.IdleStateEvent;
 import org.cuminwell.core.model.HostId;
@@ -52,7 +53,7 @@
       LOG.log(
           System.Logger.Level.WARNING,
           () -> "closing the connection to " + context.channel().remoteAddress() + ": " + e);
-      var _ = context.close();
+      close(context);
     } finally {
       buffer.release();
     }
@@ -77,12 +78,13 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
     LOG.log(System.Logger.Level.DEBUG, "connection failed", cause);
-    var _ = context.close();
+    close(context);
   }
 
   private void handle(ChannelHandlerContext context, PeerFrame frame) throws WireFormatException {
     switch (frame) {
       case PeerFrame.Hello hello -> {
+        requireProven(context, hello.host());
         peer = hello.host();
         node.opened(hello.host(), context.channel());
       }
@@ -91,6 +93,25 @@
     }
   }
 
+  private void close(ChannelHandlerContext context) {
+    if (peer == null) {
+      node.refused();
+    }
+    var _ = context.close();
+  }
+
+  private static void requireProven(ChannelHandlerContext context, HostId claimed)
+      throws WireFormatException {
+    SslHandler security = context.pipeline().get(SslHandler.class);
+    if (security != null && !PeerTls.proves(security, claimed)) {
+      throw new WireFormatException(
+          "the peer calls itself "
+              + claimed
+              + " but its certificate says "
+              + PeerTls.provenName(security).orElse("nothing"));
+    }
+  }
+
   private HostId requirePeer() throws WireFormatException {
     if (peer == null) {
       throw new WireFormatException("message before hello");
--- a/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
@@ -15,10 +15,14 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.peer.PeerMessage;
@@ -49,15 +53,22 @@
 
   private final HostId self;
   private final PeerListener listener;
+  private final Optional<PeerTls> tls;
   private final EventLoopGroup threads;
   private final Map<HostId, Channel> links = new ConcurrentHashMap<>();
   private final Map<HostAddress, Boolean> dialled = new ConcurrentHashMap<>();
+  private final AtomicLong refused = new AtomicLong();
   private volatile boolean closed;
 
-  /** Makes a node that neither listens nor dials yet. */
-  public PeerNode(HostId self, PeerListener listener) {
+  /**
+   * Makes a node that neither listens nor dials yet.
+   *
+   * @param tls proves the ends of each connection; without it peers are believed
+   */
+  public PeerNode(HostId self, PeerListener listener, Optional<PeerTls> tls) {
     this.self = self;
     this.listener = listener;
+    this.tls = tls;
     this.threads = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   }
 
@@ -74,7 +85,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
-            .childHandler(initializer())
+            .childHandler(initializer(channel -> tls.map(t -> t.serverHandler(channel))))
             .bind(address.host(), address.port())
             .awaitUninterruptibly();
     if (!bound.isSuccess()) {
@@ -106,6 +117,11 @@
     return true;
   }
 
+  /** Returns how many connections were closed because the other end could not prove itself. */
+  public long refusedConnections() {
+    return refused.get();
+  }
+
   @Override
   public void close() {
     closed = true;
@@ -129,6 +145,10 @@
     }
   }
 
+  void refused() {
+    refused.incrementAndGet();
+  }
+
   void heard(HostId peer, PeerMessage message) {
     listener.heard(peer, message);
   }
@@ -143,7 +163,7 @@
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
-        .handler(initializer())
+        .handler(initializer(channel -> tls.map(t -> t.clientHandler(channel))))
         .connect(address.host(), address.port())
         .addListener(
             (ChannelFutureListener)
@@ -165,10 +185,12 @@
     }
   }
 
-  private ChannelInitializer<SocketChannel> initializer() {
+  private ChannelInitializer<SocketChannel> initializer(
+      Function<SocketChannel, Optional<SslHandler>> security) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
+        security.apply(channel).ifPresent(handler -> channel.pipeline().addLast(handler));
         channel
             .pipeline()
             .addLast(
--- /dev/null
+++ b/shell/src/test/java/org/cuminwell/shell/peer/PeerTlsTest.java
@@ -0,0 +1,120 @@
+package org.cuminwell.shell.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.pkitesting.CertificateBuilder;
+import io.netty.pkitesting.X509Bundle;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.peer.PeerMessage;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class PeerTlsTest {
+
+  private static final Duration POLL = Duration.ofMillis(10);
+  private static final HostId SERVER = new HostId("c1");
+  private static final HostId CLIENT = new HostId("g1");
+
+  @TempDir private Path folder;
+
+  enum Client {
+    VALID(true),
+    OF_ANOTHER_AUTHORITY(false),
+    CALLING_ITSELF_BY_ANOTHER_NAME(false),
+    WITHOUT_TLS(false);
+
+    private final boolean accepted;
+
+    Client(boolean accepted) {
+      this.accepted = accepted;
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void onlyPeersThatProveTheirNameAreHeard(Client kind) throws Exception {
+    X509Bundle authority = authority();
+    Heard heard = new Heard();
+    HostAddress address = freeAddress();
+    try (PeerNode server = node(SERVER, heard, files("server", SERVER, authority, authority));
+        PeerNode client = client(kind, authority, authority())) {
+      server.listen(address);
+      client.dial(address);
+      await(() -> heard.connected.contains(CLIENT) || server.refusedConnections() > 0);
+
+      assertThat(heard.connected.contains(CLIENT)).isEqualTo(kind.accepted);
+    }
+  }
+
+  private PeerNode client(Client kind, X509Bundle authority, X509Bundle stranger) throws Exception {
+    return switch (kind) {
+      case VALID -> node(CLIENT, new Heard(), files("client", CLIENT, authority, authority));
+      case OF_ANOTHER_AUTHORITY ->
+          node(CLIENT, new Heard(), files("client", CLIENT, stranger, authority));
+      case CALLING_ITSELF_BY_ANOTHER_NAME ->
+          node(CLIENT, new Heard(), files("client", new HostId("g2"), authority, authority));
+      case WITHOUT_TLS -> new PeerNode(CLIENT, new Heard(), Optional.empty());
+    };
+  }
+
+  private static PeerNode node(HostId self, PeerListener listener, TlsFiles files)
+      throws IOException {
+    return new PeerNode(self, listener, Optional.of(PeerTls.of(files)));
+  }
+
+  private TlsFiles files(String name, HostId host, X509Bundle issuer, X509Bundle trusted)
+      throws Exception {
+    X509Bundle own = new CertificateBuilder().subject("CN=" + host).buildIssuedBy(issuer);
+    return new TlsFiles(
+        Files.writeString(folder.resolve(name + ".crt"), own.getCertificatePathPEM()),
+        Files.writeString(folder.resolve(name + ".key"), own.getPrivateKeyPEM()),
+        Files.writeString(folder.resolve(name + ".ca"), trusted.getCertificatePEM()));
+  }
+
+  private static X509Bundle authority() throws Exception {
+    return new CertificateBuilder()
+        .subject("CN=authority")
+        .setIsCertificateAuthority(true)
+        .buildSelfSigned();
+  }
+
+  private static HostAddress freeAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new HostAddress("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  private static void await(BooleanSupplier condition) throws InterruptedException {
+    while (!condition.getAsBoolean()) {
+      Thread.sleep(POLL);
+    }
+  }
+
+  private static final class Heard implements PeerListener {
+
+    private final Set<HostId> connected = ConcurrentHashMap.newKeySet();
+
+    @Override
+    public void connected(HostId peer) {
+      connected.add(peer);
+    }
+
+    @Override
+    public void lost(HostId peer) {}
+
+    @Override
+    public void heard(HostId peer, PeerMessage message) {}
+  }
+}
