Apply tickets as commands of a replicated state

All that control hosts must agree on now changes in one place, so that the log of the consensus can carry it: a command and the leader's time give a result.

--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -14,8 +14,8 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.ticket.Ticket;
 import org.cuminwell.core.ticket.TicketAnswer;
-import org.cuminwell.core.ticket.TicketLedger;
 
 /**
  * Decides what a control host does with each event.
@@ -25,7 +25,7 @@
 public final class Control {
 
   private final HostId self;
-  private final TicketLedger ledger = new TicketLedger();
+  private final ReplicatedState state = new ReplicatedState();
   private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
 
   /** Makes the state of the control host with the given name. */
@@ -49,15 +49,15 @@
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
-        self, ledger.configuration(), ledger.all(), List.copyOf(gateways.values()));
+        self, state.configuration(), state.ledger().all(), List.copyOf(gateways.values()));
   }
 
   private void submit(
       ControlEvent.TicketSubmitted event, Instant now, List<ControlAction> actions) {
-    Revision before = ledger.configuration().revision();
-    TicketAnswer answer = ledger.apply(event.ticket(), now);
+    Revision before = state.configuration().revision();
+    TicketAnswer answer = answer(event.ticket(), now);
     actions.add(new AnswerTicket(event.id(), answer));
-    if (ledger.configuration().revision().isAfter(before)) {
+    if (state.configuration().revision().isAfter(before)) {
       gateways.values().stream()
           .filter(GatewayView::connected)
           .forEach(gateway -> actions.add(configurationFor(gateway.host().id())));
@@ -65,6 +65,12 @@
     }
   }
 
+  private TicketAnswer answer(Ticket ticket, Instant now) {
+    return switch (state.apply(new Command.AcceptTicket(ticket), now)) {
+      case Applied.TicketAnswered applied -> applied.answer();
+    };
+  }
+
   private void lose(HostId peer, List<ControlAction> actions) {
     gateways.computeIfPresent(peer, (id, old) -> new GatewayView(old.host(), old.held(), false));
     actions.add(new Show(view()));
@@ -82,7 +88,7 @@
       case DistributionMessage.Held held -> {
         gateways.computeIfPresent(
             peer, (id, old) -> new GatewayView(old.host(), held.revision(), true));
-        if (ledger.configuration().revision().isAfter(held.revision())) {
+        if (state.configuration().revision().isAfter(held.revision())) {
           actions.add(configurationFor(peer));
         }
         actions.add(new Show(view()));
@@ -118,7 +124,6 @@
 
   private TellPeer configurationFor(HostId gateway) {
     return new TellPeer(
-        gateway,
-        new PeerMessage.Distribution(new DistributionMessage.Full(ledger.configuration())));
+        gateway, new PeerMessage.Distribution(new DistributionMessage.Full(state.configuration())));
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
@@ -0,0 +1,48 @@
+package org.cuminwell.core.control;
+
+import java.time.Instant;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.ticket.TicketLedger;
+
+/**
+ * Holds the state that all control hosts agree on.
+ *
+ * <p>Invariant: the state is a function of the commands applied and their times alone, so that
+ * replicas that have applied the same prefix of the log are equal. Nothing may change it but {@link
+ * #apply}. Not thread safe: one thread owns it.
+ */
+public final class ReplicatedState {
+
+  private final TicketLedger ledger;
+
+  /** Makes the state before any command. */
+  public ReplicatedState() {
+    this(new TicketLedger());
+  }
+
+  /** Makes the state with the given tickets. */
+  ReplicatedState(TicketLedger ledger) {
+    this.ledger = ledger;
+  }
+
+  /**
+   * Applies the next command of the log.
+   *
+   * @param at the time at which the leader proposed it, which the log carries
+   */
+  public Applied apply(Command command, Instant at) {
+    return switch (command) {
+      case Command.AcceptTicket c -> new Applied.TicketAnswered(ledger.apply(c.ticket(), at));
+    };
+  }
+
+  /** Returns the tickets accepted so far. */
+  public TicketLedger ledger() {
+    return ledger;
+  }
+
+  /** Returns the configuration after the last applied command. */
+  public Configuration configuration() {
+    return ledger.configuration();
+  }
+}
