--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -50,6 +50,9 @@
     http = HttpSystem.start("control");
     tls = settings.tls().map(PeerTls::orFail);
     peers = new PeerNode(settings.self(), listener(), tls);
+    telemetry.gauge("peer_sent_bytes", peers::sentBytes);
+    telemetry.gauge("peer_received_bytes", peers::receivedBytes);
+    telemetry.gauge("peer_refused_connections", peers::refusedConnections);
     OpsPages pages = new OpsPages(() -> true, telemetry);
     operators = new OperatorFront(http, pages, events::offer, control.view());
     decide = Duty.start("decide", events, this::decide);
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -61,6 +61,9 @@
     http = HttpSystem.start("gateway");
     tls = settings.tls().map(PeerTls::orFail);
     peers = new PeerNode(settings.self().id(), listener(), tls);
+    telemetry.gauge("peer_sent_bytes", peers::sentBytes);
+    telemetry.gauge("peer_received_bytes", peers::receivedBytes);
+    telemetry.gauge("peer_refused_connections", peers::refusedConnections);
     callers = new CallerFront(http, calls, events);
     endpoints = new EndpointClient(http, events::force);
     decide = Duty.start("decide", events.ring(), this::decide);
--- a/shell/src/main/java/org/cuminwell/shell/metrics/PrometheusText.java
+++ b/shell/src/main/java/org/cuminwell/shell/metrics/PrometheusText.java
@@ -13,6 +13,9 @@
 
   static String of(MetricRegistry registry) {
     StringBuilder text = new StringBuilder();
+    registry
+        .getGauges()
+        .forEach((name, gauge) -> line(text, name, ((Number) gauge.getValue()).longValue()));
     registry.getCounters().forEach((name, counter) -> line(text, name, counter.getCount()));
     registry
         .getHistograms()
--- a/shell/src/main/java/org/cuminwell/shell/metrics/Telemetry.java
+++ b/shell/src/main/java/org/cuminwell/shell/metrics/Telemetry.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.UniformReservoir;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.cuminwell.core.gateway.CallRecord;
 import org.cuminwell.core.model.Failure;
 
@@ -32,6 +33,11 @@
     registry.counter(new MetricName(name, "", "").encoded()).inc(added);
   }
 
+  /** Shows a value that is read when the metrics are printed. */
+  public void gauge(String name, LongSupplier value) {
+    registry.gauge(name, () -> value::getAsLong);
+  }
+
   /** Returns everything in the text format of Prometheus. */
   public String prometheusText() {
     return PrometheusText.of(registry);
--- a/shell/src/main/java/org/cuminwell/shell/peer/PeerFrameHandler.java
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerFrameHandler.java
@@ -47,6 +47,7 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     ByteBuf buffer = (ByteBuf) message;
+    node.countReceived(buffer.readableBytes());
     try {
       handle(context, PeerFrameCodec.decode(ByteBufUtil.getBytes(buffer)));
     } catch (WireFormatException e) {
@@ -61,7 +62,9 @@
 
   @Override
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-    var _ = context.write(Unpooled.wrappedBuffer((byte[]) message), promise);
+    byte[] frame = (byte[]) message;
+    node.countSent(frame.length);
+    var _ = context.write(Unpooled.wrappedBuffer(frame), promise);
   }
 
   @Override
--- a/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
@@ -58,6 +59,8 @@
   private final Map<HostId, Channel> links = new ConcurrentHashMap<>();
   private final Map<HostAddress, Boolean> dialled = new ConcurrentHashMap<>();
   private final AtomicLong refused = new AtomicLong();
+  private final LongAdder sentBytes = new LongAdder();
+  private final LongAdder receivedBytes = new LongAdder();
   private volatile boolean closed;
 
   /**
@@ -122,6 +125,16 @@
     return refused.get();
   }
 
+  /** Returns the bytes of all frames sent, without TLS. */
+  public long sentBytes() {
+    return sentBytes.sum();
+  }
+
+  /** Returns the bytes of all frames received, without TLS. */
+  public long receivedBytes() {
+    return receivedBytes.sum();
+  }
+
   @Override
   public void close() {
     closed = true;
@@ -145,6 +158,14 @@
     }
   }
 
+  void countSent(int bytes) {
+    sentBytes.add(LENGTH_BYTES + bytes);
+  }
+
+  void countReceived(int bytes) {
+    receivedBytes.add(LENGTH_BYTES + bytes);
+  }
+
   void refused() {
     refused.incrementAndGet();
   }
