Hold token limits over all hosts by escrow shares, and queue fairly

Cause: each gateway had the whole rate and burst of each customer, so that the fleet could admit them once a host, and a restart gave a fresh burst.

Change: a leader grants shares of rate and burst against demand reports; a holder lets go at the end of a lease that counts from the sending of its report, the granter counts it longer from the coming of the report. Tokens nobody holds fill a pool at the granter and move with shares that grow, by cumulative counters, so that lost and doubled messages count once. A static tenth of each limit is split over data centres and slots for entry hosts, and needs no message. Admitted requests then wait for room at endpoints in queues a customer with deficit round robin.

Ruled out: a lease for floors that does not lapse (a lost host strands it for good, since shares are not in the replicated log); buying tokens in chunks (a message a second for every active customer and gateway).

--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -11,6 +11,8 @@
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.limit.ShareGranter;
+import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.peer.PeerMessage;
@@ -27,6 +29,8 @@
   private final HostId self;
   private final TicketLedger ledger = new TicketLedger();
   private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
+  private final ShareGranter shares = new ShareGranter();
+  private long startedAt;
 
   /** Makes the state of the control host with the given name. */
   public Control(HostId self) {
@@ -36,11 +40,12 @@
   /** Returns what to do about the event, in order. */
   public List<ControlAction> handle(ControlEvent event, Instant now) {
     List<ControlAction> actions = new ArrayList<>();
+    grantShares(now, actions);
     switch (event) {
       case ControlEvent.TicketSubmitted e -> submit(e, now, actions);
       case ControlEvent.PeerConnected e -> {}
       case ControlEvent.PeerLost e -> lose(e.peer(), actions);
-      case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), actions);
+      case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
       case ControlEvent.Ticked e -> {}
     }
     return actions;
@@ -65,15 +70,43 @@
     }
   }
 
+  /** Grants shares while this host leads, in terms that only grow. */
+  private void grantShares(Instant now, List<ControlAction> actions) {
+    shares.configure(ledger.configuration());
+    if (isLeader()) {
+      tell(shares.lead(term(now), now), actions);
+    } else {
+      shares.follow();
+    }
+    tell(shares.tick(now), actions);
+  }
+
+  private static void tell(List<ShareHolder.Addressed> messages, List<ControlAction> actions) {
+    messages.forEach(m -> actions.add(new TellPeer(m.to(), new PeerMessage.Limits(m.message()))));
+  }
+
+  private static boolean isLeader() {
+    return true;
+  }
+
+  private long term(Instant now) {
+    if (startedAt == 0) {
+      startedAt = now.toEpochMilli();
+    }
+    return startedAt;
+  }
+
   private void lose(HostId peer, List<ControlAction> actions) {
+    shares.lost(peer);
     gateways.computeIfPresent(peer, (id, old) -> new GatewayView(old.host(), old.held(), false));
     actions.add(new Show(view()));
   }
 
-  private void hear(HostId peer, PeerMessage message, List<ControlAction> actions) {
+  private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
     switch (message) {
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(peer, m.message(), actions);
+      case PeerMessage.Limits m -> tell(shares.hear(peer, m.message(), now), actions);
     }
   }
 
@@ -97,6 +130,7 @@
         GatewayView old = gateways.get(peer);
         Revision held = old == null ? Revision.ZERO : old.held();
         gateways.put(peer, new GatewayView(here.host(), held, true));
+        tell(shares.connected(peer), actions);
         tellDirectory(actions);
         actions.add(new Show(view()));
       }
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/fairness/Offer.java
@@ -0,0 +1,13 @@
+package org.cuminwell.core.fairness;
+
+import java.time.Duration;
+
+/** Says whether a request may wait. Immutable and thread safe. */
+public sealed interface Offer {
+
+  /** The request waits. */
+  record Queued() implements Offer {}
+
+  /** There is no room, or the wait would outlast the deadline. */
+  record Refused(Duration retryAfter) implements Offer {}
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/fairness/Waiting.java
@@ -0,0 +1,27 @@
+package org.cuminwell.core.fairness;
+
+import java.time.Instant;
+import org.cuminwell.core.model.CustomerId;
+import org.cuminwell.core.model.RequestId;
+
+/**
+ * Describes a request that waits to start. Immutable and thread safe.
+ *
+ * <p>Invariant: the cost is positive.
+ *
+ * @param costTokens what it is expected to take, in tokens
+ * @param deadline when it is of no use any more
+ */
+public record Waiting(RequestId id, CustomerId customer, long costTokens, Instant deadline) {
+
+  /**
+   * Checks the cost.
+   *
+   * @throws IllegalArgumentException if it is not positive
+   */
+  public Waiting {
+    if (costTokens <= 0) {
+      throw new IllegalArgumentException("cost must be at least 1 token; found " + costTokens);
+    }
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -21,7 +21,8 @@
 import org.cuminwell.core.gateway.GatewayAction.SendToEndpoint;
 import org.cuminwell.core.gateway.GatewayAction.Stopped;
 import org.cuminwell.core.gateway.GatewayAction.TellPeer;
-import org.cuminwell.core.limit.CustomerLimits;
+import org.cuminwell.core.limit.Floors;
+import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.membership.EndpointTable;
 import org.cuminwell.core.model.Customer;
 import org.cuminwell.core.model.ErrorCode;
@@ -36,6 +37,7 @@
 import org.cuminwell.core.residency.Residency;
 import org.cuminwell.core.retry.RetryPolicy;
 import org.cuminwell.core.routing.Router;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides what a gateway does with each event.
@@ -54,15 +56,27 @@
   private final ConfigurationHolder configuration = new ConfigurationHolder();
   private final HostDirectory directory = new HostDirectory();
   private final EndpointTable endpoints = new EndpointTable();
-  private final CustomerLimits limits = new CustomerLimits();
+  private final int floorSlots;
+  private final StartQueue starts = new StartQueue();
   private final Router router = new Router();
   private final RetryPolicy retryPolicy = RetryPolicy.DEFAULT;
   private final Map<RequestId, RunningCall> calls = new HashMap<>();
+  private @Nullable ShareHolder limits;
   private boolean stopping;
 
   /** Makes the state of the gateway that {@code self} describes. */
   public Gateway(HostDescription self) {
+    this(self, Floors.DEFAULT_SLOTS);
+  }
+
+  /**
+   * Makes the state of the gateway that {@code self} describes.
+   *
+   * @param floorSlots how many entry hosts its data centre may have
+   */
+  public Gateway(HostDescription self, int floorSlots) {
     this.self = self;
+    this.floorSlots = floorSlots;
     directory.learn(List.of(self));
   }
 
@@ -72,9 +86,12 @@
     switch (event) {
       case GatewayEvent.CallOpened e -> open(e.head(), now, actions);
       case GatewayEvent.CallRead e -> admit(e.body(), now, actions);
-      case GatewayEvent.CallDropped e -> calls.remove(e.id());
+      case GatewayEvent.CallDropped e -> drop(e.id(), now);
       case GatewayEvent.AnswerBegan e -> answerBegan(e, now);
-      case GatewayEvent.AttemptEnded e -> attemptEnded(e, now, actions);
+      case GatewayEvent.AttemptEnded e -> {
+        attemptEnded(e, now, actions);
+        startWaiting(now, actions);
+      }
       case GatewayEvent.ModelsAsked e -> listModels(e, actions);
       case GatewayEvent.EntryHostsAsked e -> listEntryHosts(e, actions);
       case GatewayEvent.EndpointAnnounced e -> endpoints.announce(e.announcement(), now);
@@ -82,8 +99,8 @@
       case GatewayEvent.EndpointLeft e -> endpoints.leave(e.endpoint(), e.incarnation());
       case GatewayEvent.PeerConnected e -> greet(e.peer(), actions);
       case GatewayEvent.PeerLost e -> {}
-      case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), actions);
-      case GatewayEvent.Ticked e -> endpoints.expire(now);
+      case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
+      case GatewayEvent.Ticked e -> tick(now, actions);
       case GatewayEvent.StopAsked e -> stopping = true;
     }
     if (stopping && calls.isEmpty()) {
@@ -97,6 +114,12 @@
     return configuration.isReady() && !stopping;
   }
 
+  private void tick(Instant now, List<GatewayAction> actions) {
+    endpoints.expire(now);
+    startWaiting(now, actions);
+    reportShares(now, actions);
+  }
+
   private void open(CallHead head, Instant now, List<GatewayAction> actions) {
     Optional<Failure> refusal = refusalOfHead(head);
     if (refusal.isPresent()) {
@@ -216,17 +239,65 @@
       refuse(call, wrongRegion(residency), now, actions);
       return;
     }
-    Optional<Duration> wait = limits.admit(call.customer(), estimate, now);
-    if (wait.isPresent()) {
-      refuse(
-          call,
-          Failure.notRunRetryAfter(
-              ErrorCode.RATE_LIMITED, "the token limit is reached; wait and retry", wait.get()),
-          now,
-          actions);
+    Optional<Failure> refusal =
+        LimitRefusal.of(limits(now).admit(call.customer(), estimate, now), estimate);
+    if (refusal.isPresent()) {
+      refuse(call, refusal.get(), now, actions);
       return;
     }
-    attempt(call, now, actions);
+    switch (starts.arrive(call, capacity(now), now)) {
+      case StartQueue.Decision.Start d -> attempt(call, now, actions);
+      case StartQueue.Decision.Wait d -> {}
+      case StartQueue.Decision.Refuse d -> refuseCharged(call, d.failure(), now, actions);
+    }
+  }
+
+  /** Starts what waits and has room now, and refuses what has waited too long. */
+  private void startWaiting(Instant now, List<GatewayAction> actions) {
+    for (RequestId id : starts.expire(now)) {
+      RunningCall call = calls.get(id);
+      if (call != null) {
+        refuseCharged(call, StartQueue.tooLong(), now, actions);
+      }
+    }
+    for (RequestId id : starts.next(capacity(now), now)) {
+      RunningCall call = calls.get(id);
+      if (call != null) {
+        attempt(call, now, actions);
+      }
+    }
+  }
+
+  private StartQueue.Capacity capacity(Instant now) {
+    return new ReachableCapacity(endpoints, directory, self, now);
+  }
+
+  /** Ends a request that was charged and never sent. */
+  private void refuseCharged(
+      RunningCall call, Failure failure, Instant now, List<GatewayAction> actions) {
+    limits(now).settle(call.customer(), call.estimate(), 0, now);
+    refuse(call, failure, now, actions);
+  }
+
+  private void drop(RequestId id, Instant now) {
+    RunningCall call = calls.remove(id);
+    if (call != null && starts.ended(id)) {
+      limits(now).settle(call.customer(), call.estimate(), 0, now);
+    }
+  }
+
+  private ShareHolder limits(Instant now) {
+    if (limits == null) {
+      limits = new ShareHolder(self.place(), floorSlots, now);
+    }
+    limits.configure(configuration.index().configuration(), now);
+    return limits;
+  }
+
+  private void reportShares(Instant now, List<GatewayAction> actions) {
+    limits(now)
+        .tick(now)
+        .ifPresent(m -> actions.add(new TellPeer(m.to(), new PeerMessage.Limits(m.message()))));
   }
 
   private Optional<Route> routeOf(CallHead.Target target, CallBody body) {
@@ -257,8 +328,7 @@
             .toList();
     Optional<EndpointTable.Entry> choice = router.choose(candidates, call.tried());
     if (choice.isEmpty()) {
-      limits.settle(call.customer(), call.estimate(), 0, now);
-      refuse(
+      refuseCharged(
           call,
           Failure.notRunRetryAfter(
               ErrorCode.NO_ENDPOINT, "no endpoint can take the request; try again", RETRY_SOON),
@@ -326,18 +396,20 @@
       Instant now,
       List<GatewayAction> actions) {
     calls.remove(call.id());
+    starts.ended(call.id());
     long used =
         switch (call.route().service()) {
           case Service.Model m -> usage.total();
           case Service.Plain p -> PLAIN_CALL_TOKENS;
         };
-    limits.settle(call.customer(), call.estimate(), used, now);
+    limits(now).settle(call.customer(), call.estimate(), used, now);
     actions.add(new Count(call.id(), call.record(now, usage, failure)));
   }
 
   /** Ends a request that was never sent. */
   private void refuse(RunningCall call, Failure failure, Instant now, List<GatewayAction> actions) {
     calls.remove(call.id());
+    starts.ended(call.id());
     actions.add(new Refuse(call.id(), failure));
     actions.add(new Count(call.id(), call.record(now, Usage.NONE, Optional.of(failure))));
   }
@@ -382,10 +454,11 @@
     actions.add(tell(peer, new DistributionMessage.Held(configuration.revision())));
   }
 
-  private void hear(HostId peer, PeerMessage message, List<GatewayAction> actions) {
+  private void hear(HostId peer, PeerMessage message, Instant now, List<GatewayAction> actions) {
     switch (message) {
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(m.message());
+      case PeerMessage.Limits m -> limits(now).hear(peer, m.message(), now);
     }
   }
 
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/gateway/ReachableCapacity.java
@@ -0,0 +1,36 @@
+package org.cuminwell.core.gateway;
+
+import java.time.Instant;
+import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.directory.HostDirectory;
+import org.cuminwell.core.membership.EndpointTable;
+
+/**
+ * Sums the announced capacity that a gateway can send to, and counts the gateways that share it.
+ *
+ * <p>Not thread safe: the thread of its {@link Gateway} owns it.
+ */
+record ReachableCapacity(
+    EndpointTable endpoints, HostDirectory directory, HostDescription self, Instant now)
+    implements StartQueue.Capacity {
+
+  @Override
+  public int of(String service) {
+    return endpoints.serving(service, now).stream()
+        .mapToInt(entry -> entry.announcement().capacity())
+        .sum();
+  }
+
+  /**
+   * Counts the gateways of this data centre: endpoints announce themselves there, and each of its
+   * gateways sees the same ones.
+   */
+  @Override
+  public int gateways() {
+    long sharing =
+        directory.all().stream()
+            .filter(host -> !host.stopping() && host.place().equals(self.place()))
+            .count();
+    return (int) Math.max(1, sharing);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/limit/MaxMin.java
@@ -0,0 +1,30 @@
+package org.cuminwell.core.limit;
+
+import java.util.Arrays;
+
+/** Divides an amount by max-min fairness. Stateless and thread safe. */
+public final class MaxMin {
+
+  private MaxMin() {}
+
+  /**
+   * Returns what each demand gets: no more than it asks for, and nobody could get more but from one
+   * who gets no more than it.
+   */
+  public static double[] divide(double amount, double[] demands) {
+    double[] sorted = demands.clone();
+    Arrays.sort(sorted);
+    double left = amount;
+    double level = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < sorted.length; i++) {
+      double even = left / (sorted.length - i);
+      if (sorted[i] >= even) {
+        level = even;
+        break;
+      }
+      left -= sorted[i];
+    }
+    double cap = level;
+    return Arrays.stream(demands).map(demand -> Math.min(demand, cap)).toArray();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareGranter.java
@@ -0,0 +1,278 @@
+package org.cuminwell.core.limit;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.limit.LimitMessage.Allotment;
+import org.cuminwell.core.limit.LimitMessage.Demand;
+import org.cuminwell.core.limit.LimitMessage.Grant;
+import org.cuminwell.core.limit.LimitMessage.Leading;
+import org.cuminwell.core.limit.LimitMessage.Report;
+import org.cuminwell.core.limit.ShareHolder.Addressed;
+import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.CustomerId;
+import org.cuminwell.core.model.HostId;
+
+/**
+ * Grants gateways their shares of the customers' limits while this control host leads.
+ *
+ * <p>Nothing here is replicated: a new leader waits until every lease of the one before must have
+ * run out. Invariants: a holder's shares count as in use until it has acknowledged a smaller one,
+ * has begun another session, or {@link ShareLease#LEASE} and {@link ShareLease#MARGIN} have gone by
+ * since its last report came, from whose sending the holder counts. Not thread safe: one thread
+ * owns it.
+ */
+public final class ShareGranter {
+
+  private static final Duration TELL_PERIOD = Duration.ofSeconds(5);
+
+  private final Set<HostId> gateways = new HashSet<>();
+  private final TreeMap<HostId, Holder> holders = new TreeMap<>();
+  private final Map<CustomerId, CustomerBook> books = new HashMap<>();
+  private final Set<CustomerId> changed = new LinkedHashSet<>();
+  private Configuration configuration = Configuration.EMPTY;
+  private boolean leading;
+  private long epoch;
+  private Instant grantsFrom = Instant.MAX;
+  private Instant toldAt = Instant.MIN;
+
+  /** Keeps the state of one session of one gateway. */
+  private static final class Holder {
+    final long session;
+    final Set<CustomerId> customers = new HashSet<>();
+    long heard;
+    long acknowledged;
+    long number;
+    boolean unsent;
+    Instant expiresAt;
+
+    Holder(long session, Instant expiresAt) {
+      this.session = session;
+      this.expiresAt = expiresAt;
+    }
+  }
+
+  /**
+   * Leads, and grants once the leases given by every earlier leader have run out.
+   *
+   * @param newEpoch the term, higher than that of any earlier leader
+   */
+  public List<Addressed> lead(long newEpoch, Instant now) {
+    if (newEpoch == epoch) {
+      leading = true;
+      return List.of();
+    }
+    holders.clear();
+    books.clear();
+    changed.clear();
+    leading = true;
+    epoch = newEpoch;
+    grantsFrom = now.plus(ShareLease.LEASE).plus(ShareLease.MARGIN);
+    return tellGateways(now);
+  }
+
+  /**
+   * Stops granting, since another host leads or may lead. What is booked counts again if this host
+   * leads on in the same term, since then no other did.
+   */
+  public void follow() {
+    leading = false;
+  }
+
+  /** Takes on the limits of the configuration, if it is another. */
+  public void configure(Configuration inForce) {
+    if (inForce.revision().equals(configuration.revision())) {
+      return;
+    }
+    configuration = inForce;
+    for (Map.Entry<CustomerId, CustomerBook> entry : books.entrySet()) {
+      Optional<Customer> customer = Optional.ofNullable(inForce.customers().get(entry.getKey()));
+      entry.getValue().limit(customer.map(Customer::limit));
+      changed.add(entry.getKey());
+    }
+  }
+
+  /** Takes in that a gateway can be reached. */
+  public List<Addressed> connected(HostId gateway) {
+    gateways.add(gateway);
+    return leading ? List.of(new Addressed(gateway, new Leading(epoch))) : List.of();
+  }
+
+  /** Takes in that a gateway can't be reached; its shares stay booked until their lease ends. */
+  public void lost(HostId gateway) {
+    gateways.remove(gateway);
+  }
+
+  /** Returns what to answer a gateway's message. */
+  public List<Addressed> hear(HostId from, LimitMessage message, Instant now) {
+    return switch (message) {
+      case Report report -> hear(from, report, now);
+      case Leading m -> List.of();
+      case Grant m -> List.of();
+    };
+  }
+
+  /** Returns what is to be sent as time goes by. */
+  public List<Addressed> tick(Instant now) {
+    if (!leading) {
+      return List.of();
+    }
+    expire(now);
+    divideChanged(now);
+    List<Addressed> out = new ArrayList<>();
+    for (Map.Entry<HostId, Holder> entry : holders.entrySet()) {
+      if (entry.getValue().unsent) {
+        out.add(grant(entry.getKey(), entry.getValue()));
+      }
+    }
+    if (!now.isBefore(toldAt.plus(TELL_PERIOD))) {
+      out.addAll(tellGateways(now));
+    }
+    return out;
+  }
+
+  /** Returns the most of the customer's rate that gateways may hold now beyond floors. */
+  public Share booked(CustomerId customer) {
+    CustomerBook book = books.get(customer);
+    return book == null ? Share.NONE : new Share(book.bookedRate(), book.bookedBurst());
+  }
+
+  private List<Addressed> hear(HostId from, Report report, Instant now) {
+    if (!leading || report.epoch() != epoch || now.isBefore(grantsFrom)) {
+      return List.of();
+    }
+    expire(now);
+    Holder holder = holderOf(from, report, now);
+    boolean outOfOrder =
+        holder.session != report.session()
+            || report.sequence() <= holder.heard
+            || report.acknowledged() > holder.number;
+    if (outOfOrder) {
+      return List.of();
+    }
+    holder.heard = report.sequence();
+    holder.expiresAt = expiry(now);
+    acknowledge(from, holder, report.acknowledged());
+    report.demands().forEach(demand -> take(from, holder, demand, now));
+    divideChanged(now);
+    return List.of(grant(from, holder));
+  }
+
+  private Holder holderOf(HostId from, Report report, Instant now) {
+    Holder old = holders.get(from);
+    if (old != null && old.session >= report.session()) {
+      return old;
+    }
+    if (old != null) {
+      drop(from, old, now);
+    }
+    Holder holder = new Holder(report.session(), expiry(now));
+    holders.put(from, holder);
+    return holder;
+  }
+
+  private void acknowledge(HostId from, Holder holder, long number) {
+    if (number <= holder.acknowledged) {
+      return;
+    }
+    for (CustomerId id : List.copyOf(holder.customers)) {
+      CustomerBook book = books.get(id);
+      if (book == null) {
+        holder.customers.remove(id);
+        continue;
+      }
+      Allotted allotted = book.of(from);
+      if (allotted.isAfter(holder.acknowledged)) {
+        allotted.acknowledge(number);
+        changed.add(id);
+      }
+    }
+    holder.acknowledged = number;
+  }
+
+  private void take(HostId from, Holder holder, Demand demand, Instant now) {
+    Customer customer = configuration.customers().get(demand.customer());
+    if (customer == null) {
+      return;
+    }
+    CustomerBook book =
+        books.computeIfAbsent(
+            customer.id(), id -> new CustomerBook(id, customer.limit(), grantsFrom));
+    holder.customers.add(customer.id());
+    long returned = book.of(from).demand(demand);
+    if (holder.acknowledged > 0) {
+      book.giveBack(returned, now);
+    }
+    changed.add(customer.id());
+  }
+
+  private void divideChanged(Instant now) {
+    for (CustomerId id : List.copyOf(changed)) {
+      CustomerBook book = books.get(id);
+      if (book != null) {
+        book.divide(this::nextNumber, now);
+      }
+    }
+    changed.clear();
+  }
+
+  private long nextNumber(HostId host) {
+    Holder holder = holders.get(host);
+    if (holder == null) {
+      throw new IllegalStateException("shares of " + host + " are booked without a session");
+    }
+    holder.unsent = true;
+    return holder.number + 1;
+  }
+
+  private Addressed grant(HostId to, Holder holder) {
+    List<Allotment> allotments = new ArrayList<>();
+    for (CustomerId id : holder.customers) {
+      CustomerBook book = books.get(id);
+      if (book != null && book.of(to).isAfter(holder.acknowledged)) {
+        allotments.add(book.of(to).allotment());
+      }
+    }
+    holder.number++;
+    holder.unsent = false;
+    return new Addressed(
+        to, new Grant(epoch, holder.session, holder.number, holder.heard, allotments));
+  }
+
+  private void expire(Instant now) {
+    for (Map.Entry<HostId, Holder> entry : List.copyOf(holders.entrySet())) {
+      if (!now.isBefore(entry.getValue().expiresAt)) {
+        drop(entry.getKey(), entry.getValue(), now);
+      }
+    }
+  }
+
+  private void drop(HostId host, Holder holder, Instant now) {
+    holders.remove(host);
+    for (CustomerId id : holder.customers) {
+      CustomerBook book = books.get(id);
+      if (book != null) {
+        book.remove(host, now);
+        changed.add(id);
+      }
+    }
+  }
+
+  private List<Addressed> tellGateways(Instant now) {
+    toldAt = now;
+    return gateways.stream().map(id -> new Addressed(id, new Leading(epoch))).toList();
+  }
+
+  private static Instant expiry(Instant now) {
+    return now.plus(ShareLease.LEASE).plus(ShareLease.MARGIN);
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/model/ErrorCode.java
+++ b/core/src/main/java/org/cuminwell/core/model/ErrorCode.java
@@ -17,6 +17,7 @@
   NO_QUORUM("no_quorum", 503),
   NOT_READY("not_ready", 503),
   RATE_LIMITED("rate_limited", 429),
+  SHARE_SHORT("share_short", 429),
   STOPPING("stopping", 503),
   SUSPENDED("request_suspended", 422),
   UNKNOWN_PATH("unknown_path", 404),
--- /dev/null
+++ b/core/src/test/java/org/cuminwell/core/limit/ShareFaultTest.java
@@ -0,0 +1,143 @@
+package org.cuminwell.core.limit;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.cuminwell.core.limit.ShareFleet.Faults;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.TokenLimit;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Checks single faults of the way in which shares move. */
+class ShareFaultTest {
+
+  private static final TokenLimit LIMIT = new TokenLimit(1_000, 10_000);
+  private static final Duration WINDOW = ShareLease.LEASE.plus(ShareLease.MARGIN);
+  private static final HostId BUSY = ShareFleet.host(0);
+  private static final HostId OTHER = ShareFleet.host(2);
+
+  enum Fault {
+    CUT,
+    DOWN,
+    RESTARTED,
+    STOPPED
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @EnumSource(Fault.class)
+  void givesTheShareOfALostHostToAnother(Fault fault) {
+    ShareFleet fleet = settled();
+    assertThat(fleet.booked().tokensPerSecond()).isGreaterThan(500);
+    switch (fault) {
+      case CUT -> fleet.cut.add(BUSY);
+      case DOWN -> fleet.down.add(BUSY);
+      case RESTARTED -> fleet.restart(BUSY);
+      case STOPPED -> fleet.holder(BUSY).leave();
+    }
+    ask(fleet, OTHER, WINDOW.plusSeconds(3));
+
+    assertThat(share(fleet, OTHER).tokensPerSecond()).isGreaterThan(500);
+  }
+
+  @ParameterizedTest(name = "after {0} ms of a cut, holds a share: {1}")
+  @CsvSource({"3000, true", "4500, true", "6000, false", "20000, false"})
+  void usesAShareNoLongerThanItsLease(int cutMillis, boolean held) {
+    ShareFleet fleet = settled();
+    fleet.cut.add(BUSY);
+    ask(fleet, BUSY, Duration.ofMillis(cutMillis));
+
+    assertThat(!share(fleet, BUSY).equals(Share.NONE)).isEqualTo(held);
+  }
+
+  @ParameterizedTest(name = "{0} hosts cut off, each asking for twice the rate")
+  @ValueSource(ints = {2, 4, 6})
+  void servesItsFloorWhenCutOff(int hosts) {
+    ShareFleet fleet = new ShareFleet(hosts, LIMIT, Faults.NONE, 0, 7);
+    fleet.cut.addAll(fleet.hosts());
+    fleet.run(Duration.ofSeconds(1));
+    long admitted = 0;
+    for (int second = 0; second < 60; second++) {
+      fleet.run(Duration.ofSeconds(1));
+      for (HostId id : fleet.hosts()) {
+        for (int i = 0; i < 200; i++) {
+          admitted += fleet.admit(id, 10) ? 10 : 0;
+        }
+      }
+    }
+    double floorRate = Floors.PART * (double) LIMIT.tokensPerSecond();
+
+    assertThat((double) admitted).isBetween(floorRate * 55, floorRate * 62);
+  }
+
+  @ParameterizedTest(name = "from {0} to {1} tokens a second")
+  @CsvSource({"1000, 200", "1000, 10", "1000, 3000"})
+  void bringsSharesToAChangedLimit(long before, long after) {
+    ShareFleet fleet = new ShareFleet(4, new TokenLimit(before, 10_000), Faults.NONE, 0, 8);
+    fleet.lead();
+    ask(fleet, BUSY, WINDOW.plusSeconds(5));
+    fleet.limit(new TokenLimit(after, 10_000));
+    ask(fleet, BUSY, Duration.ofSeconds(3));
+
+    assertThat(fleet.booked().tokensPerSecond()).isLessThanOrEqualTo(Floors.movable(after));
+    assertThat(share(fleet, BUSY).tokensPerSecond())
+        .isBetween(Floors.movable(after) / 2, Floors.movable(after));
+  }
+
+  @ParameterizedTest(name = "{0} ms after a new leader, grants: {1}")
+  @CsvSource({"1000, false", "5000, false", "8000, true"})
+  void aNewLeaderWaitsUntilOldLeasesHaveEnded(int millis, boolean granted) {
+    ShareFleet fleet = settled();
+    fleet.lead();
+    ask(fleet, BUSY, Duration.ofMillis(millis));
+
+    assertThat(!fleet.booked().equals(Share.NONE)).isEqualTo(granted);
+  }
+
+  @ParameterizedTest(name = "estimate {0}, used {1}: {2} tokens are left")
+  @CsvSource({"1000, 1000, 4000", "1000, 0, 5000", "1000, 400, 4600", "1000, 9000, -4000"})
+  void settlesWhatWasUsed(long estimate, long used, long left) {
+    ShareFleet fleet = new ShareFleet(2, new TokenLimit(100_000, 100_000), Faults.NONE, 0, 9);
+    fleet.run(Duration.ofSeconds(10));
+    double before = fleet.holder(BUSY).level(fleet.customer(), fleet.local(BUSY));
+    assertThat(fleet.admit(BUSY, estimate)).isTrue();
+    fleet.settle(BUSY, estimate, used);
+    double after = fleet.holder(BUSY).level(fleet.customer(), fleet.local(BUSY));
+
+    assertThat(before).isEqualTo(5_000);
+    assertThat(after).isEqualTo((double) left);
+  }
+
+  @ParameterizedTest(name = "restart after {0} s idle")
+  @ValueSource(ints = {0, 60})
+  void aRestartedHostBeginsEmpty(int seconds) {
+    ShareFleet fleet = settled();
+    fleet.run(Duration.ofSeconds(seconds));
+    fleet.restart(BUSY);
+
+    assertThat(fleet.admit(BUSY, 1)).isFalse();
+    assertThat(share(fleet, BUSY)).isEqualTo(Share.NONE);
+  }
+
+  private static ShareFleet settled() {
+    ShareFleet fleet = new ShareFleet(4, LIMIT, Faults.NONE, 0, 6);
+    fleet.lead();
+    ask(fleet, BUSY, WINDOW.plusSeconds(5));
+    return fleet;
+  }
+
+  private static Share share(ShareFleet fleet, HostId id) {
+    return fleet.holder(id).shareOf(ShareFleet.CUSTOMER);
+  }
+
+  private static void ask(ShareFleet fleet, HostId id, Duration time) {
+    for (long millis = 0; millis < time.toMillis(); millis += ShareFleet.TICK.toMillis()) {
+      fleet.step();
+      for (int i = 0; i < 10 && !fleet.down.contains(id); i++) {
+        var _ = fleet.admit(id, 10);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/cuminwell/core/limit/ShareFleet.java
@@ -0,0 +1,257 @@
+package org.cuminwell.core.limit;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.limit.ShareHolder.Addressed;
+import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.CustomerId;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.Region;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.model.TokenLimit;
+
+/**
+ * Drives holders and a granter with messages that may be lost, doubled or late. Each holder reads a
+ * clock of its own whose rate may differ. Not thread safe.
+ */
+final class ShareFleet {
+
+  static final Instant START = Instant.ofEpochSecond(1_000_000);
+  static final CustomerId CUSTOMER = new CustomerId("acme");
+  static final Duration TICK = Duration.ofMillis(100);
+  static final int SLOTS = 2;
+
+  private static final RegionId REGION = new RegionId("coast");
+
+  final TreeMap<HostId, ShareHolder> holders = new TreeMap<>();
+  final Set<HostId> cut = new HashSet<>();
+  final Set<HostId> down = new HashSet<>();
+  private final Map<HostId, Double> clockRates = new TreeMap<>();
+  private final Map<HostId, Place> places = new TreeMap<>();
+  private final PriorityQueue<Late> network = new PriorityQueue<>();
+  private final SplittableRandom random;
+  private final Faults faults;
+  private final HostId leader = new HostId("leader");
+  private Configuration configuration;
+  private ShareGranter granter = new ShareGranter();
+  private long epoch;
+  private long order;
+  Instant now = START;
+
+  /** Says how the network behaves; times in milliseconds, odds from 0 to 1. */
+  record Faults(double lost, double doubled, int delayMillis, double late, int lateMillis) {
+    static final Faults NONE = new Faults(0, 0, 55, 0, 0);
+    static final Faults MANY = new Faults(0.15, 0.15, 60, 0.1, 9_000);
+  }
+
+  private record Late(Instant at, long order, HostId from, Addressed message)
+      implements Comparable<Late> {
+    @Override
+    public int compareTo(Late other) {
+      int byTime = at.compareTo(other.at);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  ShareFleet(int hosts, TokenLimit limit, Faults faults, double clockDrift, long seed) {
+    this.faults = faults;
+    random = new SplittableRandom(seed);
+    configuration = configuration(hosts, limit, 1);
+    for (int i = 0; i < hosts; i++) {
+      HostId id = host(i);
+      places.put(id, new Place(REGION, new DataCentreId("dc" + i / SLOTS)));
+      clockRates.put(id, 1 + clockDrift * (2 * random.nextDouble() - 1));
+      restart(id);
+    }
+  }
+
+  static HostId host(int i) {
+    return new HostId("host" + i);
+  }
+
+  Customer customer() {
+    Customer customer = configuration.customers().get(CUSTOMER);
+    if (customer == null) {
+      throw new IllegalStateException("no customer");
+    }
+    return customer;
+  }
+
+  void limit(TokenLimit limit) {
+    long revision = configuration.revision().value() + 1;
+    configuration = configuration(places.size(), limit, revision);
+  }
+
+  void lead() {
+    granter = new ShareGranter();
+    epoch++;
+    granter.configure(configuration);
+    post(leader, granter.lead(epoch, now));
+    for (HostId id : holders.keySet()) {
+      post(leader, granter.connected(id));
+    }
+  }
+
+  void restart(HostId id) {
+    ShareHolder holder = new ShareHolder(place(id), SLOTS, local(id));
+    holders.put(id, holder);
+    down.remove(id);
+    if (epoch > 0) {
+      post(leader, granter.connected(id));
+    }
+  }
+
+  /** Lets time go by to the next tick. */
+  void step() {
+    now = now.plus(TICK);
+    granter.configure(configuration);
+    while (!network.isEmpty() && !network.peek().at().isAfter(now)) {
+      deliver(network.poll());
+    }
+    post(leader, granter.tick(now));
+    for (Map.Entry<HostId, ShareHolder> entry : holders.entrySet()) {
+      if (!down.contains(entry.getKey())) {
+        entry.getValue().configure(configuration, local(entry.getKey()));
+        entry
+            .getValue()
+            .tick(local(entry.getKey()))
+            .ifPresent(message -> post(entry.getKey(), List.of(message)));
+      }
+    }
+  }
+
+  void run(Duration time) {
+    Instant end = now.plus(time);
+    while (now.isBefore(end)) {
+      step();
+    }
+  }
+
+  boolean admit(HostId id, long tokens) {
+    return holder(id).admit(customer(), tokens, local(id)) instanceof Admission.Admitted;
+  }
+
+  void settle(HostId id, long estimate, long used) {
+    holder(id).settle(customer(), estimate, used, local(id));
+  }
+
+  ShareHolder holder(HostId id) {
+    ShareHolder holder = holders.get(id);
+    if (holder == null) {
+      throw new IllegalArgumentException("no such host " + id);
+    }
+    return holder;
+  }
+
+  /** Returns the sum of the shares that holders may use now. */
+  Share held() {
+    List<Share> shares =
+        holders.entrySet().stream()
+            .filter(entry -> !down.contains(entry.getKey()))
+            .map(entry -> entry.getValue().shareOf(CUSTOMER))
+            .toList();
+    return new Share(
+        shares.stream().mapToLong(Share::tokensPerSecond).sum(),
+        shares.stream().mapToLong(Share::burstTokens).sum());
+  }
+
+  Share booked() {
+    return granter.booked(CUSTOMER);
+  }
+
+  Set<HostId> hosts() {
+    return new LinkedHashSet<>(holders.keySet());
+  }
+
+  Instant local(HostId id) {
+    long nanos = Duration.between(START, now).toNanos();
+    return START.plusNanos((long) ((double) nanos * clockRates.getOrDefault(id, 1.0)));
+  }
+
+  private Place place(HostId id) {
+    Place place = places.get(id);
+    if (place == null) {
+      throw new IllegalArgumentException("no such host " + id);
+    }
+    return place;
+  }
+
+  private void post(HostId from, List<Addressed> messages) {
+    for (Addressed message : messages) {
+      if (random.nextDouble() < faults.lost()) {
+        continue;
+      }
+      int copies = random.nextDouble() < faults.doubled() ? 2 : 1;
+      for (int i = 0; i < copies; i++) {
+        boolean late = random.nextDouble() < faults.late();
+        int millis = faults.delayMillis() + (late ? random.nextInt(faults.lateMillis()) : 0);
+        network.add(new Late(now.plusMillis(millis), order++, from, message));
+      }
+    }
+  }
+
+  private void deliver(Late late) {
+    HostId to = late.message().to();
+    if (cut.contains(to) || cut.contains(late.from()) || down.contains(to)) {
+      return;
+    }
+    if (to.equals(leader)) {
+      post(leader, granter.hear(late.from(), late.message().message(), now));
+      return;
+    }
+    holder(to).configure(configuration, local(to));
+    holder(to).hear(leader, late.message().message(), local(to));
+  }
+
+  private static Configuration configuration(int hosts, TokenLimit limit, long revision) {
+    Set<DataCentreId> dataCentres = new HashSet<>();
+    for (int i = 0; i < hosts; i++) {
+      dataCentres.add(new DataCentreId("dc" + i / SLOTS));
+    }
+    return new Configuration(
+        new Revision(revision),
+        Map.of(CUSTOMER, new Customer(CUSTOMER, Set.of(), limit, Set.of())),
+        Map.of(),
+        Map.of(REGION, new Region(REGION, dataCentres)),
+        Map.of());
+  }
+
+  /** Records what was charged, and finds the window in which most was. Not thread safe. */
+  static final class Ledger {
+
+    private final List<Long> charged = new ArrayList<>();
+    private final List<Double> seconds = new ArrayList<>();
+
+    void charge(long tokens, Instant at) {
+      charged.add(tokens);
+      seconds.add((double) Duration.between(START, at).toMillis() / 1e3);
+    }
+
+    /** Returns the most by which any window exceeded rate times length plus burst, in tokens. */
+    double worstExcess(double rate, double burst) {
+      // Of the windows that end here, the one with the largest sum less rate times length counts.
+      double level = 0;
+      double worst = Double.NEGATIVE_INFINITY;
+      double at = 0;
+      for (int i = 0; i < charged.size(); i++) {
+        level = Math.max(0, level - rate * (seconds.get(i) - at)) + (double) charged.get(i);
+        at = seconds.get(i);
+        worst = Math.max(worst, level - burst);
+      }
+      return worst;
+    }
+  }
+}
