--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/consensus/DurableState.java
@@ -0,0 +1,23 @@
+package org.cuminwell.core.consensus;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Holds all that a journal gives back at a start. Immutable and thread safe.
+ *
+ * @param entries the entries after the snapshot, in order and without a gap
+ */
+public record DurableState<C, S>(
+    HardState hard, Optional<Snapshot<S>> snapshot, List<LogEntry<C>> entries) {
+
+  /** Copies the list. */
+  public DurableState {
+    entries = List.copyOf(entries);
+  }
+
+  /** Returns the state of an empty disk. */
+  public static <C, S> DurableState<C, S> empty(HardState hard) {
+    return new DurableState<>(hard, Optional.empty(), List.of());
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
@@ -9,21 +9,11 @@
  *
  * <p>Invariant: the state is a function of the commands applied and their times alone, so that
  * replicas that have applied the same prefix of the log are equal. Nothing may change it but {@link
- * #apply}. Not thread safe: one thread owns it.
+ * #apply} and {@link #restore}. Not thread safe: one thread owns it.
  */
 public final class ReplicatedState {
 
-  private final TicketLedger ledger;
-
-  /** Makes the state before any command. */
-  public ReplicatedState() {
-    this(new TicketLedger());
-  }
-
-  /** Makes the state with the given tickets. */
-  ReplicatedState(TicketLedger ledger) {
-    this.ledger = ledger;
-  }
+  private TicketLedger ledger = new TicketLedger();
 
   /**
    * Applies the next command of the log.
@@ -36,6 +26,16 @@
     };
   }
 
+  /** Returns the whole state. */
+  public StateSnapshot snapshot() {
+    return new StateSnapshot(ledger.configuration(), ledger.all());
+  }
+
+  /** Replaces the whole state by a later one. */
+  public void restore(StateSnapshot snapshot) {
+    ledger = TicketLedger.of(snapshot.configuration(), snapshot.tickets());
+  }
+
   /** Returns the tickets accepted so far. */
   public TicketLedger ledger() {
     return ledger;
--- a/core/src/main/java/org/cuminwell/core/ticket/TicketLedger.java
+++ b/core/src/main/java/org/cuminwell/core/ticket/TicketLedger.java
@@ -22,6 +22,14 @@
   private final TreeMap<TicketNumber, Accepted> accepted = new TreeMap<>();
   private Configuration configuration = Configuration.EMPTY;
 
+  /** Returns a ledger in which the tickets are accepted and have made the configuration. */
+  public static TicketLedger of(Configuration configuration, List<Accepted> accepted) {
+    TicketLedger ledger = new TicketLedger();
+    ledger.configuration = configuration;
+    accepted.forEach(ticket -> ledger.accepted.put(ticket.ticket().number(), ticket));
+    return ledger;
+  }
+
   /** Applies a ticket that has its place in the order, and returns its answer. */
   public TicketAnswer apply(Ticket ticket, Instant now) {
     Optional<TicketAnswer> known = known(ticket);
--- /dev/null
+++ b/core/src/test/java/org/cuminwell/core/control/AgreementHost.java
@@ -0,0 +1,104 @@
+package org.cuminwell.core.control;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.cuminwell.core.consensus.DurableState;
+import org.cuminwell.core.consensus.HardState;
+import org.cuminwell.core.consensus.LogEntry;
+import org.cuminwell.core.consensus.ReplicaAction;
+import org.cuminwell.core.consensus.Standing;
+import org.cuminwell.core.model.HostId;
+import org.jspecify.annotations.Nullable;
+
+/** Keeps one control host of the test network with a disk that forgets what is not synced. */
+final class AgreementHost {
+
+  /** So few that a run meets many snapshots. */
+  private static final int COMPACT_ENTRIES = 12;
+
+  final HostId id;
+  private final Set<HostId> voters;
+  private final SplittableRandom random;
+  private final ArrayDeque<ReplicaAction.Write<Command, StateSnapshot>> unsynced =
+      new ArrayDeque<>();
+  private DurableState<Command, StateSnapshot> disk = DurableState.empty(HardState.founding());
+
+  /** The running process, null while it is down. */
+  @Nullable Agreement agreement;
+
+  /** Counts starts, so that events for an earlier process are recognised. */
+  int life;
+
+  /** Until when the process is stopped without knowing it. */
+  Instant frozenUntil = Instant.MIN;
+
+  long lastRevision;
+
+  AgreementHost(HostId id, Set<HostId> voters, SplittableRandom random) {
+    this.id = id;
+    this.voters = voters;
+    this.random = random;
+  }
+
+  void start(Instant now) {
+    life++;
+    lastRevision = 0;
+    agreement = new Agreement(id, voters, disk, random.split(), COMPACT_ENTRIES, now);
+  }
+
+  /** Ends the process; a prefix of the unsynced writes may have reached the disk. */
+  void crash() {
+    agreement = null;
+    int kept = random.nextInt(unsynced.size() + 1);
+    for (int i = 0; i < kept; i++) {
+      apply(unsynced.removeFirst());
+    }
+    unsynced.clear();
+  }
+
+  void wipe(HardState fresh) {
+    disk = DurableState.empty(fresh);
+  }
+
+  boolean isLearner() {
+    return disk.hard().standing().learner().isPresent();
+  }
+
+  boolean isVoter() {
+    return disk.hard().standing() instanceof Standing.Voter;
+  }
+
+  void write(ReplicaAction.Write<Command, StateSnapshot> write) {
+    unsynced.add(write);
+  }
+
+  /** Syncs the writes up to the sequence number. */
+  void sync(long sequence) {
+    while (!unsynced.isEmpty() && unsynced.getFirst().sequence() <= sequence) {
+      apply(unsynced.removeFirst());
+    }
+  }
+
+  private void apply(ReplicaAction.Write<Command, StateSnapshot> write) {
+    disk =
+        switch (write) {
+          case ReplicaAction.Append<Command, StateSnapshot> a ->
+              new DurableState<>(a.hard(), disk.snapshot(), merged(a.entries()));
+          case ReplicaAction.Replace<Command, StateSnapshot> r -> r.durable();
+        };
+  }
+
+  private List<LogEntry<Command>> merged(List<LogEntry<Command>> news) {
+    if (news.isEmpty()) {
+      return disk.entries();
+    }
+    List<LogEntry<Command>> entries = new ArrayList<>(disk.entries());
+    entries.removeIf(entry -> entry.index() >= news.getFirst().index());
+    entries.addAll(news);
+    return entries;
+  }
+}
