--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.Show;
@@ -11,13 +12,11 @@
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.distribution.DistributionMessage;
-import org.cuminwell.core.limit.ShareGranter;
-import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.ticket.Ticket;
 import org.cuminwell.core.ticket.TicketAnswer;
-import org.cuminwell.core.ticket.TicketLedger;
 
 /**
  * Decides what a control host does with each event.
@@ -27,10 +26,10 @@
 public final class Control {
 
   private final HostId self;
-  private final TicketLedger ledger = new TicketLedger();
+  private final ReplicatedState state = new ReplicatedState();
   private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
-  private final ShareGranter shares = new ShareGranter();
-  private long startedAt;
+  private final ShareDuty shares = new ShareDuty();
+  private OptionalLong firstTerm = OptionalLong.empty();
 
   /** Makes the state of the control host with the given name. */
   public Control(HostId self) {
@@ -40,7 +39,7 @@
   /** Returns what to do about the event, in order. */
   public List<ControlAction> handle(ControlEvent event, Instant now) {
     List<ControlAction> actions = new ArrayList<>();
-    grantShares(now, actions);
+    shares.step(term(now), state.configuration(), now, actions);
     switch (event) {
       case ControlEvent.TicketSubmitted e -> submit(e, now, actions);
       case ControlEvent.PeerConnected e -> {}
@@ -54,15 +53,15 @@
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
-        self, ledger.configuration(), ledger.all(), List.copyOf(gateways.values()));
+        self, state.configuration(), state.ledger().all(), List.copyOf(gateways.values()));
   }
 
   private void submit(
       ControlEvent.TicketSubmitted event, Instant now, List<ControlAction> actions) {
-    Revision before = ledger.configuration().revision();
-    TicketAnswer answer = ledger.apply(event.ticket(), now);
+    Revision before = state.configuration().revision();
+    TicketAnswer answer = answer(event.ticket(), now);
     actions.add(new AnswerTicket(event.id(), answer));
-    if (ledger.configuration().revision().isAfter(before)) {
+    if (state.configuration().revision().isAfter(before)) {
       gateways.values().stream()
           .filter(GatewayView::connected)
           .forEach(gateway -> actions.add(configurationFor(gateway.host().id())));
@@ -70,30 +69,18 @@
     }
   }
 
-  /** Grants shares while this host leads, in terms that only grow. */
-  private void grantShares(Instant now, List<ControlAction> actions) {
-    shares.configure(ledger.configuration());
-    if (isLeader()) {
-      tell(shares.lead(term(now), now), actions);
-    } else {
-      shares.follow();
-    }
-    tell(shares.tick(now), actions);
-  }
-
-  private static void tell(List<ShareHolder.Addressed> messages, List<ControlAction> actions) {
-    messages.forEach(m -> actions.add(new TellPeer(m.to(), new PeerMessage.Limits(m.message()))));
-  }
-
-  private static boolean isLeader() {
-    return true;
+  private TicketAnswer answer(Ticket ticket, Instant now) {
+    return switch (state.apply(new Command.AcceptTicket(ticket), now)) {
+      case Applied.TicketAnswered applied -> applied.answer();
+    };
   }
 
-  private long term(Instant now) {
-    if (startedAt == 0) {
-      startedAt = now.toEpochMilli();
+  /** Returns the term in which this host leads; while nothing is replicated, since its start. */
+  private OptionalLong term(Instant now) {
+    if (firstTerm.isEmpty()) {
+      firstTerm = OptionalLong.of(now.toEpochMilli());
     }
-    return startedAt;
+    return firstTerm;
   }
 
   private void lose(HostId peer, List<ControlAction> actions) {
@@ -106,7 +93,7 @@
     switch (message) {
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(peer, m.message(), actions);
-      case PeerMessage.Limits m -> tell(shares.hear(peer, m.message(), now), actions);
+      case PeerMessage.Limits m -> shares.hear(peer, m.message(), now, actions);
     }
   }
 
@@ -115,7 +102,7 @@
       case DistributionMessage.Held held -> {
         gateways.computeIfPresent(
             peer, (id, old) -> new GatewayView(old.host(), held.revision(), true));
-        if (ledger.configuration().revision().isAfter(held.revision())) {
+        if (state.configuration().revision().isAfter(held.revision())) {
           actions.add(configurationFor(peer));
         }
         actions.add(new Show(view()));
@@ -130,7 +117,7 @@
         GatewayView old = gateways.get(peer);
         Revision held = old == null ? Revision.ZERO : old.held();
         gateways.put(peer, new GatewayView(here.host(), held, true));
-        tell(shares.connected(peer), actions);
+        shares.connected(peer, actions);
         tellDirectory(actions);
         actions.add(new Show(view()));
       }
@@ -152,7 +139,6 @@
 
   private TellPeer configurationFor(HostId gateway) {
     return new TellPeer(
-        gateway,
-        new PeerMessage.Distribution(new DistributionMessage.Full(ledger.configuration())));
+        gateway, new PeerMessage.Distribution(new DistributionMessage.Full(state.configuration())));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import org.cuminwell.core.gateway.GatewayAction.SendToEndpoint;
 import org.cuminwell.core.gateway.GatewayAction.Stopped;
 import org.cuminwell.core.gateway.GatewayAction.TellPeer;
+import org.cuminwell.core.limit.Admission;
 import org.cuminwell.core.limit.Floors;
 import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.membership.EndpointTable;
@@ -57,6 +58,7 @@
   private final HostDirectory directory = new HostDirectory();
   private final EndpointTable endpoints = new EndpointTable();
   private final int floorSlots;
+  private final AwaitedShares awaited = new AwaitedShares();
   private final StartQueue starts = new StartQueue();
   private final Router router = new Router();
   private final RetryPolicy retryPolicy = RetryPolicy.DEFAULT;
@@ -101,7 +103,10 @@
       case GatewayEvent.PeerLost e -> {}
       case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
       case GatewayEvent.Ticked e -> tick(now, actions);
-      case GatewayEvent.StopAsked e -> stopping = true;
+      case GatewayEvent.StopAsked e -> {
+        stopping = true;
+        limits(now).leave();
+      }
     }
     if (stopping && calls.isEmpty()) {
       actions.add(new Stopped());
@@ -116,6 +121,7 @@
 
   private void tick(Instant now, List<GatewayAction> actions) {
     endpoints.expire(now);
+    retryAwaited(now, actions);
     startWaiting(now, actions);
     reportShares(now, actions);
   }
@@ -239,12 +245,26 @@
       refuse(call, wrongRegion(residency), now, actions);
       return;
     }
-    Optional<Failure> refusal =
-        LimitRefusal.of(limits(now).admit(call.customer(), estimate, now), estimate);
+    Admission admission = limits(now).admit(call.customer(), estimate, now);
+    if (admission instanceof Admission.ShareShort && awaited.offer(call, now)) {
+      reportShares(now, actions);
+      return;
+    }
+    Optional<Failure> refusal = LimitRefusal.of(admission, estimate);
     if (refusal.isPresent()) {
       refuse(call, refusal.get(), now, actions);
       return;
     }
+    start(call, now, actions);
+  }
+
+  private void retryAwaited(Instant now, List<GatewayAction> actions) {
+    AwaitedShares.Result result = awaited.retry(limits(now), now);
+    result.refused().forEach(refused -> refuse(refused.call(), refused.failure(), now, actions));
+    result.admitted().forEach(call -> start(call, now, actions));
+  }
+
+  private void start(RunningCall call, Instant now, List<GatewayAction> actions) {
     switch (starts.arrive(call, capacity(now), now)) {
       case StartQueue.Decision.Start d -> attempt(call, now, actions);
       case StartQueue.Decision.Wait d -> {}
@@ -281,6 +301,7 @@
 
   private void drop(RequestId id, Instant now) {
     RunningCall call = calls.remove(id);
+    awaited.remove(id);
     if (call != null && starts.ended(id)) {
       limits(now).settle(call.customer(), call.estimate(), 0, now);
     }
@@ -458,7 +479,10 @@
     switch (message) {
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(m.message());
-      case PeerMessage.Limits m -> limits(now).hear(peer, m.message(), now);
+      case PeerMessage.Limits m -> {
+        limits(now).hear(peer, m.message(), now);
+        retryAwaited(now, actions);
+      }
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/limit/ShareLease.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareLease.java
@@ -17,5 +17,11 @@
   /** How often a holder reports while it has or wants a share. */
   public static final Duration REPORT_PERIOD = Duration.ofSeconds(1);
 
+  /** How much time is at least between two reports of a holder. */
+  public static final Duration URGENT_GAP = Duration.ofMillis(20);
+
+  /** After what time a holder asks again for tokens that a request lacks. */
+  public static final Duration ASK_AGAIN = Duration.ofMillis(300);
+
   private ShareLease() {}
 }
