--- a/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
@@ -47,9 +47,10 @@
   private long answered;
   private long lastGrant;
   private boolean urgent;
+  private boolean acknowledges;
   private boolean leaving;
   private Instant leaseEnd;
-  private Instant reportedAt = Instant.MIN;
+  private Instant reportedAt = Instant.EPOCH;
 
   private record SentReport(long sequence, Instant at) {}
 
@@ -93,10 +94,21 @@
       return new Admission.TooLarge(burst);
     }
     HeldLimit limit = limit(customer, now);
+    limit.ask(tokens);
+    return take(limit, tokens, now);
+  }
+
+  /** Tries again to charge the estimate of a request that did not fit before. */
+  public Admission admitAgain(Customer customer, long tokens, Instant now) {
+    lapse(now);
+    return take(limit(customer, now), tokens, now);
+  }
+
+  private Admission take(HeldLimit limit, long tokens, Instant now) {
     if (limit.tryTake(tokens, now)) {
       return new Admission.Admitted();
     }
-    urgent = true;
+    urgent |= !limit.isOverRate();
     Duration wait = limit.timeUntil(tokens, now);
     return limit.isOverRate()
         ? new Admission.OverRate(wait)
@@ -131,12 +143,16 @@
     if (granter.isEmpty() || !isDue(now)) {
       return Optional.empty();
     }
-    urgent = false;
-    reportedAt = now;
     limits.values().forEach(limit -> limit.measure(nextSequence, now));
-    if (limits.values().stream().allMatch(HeldLimit::isIdle) && !hasNews()) {
+    boolean periodic = !now.isBefore(reportedAt.plus(ShareLease.REPORT_PERIOD));
+    boolean idle = limits.values().stream().allMatch(HeldLimit::isIdle);
+    boolean silent = periodic ? idle : !acknowledges;
+    urgent = false;
+    if (silent && !hasNews()) {
       return Optional.empty();
     }
+    reportedAt = now;
+    acknowledges = false;
     sent.removeIf(report -> !now.isBefore(report.at().plus(ShareLease.LEASE)));
     sent.addLast(new SentReport(nextSequence, now));
     long acknowledged = heldEpoch == epoch ? lastGrant : 0;
@@ -161,7 +177,8 @@
   }
 
   private boolean isDue(Instant now) {
-    return urgent || !now.isBefore(reportedAt.plus(ShareLease.REPORT_PERIOD));
+    Duration gap = urgent ? ShareLease.URGENT_GAP : ShareLease.REPORT_PERIOD;
+    return !now.isBefore(reportedAt.plus(gap));
   }
 
   private boolean hasNews() {
@@ -227,7 +244,10 @@
       }
       limit = limit(customer, now);
     }
-    urgent |= isLess(allotment.share(), limit.share());
+    if (isLess(allotment.share(), limit.share())) {
+      acknowledges = true;
+      urgent = true;
+    }
     limit.allot(allotment, now);
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -57,7 +57,7 @@
   private volatile boolean ready;
 
   private GatewayProcess(GatewaySettings settings) {
-    gateway = new Gateway(settings.self());
+    gateway = new Gateway(settings.self(), settings.floorSlots());
     http = HttpSystem.start("gateway");
     tls = settings.tls().map(PeerTls::orFail);
     peers = new PeerNode(settings.self().id(), listener(), tls);
