Send configurations as differences through one gateway of each data centre

Cause: every gateway took the whole configuration from every control host at each ticket, forgot it with its process, and served as soon as it held any.

The feeder passes them to its neighbours and confirms for them. Whoever hears of a greater revision asks for it, neighbours first. A gateway keeps its configuration on disk, waits at its start for what others hold, and refuses lower revisions. A running request whose key is withdrawn is ended. A peer with two connections is lost only with the last.

Ruled out: pushing on each told revision, since all neighbours would send the whole state to one that restarts.

--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -2,9 +2,11 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.HostAddress;
@@ -45,6 +47,14 @@
   @Parameter(names = "--control", description = "peer HOST:PORT of each control host")
   private List<String> control = new ArrayList<>();
 
+  @Parameter(
+      names = "--neighbour",
+      description = "peer HOST:PORT of gateways of this data centre, for a start while cut off")
+  private List<String> neighbour = new ArrayList<>();
+
+  @Parameter(names = "--data", description = "folder that keeps the last configuration on disk")
+  private String data = "";
+
   @Parameter(
       names = "--stop-timeout-s",
       description = "how long running requests may take after SIGTERM, in seconds")
@@ -73,6 +83,12 @@
     if (stopTimeoutSeconds < 0) {
       throw new SettingException("--stop-timeout-s", "must be 0 or more");
     }
-    return new GatewaySettings(self, Settings.addresses("--control", control));
+    return new GatewaySettings(
+        self,
+        Settings.addresses("--control", control),
+        Settings.addresses("--neighbour", neighbour),
+        data.isEmpty()
+            ? Optional.empty()
+            : Optional.of(Settings.checked("--data", data, Path::of)));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -3,16 +3,13 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.TreeMap;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.Show;
 import org.cuminwell.core.control.ControlAction.TellPeer;
-import org.cuminwell.core.control.ControlView.GatewayView;
-import org.cuminwell.core.directory.DirectoryMessage;
-import org.cuminwell.core.directory.HostDescription;
-import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.distribution.Publisher;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.peer.Outgoing;
 import org.cuminwell.core.peer.PeerMessage;
 import org.cuminwell.core.ticket.TicketAnswer;
 import org.cuminwell.core.ticket.TicketLedger;
@@ -26,7 +23,7 @@
 
   private final HostId self;
   private final TicketLedger ledger = new TicketLedger();
-  private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
+  private final Publisher publisher = new Publisher();
 
   /** Makes the state of the control host with the given name. */
   public Control(HostId self) {
@@ -38,10 +35,10 @@
     List<ControlAction> actions = new ArrayList<>();
     switch (event) {
       case ControlEvent.TicketSubmitted e -> submit(e, now, actions);
-      case ControlEvent.PeerConnected e -> {}
-      case ControlEvent.PeerLost e -> lose(e.peer(), actions);
-      case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), actions);
-      case ControlEvent.Ticked e -> {}
+      case ControlEvent.PeerConnected e -> tell(publisher.connected(e.peer()), actions);
+      case ControlEvent.PeerLost e -> lose(e.peer(), now, actions);
+      case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
+      case ControlEvent.Ticked e -> tell(publisher.tick(now), actions);
     }
     return actions;
   }
@@ -49,7 +46,7 @@
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
-        self, ledger.configuration(), ledger.all(), List.copyOf(gateways.values()));
+        self, ledger.configuration(), ledger.all(), List.copyOf(publisher.gateways()));
   }
 
   private void submit(
@@ -58,67 +55,30 @@
     TicketAnswer answer = ledger.apply(event.ticket(), now);
     actions.add(new AnswerTicket(event.id(), answer));
     if (ledger.configuration().revision().isAfter(before)) {
-      gateways.values().stream()
-          .filter(GatewayView::connected)
-          .forEach(gateway -> actions.add(configurationFor(gateway.host().id())));
+      publisher.publish(ledger.configuration(), event.ticket().change());
       actions.add(new Show(view()));
     }
   }
 
-  private void lose(HostId peer, List<ControlAction> actions) {
-    gateways.computeIfPresent(peer, (id, old) -> new GatewayView(old.host(), old.held(), false));
+  private void lose(HostId peer, Instant now, List<ControlAction> actions) {
+    publisher.lost(peer, now);
     actions.add(new Show(view()));
   }
 
-  private void hear(HostId peer, PeerMessage message, List<ControlAction> actions) {
+  private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
     switch (message) {
-      case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
-      case PeerMessage.Directory m -> hear(peer, m.message(), actions);
-    }
-  }
-
-  private void hear(HostId peer, DistributionMessage message, List<ControlAction> actions) {
-    switch (message) {
-      case DistributionMessage.Held held -> {
-        gateways.computeIfPresent(
-            peer, (id, old) -> new GatewayView(old.host(), held.revision(), true));
-        if (ledger.configuration().revision().isAfter(held.revision())) {
-          actions.add(configurationFor(peer));
-        }
+      case PeerMessage.Distribution m -> {
+        tell(publisher.hear(peer, m.message(), now), actions);
         actions.add(new Show(view()));
       }
-      case DistributionMessage.Full full -> {}
-    }
-  }
-
-  private void hear(HostId peer, DirectoryMessage message, List<ControlAction> actions) {
-    switch (message) {
-      case DirectoryMessage.Here here -> {
-        GatewayView old = gateways.get(peer);
-        Revision held = old == null ? Revision.ZERO : old.held();
-        gateways.put(peer, new GatewayView(here.host(), held, true));
-        tellDirectory(actions);
+      case PeerMessage.Directory m -> {
+        tell(publisher.hear(peer, m.message(), now), actions);
         actions.add(new Show(view()));
       }
-      case DirectoryMessage.Hosts hosts -> {}
     }
   }
 
-  private void tellDirectory(List<ControlAction> actions) {
-    List<HostDescription> hosts = gateways.values().stream().map(GatewayView::host).toList();
-    gateways.values().stream()
-        .filter(GatewayView::connected)
-        .forEach(
-            gateway ->
-                actions.add(
-                    new TellPeer(
-                        gateway.host().id(),
-                        new PeerMessage.Directory(new DirectoryMessage.Hosts(hosts)))));
-  }
-
-  private TellPeer configurationFor(HostId gateway) {
-    return new TellPeer(
-        gateway,
-        new PeerMessage.Distribution(new DistributionMessage.Full(ledger.configuration())));
+  private static void tell(List<Outgoing> messages, List<ControlAction> actions) {
+    messages.forEach(out -> actions.add(new TellPeer(out.peer(), out.message())));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/directory/HostDirectory.java
+++ b/core/src/main/java/org/cuminwell/core/directory/HostDirectory.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Place;
@@ -11,21 +12,38 @@
 /**
  * Keeps the entry hosts and puts them in the order in which a caller should try them.
  *
- * <p>Not thread safe: one thread owns it.
+ * <p>What a host tells over its own connection goes before what others tell of it, and holds as
+ * long as that connection. Invariant: the own host is never forgotten. Not thread safe: one thread
+ * owns it.
  */
 public final class HostDirectory {
 
-  private final TreeMap<HostId, HostDescription> hosts = new TreeMap<>();
+  private final TreeMap<HostId, HostDescription> told = new TreeMap<>();
+  private final TreeMap<HostId, HostDescription> inContact = new TreeMap<>();
 
-  /** Replaces what is known of each of the hosts. */
+  /** Replaces what is known of each of the hosts from others. */
   public void learn(Collection<HostDescription> news) {
-    news.forEach(host -> hosts.put(host.id(), host));
+    news.forEach(host -> told.put(host.id(), host));
   }
 
-  /** Replaces all that is known. */
-  public void replace(Collection<HostDescription> news) {
-    hosts.clear();
-    learn(news);
+  /** Takes in news of others: what hosts are there, and which have gone. */
+  public void learn(DirectoryMessage.Hosts news) {
+    learn(news.hosts());
+    news.gone().forEach(told::remove);
+  }
+
+  /** Takes in what a host in contact tells of itself. */
+  public void meet(HostDescription host) {
+    told.put(host.id(), host);
+    inContact.put(host.id(), host);
+  }
+
+  /** Takes in that a host is out of contact; of the same data centre it then counts as gone. */
+  public void lose(HostId host, Place own) {
+    HostDescription lost = inContact.remove(host);
+    if (lost != null && lost.place().equals(own)) {
+      told.remove(host);
+    }
   }
 
   /**
@@ -33,7 +51,7 @@
    * least loaded first.
    */
   public List<HostDescription> entryHosts(Residency residency, Place from) {
-    return hosts.values().stream()
+    return all().stream()
         .filter(host -> !host.stopping() && residency.allows(host.place().region()))
         .sorted(
             Comparator.comparingInt((HostDescription host) -> distance(from, host.place()))
@@ -42,9 +60,16 @@
         .toList();
   }
 
+  /** Returns what is known of one host. */
+  public Optional<HostDescription> find(HostId host) {
+    return Optional.ofNullable(inContact.get(host)).or(() -> Optional.ofNullable(told.get(host)));
+  }
+
   /** Returns every host in the order of names. */
   public List<HostDescription> all() {
-    return List.copyOf(hosts.values());
+    TreeMap<HostId, HostDescription> all = new TreeMap<>(told);
+    all.putAll(inContact);
+    return List.copyOf(all.values());
   }
 
   /** Returns 0 within a data centre, 1 within a region and 2 between regions. */
--- a/core/src/main/java/org/cuminwell/core/distribution/ConfigurationHolder.java
+++ b/core/src/main/java/org/cuminwell/core/distribution/ConfigurationHolder.java
@@ -1,16 +1,31 @@
 package org.cuminwell.core.distribution;
 
 import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.config.ConfigurationIndex;
+import org.cuminwell.core.distribution.DistributionMessage.Difference;
+import org.cuminwell.core.distribution.DistributionMessage.Full;
 import org.cuminwell.core.model.Revision;
 
 /**
- * Holds the configuration that a gateway has in force.
+ * Holds the configuration that a process has in force, with the changes that led to it.
  *
- * <p>Invariant: the revision never goes down. Not thread safe: one thread owns it.
+ * <p>Invariant: the revision never goes down, whatever arrives. Not thread safe: one thread owns
+ * it.
  */
 public final class ConfigurationHolder {
 
+  /** Says what became of a difference. */
+  public enum Outcome {
+    /** The revision went up. */
+    APPLIED,
+    /** The difference leads to a revision that is held already. */
+    OLD,
+    /** The difference starts after the revision that is held. */
+    GAP
+  }
+
+  private final ChangeWindow window = new ChangeWindow();
   private ConfigurationIndex index = ConfigurationIndex.of(Configuration.EMPTY);
 
   /** Puts the configuration in force unless it is older, and returns whether it was newer. */
@@ -19,9 +34,51 @@
       return false;
     }
     index = ConfigurationIndex.of(configuration);
+    window.restartAt(configuration.revision());
+    return true;
+  }
+
+  /**
+   * Puts a configuration in force that one change has made of the one before.
+   *
+   * <p>A change that does not follow what is held is taken as a whole configuration.
+   */
+  public boolean offer(Configuration configuration, ConfigurationChange change) {
+    if (!configuration.revision().equals(revision().next())) {
+      return offer(configuration);
+    }
+    index = ConfigurationIndex.of(configuration);
+    window.append(change);
     return true;
   }
 
+  /** Puts the changes in force that are not held yet. */
+  public Outcome offer(Difference difference) {
+    if (!difference.to().isAfter(revision())) {
+      return Outcome.OLD;
+    }
+    if (difference.from().isAfter(revision())) {
+      return Outcome.GAP;
+    }
+    int known = (int) (revision().value() - difference.from().value());
+    Configuration next = index.configuration();
+    for (ConfigurationChange change :
+        difference.changes().subList(known, difference.changes().size())) {
+      next = next.apply(next.revision().next(), change);
+      window.append(change);
+    }
+    index = ConfigurationIndex.of(next);
+    return Outcome.APPLIED;
+  }
+
+  /** Returns the message that brings a holder of {@code from} to this revision. */
+  public DistributionMessage after(Revision from) {
+    return window
+        .since(from)
+        .<DistributionMessage>map(difference -> difference)
+        .orElseGet(() -> new Full(index.configuration()));
+  }
+
   /** Returns the revision in force. */
   public Revision revision() {
     return index.configuration().revision();
--- a/core/src/main/java/org/cuminwell/core/distribution/DistributionMessage.java
+++ b/core/src/main/java/org/cuminwell/core/distribution/DistributionMessage.java
@@ -1,6 +1,10 @@
 package org.cuminwell.core.distribution;
 
+import java.util.List;
+import java.util.Map;
 import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationChange;
+import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Revision;
 
 /** Carries the configuration between control hosts and gateways. Immutable and thread safe. */
@@ -9,6 +13,42 @@
   /** Brings the whole configuration. */
   record Full(Configuration configuration) implements DistributionMessage {}
 
+  /**
+   * Brings the changes that follow a revision, one for each revision after it.
+   *
+   * @param from the only revision that the changes apply to
+   */
+  record Difference(Revision from, List<ConfigurationChange> changes)
+      implements DistributionMessage {
+    /**
+     * Copies the list.
+     *
+     * @throws IllegalArgumentException if there is no change
+     */
+    public Difference {
+      changes = List.copyOf(changes);
+      if (changes.isEmpty()) {
+        throw new IllegalArgumentException("a difference must hold at least one change");
+      }
+    }
+
+    /** Returns the revision after the last change. */
+    public Revision to() {
+      return new Revision(from.value() + changes.size());
+    }
+  }
+
   /** Tells which revision the sender has in force. */
   record Held(Revision revision) implements DistributionMessage {}
+
+  /** Asks for whatever follows the revision that the sender has in force. */
+  record Ask(Revision held) implements DistributionMessage {}
+
+  /** Tells control hosts which revisions the gateways of one data centre have in force. */
+  record Confirmed(Map<HostId, Revision> held) implements DistributionMessage {
+    /** Copies the map. */
+    public Confirmed {
+      held = Map.copyOf(held);
+    }
+  }
 }
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/distribution/Publisher.java
@@ -0,0 +1,255 @@
+package org.cuminwell.core.distribution;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationChange;
+import org.cuminwell.core.directory.DirectoryMessage;
+import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.distribution.DistributionMessage.Held;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.peer.Outgoing;
+import org.cuminwell.core.peer.PeerMessage;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Brings the committed configuration and the directory to gateways.
+ *
+ * <p>One gateway of each data centre, the first by name of those in contact that are not stopping,
+ * is its feeder and gets each difference; its neighbours get it from there. A gateway that tells of
+ * a lower revision is told the present one, and asks for it if its feeder does not bring it.
+ * Invariant: nothing older than what the gateway told is ever sent to it. Not thread safe: one
+ * thread owns it.
+ */
+public final class Publisher {
+
+  /** How long a feeder has to confirm before it is sent the same again. */
+  static final Duration CONFIRM_TIMEOUT = Duration.ofSeconds(1);
+
+  /** How often the directory is sent at most. */
+  static final Duration DIRECTORY_PERIOD = Duration.ofSeconds(1);
+
+  /** How long a gateway stays in the directory after it was lost. */
+  static final Duration DIRECTORY_GRACE = Duration.ofSeconds(10);
+
+  private final ConfigurationHolder holder = new ConfigurationHolder();
+  private final TreeMap<HostId, GatewayContact> gateways = new TreeMap<>();
+  private final Map<HostId, Sent> sent = new HashMap<>();
+  private final Set<HostId> told = new HashSet<>();
+  private final TreeSet<HostId> described = new TreeSet<>();
+  private final TreeSet<HostId> listed = new TreeSet<>();
+  private Instant directoryAt = Instant.MIN;
+
+  private record Sent(Revision to, Instant at) {}
+
+  /** Takes in a committed configuration and the change that led to it from the one before. */
+  public void publish(Configuration configuration, ConfigurationChange change) {
+    if (configuration.revision().isAfter(holder.revision())) {
+      holder.offer(configuration, change);
+    }
+  }
+
+  /** Takes in a committed configuration that was reached by another way than the last change. */
+  public void publish(Configuration configuration) {
+    holder.offer(configuration);
+  }
+
+  /** Returns what to say to a peer that has just been reached. */
+  public List<Outgoing> connected(HostId peer) {
+    return List.of(
+        tell(peer, new DirectoryMessage.ControlHere()), tell(peer, new Held(holder.revision())));
+  }
+
+  /** Takes in that a peer can't be reached. */
+  public void lost(HostId peer, Instant now) {
+    gateways.computeIfPresent(peer, (id, old) -> old.lostAt(now));
+    sent.remove(peer);
+    told.remove(peer);
+    chooseFeeders();
+  }
+
+  /** Takes in what a gateway says of itself, and returns what to say to whom. */
+  public List<Outgoing> hear(HostId peer, DirectoryMessage message, Instant now) {
+    switch (message) {
+      case DirectoryMessage.Here here -> describe(peer, here.host(), now);
+      case DirectoryMessage.ControlHere here -> {}
+      case DirectoryMessage.Hosts hosts -> {}
+    }
+    return List.of();
+  }
+
+  /** Takes in what a gateway says of the configuration, and returns what to say to whom. */
+  public List<Outgoing> hear(HostId peer, DistributionMessage message, Instant now) {
+    return switch (message) {
+      case Held m -> {
+        hold(peer, m.revision());
+        yield holder.revision().isAfter(m.revision()) && !isFeeder(peer)
+            ? List.of(tell(peer, new Held(holder.revision())))
+            : List.of();
+      }
+      case DistributionMessage.Ask m -> {
+        hold(peer, m.held());
+        sent.put(peer, new Sent(holder.revision(), now));
+        yield List.of(
+            tell(
+                peer,
+                holder.revision().isAfter(m.held())
+                    ? holder.after(m.held())
+                    : new Held(holder.revision())));
+      }
+      case DistributionMessage.Confirmed m -> {
+        m.held().forEach(this::confirm);
+        yield List.of();
+      }
+      case DistributionMessage.Full m -> List.of();
+      case DistributionMessage.Difference m -> List.of();
+    };
+  }
+
+  /** Does what is due by now, and returns what to say to whom. */
+  public List<Outgoing> tick(Instant now) {
+    List<Outgoing> out = new ArrayList<>();
+    for (GatewayContact gateway : gateways.values()) {
+      if (gateway.feeder()) {
+        feed(gateway, now, out);
+      }
+    }
+    tellDirectory(now, out);
+    return out;
+  }
+
+  /** Returns what is known of each gateway, in the order of names. */
+  public Collection<GatewayContact> gateways() {
+    return List.copyOf(gateways.values());
+  }
+
+  /** Returns the revision that this control host has. */
+  public Revision revision() {
+    return holder.revision();
+  }
+
+  private void describe(HostId peer, HostDescription host, Instant now) {
+    if (!host.id().equals(peer)) {
+      return;
+    }
+    GatewayContact old = gateways.get(peer);
+    if (old != null && old.connected()) {
+      gateways.put(peer, old.describedAs(host));
+    } else {
+      Revision held = old == null ? Revision.ZERO : old.held();
+      gateways.put(peer, new GatewayContact(host, held, true, now, false));
+    }
+    described.add(peer);
+    chooseFeeders();
+  }
+
+  /** Takes what the gateway itself tells, which may be lower after a restart without a disk. */
+  private void hold(HostId peer, Revision revision) {
+    told.add(peer);
+    gateways.computeIfPresent(peer, (id, old) -> old.holding(revision));
+  }
+
+  /** Takes what a feeder tells of its neighbour, which may be late. */
+  private void confirm(HostId peer, Revision revision) {
+    gateways.computeIfPresent(
+        peer, (id, old) -> revision.isAfter(old.held()) ? old.holding(revision) : old);
+  }
+
+  private boolean isFeeder(HostId peer) {
+    GatewayContact gateway = gateways.get(peer);
+    return gateway != null && gateway.feeder();
+  }
+
+  private void chooseFeeders() {
+    Map<Place, HostId> feeders = new HashMap<>();
+    for (GatewayContact gateway : gateways.values()) {
+      if (gateway.connected() && !gateway.host().stopping()) {
+        feeders.putIfAbsent(gateway.host().place(), gateway.host().id());
+      }
+    }
+    gateways.replaceAll(
+        (id, gateway) -> {
+          boolean feeds = id.equals(feeders.get(gateway.host().place()));
+          if (feeds && !gateway.feeder()) {
+            sent.remove(id);
+            described.addAll(inContact());
+          }
+          return gateway.feeding(feeds);
+        });
+  }
+
+  private List<HostId> inContact() {
+    return gateways.values().stream()
+        .filter(GatewayContact::connected)
+        .map(gateway -> gateway.host().id())
+        .toList();
+  }
+
+  private void feed(GatewayContact gateway, Instant now, List<Outgoing> out) {
+    HostId peer = gateway.host().id();
+    Revision base = baseFor(gateway, now);
+    if (told.contains(peer) && holder.revision().isAfter(base)) {
+      out.add(tell(peer, holder.after(base)));
+      sent.put(peer, new Sent(holder.revision(), now));
+    }
+  }
+
+  /** Returns what the feeder holds, or will once what was sent lately has arrived. */
+  private Revision baseFor(GatewayContact gateway, Instant now) {
+    Sent last = sent.get(gateway.host().id());
+    if (last == null || !now.isBefore(last.at().plus(CONFIRM_TIMEOUT))) {
+      return gateway.held();
+    }
+    return last.to().isAfter(gateway.held()) ? last.to() : gateway.held();
+  }
+
+  /** Sends the feeders what has changed in the directory since the last time. */
+  private void tellDirectory(Instant now, List<Outgoing> out) {
+    if (!directoryAt.equals(Instant.MIN) && now.isBefore(directoryAt.plus(DIRECTORY_PERIOD))) {
+      return;
+    }
+    List<HostId> gone = listed.stream().filter(id -> isGone(gateways.get(id), now)).toList();
+    if (described.isEmpty() && gone.isEmpty()) {
+      return;
+    }
+    List<HostDescription> news =
+        described.stream()
+            .map(gateways::get)
+            .filter(gateway -> gateway != null && !isGone(gateway, now))
+            .map(GatewayContact::host)
+            .toList();
+    listed.addAll(described);
+    gone.forEach(listed::remove);
+    described.clear();
+    directoryAt = now;
+    for (GatewayContact gateway : gateways.values()) {
+      if (gateway.feeder()) {
+        out.add(tell(gateway.host().id(), new DirectoryMessage.Hosts(news, gone)));
+      }
+    }
+  }
+
+  private static boolean isGone(@Nullable GatewayContact gateway, Instant now) {
+    return gateway == null
+        || (!gateway.connected() && !now.isBefore(gateway.since().plus(DIRECTORY_GRACE)));
+  }
+
+  private static Outgoing tell(HostId peer, DirectoryMessage message) {
+    return new Outgoing(peer, new PeerMessage.Directory(message));
+  }
+
+  private static Outgoing tell(HostId peer, DistributionMessage message) {
+    return new Outgoing(peer, new PeerMessage.Distribution(message));
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -7,20 +7,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationIndex;
-import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.directory.HostDirectory;
 import org.cuminwell.core.distribution.ConfigurationHolder;
-import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.gateway.GatewayAction.AnswerEntryHosts;
 import org.cuminwell.core.gateway.GatewayAction.AnswerModels;
+import org.cuminwell.core.gateway.GatewayAction.CancelCall;
 import org.cuminwell.core.gateway.GatewayAction.Count;
 import org.cuminwell.core.gateway.GatewayAction.ReadBody;
 import org.cuminwell.core.gateway.GatewayAction.Refuse;
 import org.cuminwell.core.gateway.GatewayAction.SendToEndpoint;
 import org.cuminwell.core.gateway.GatewayAction.Stopped;
-import org.cuminwell.core.gateway.GatewayAction.TellPeer;
 import org.cuminwell.core.limit.CustomerLimits;
 import org.cuminwell.core.membership.EndpointTable;
 import org.cuminwell.core.model.Customer;
@@ -29,6 +28,7 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.KeyHash;
 import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.model.Route;
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.Usage;
@@ -54,6 +54,7 @@
   private final ConfigurationHolder configuration = new ConfigurationHolder();
   private final HostDirectory directory = new HostDirectory();
   private final EndpointTable endpoints = new EndpointTable();
+  private final GatewayPeers peers;
   private final CustomerLimits limits = new CustomerLimits();
   private final Router router = new Router();
   private final RetryPolicy retryPolicy = RetryPolicy.DEFAULT;
@@ -63,7 +64,13 @@
   /** Makes the state of the gateway that {@code self} describes. */
   public Gateway(HostDescription self) {
     this.self = self;
-    directory.learn(List.of(self));
+    peers = new GatewayPeers(self, configuration, directory);
+  }
+
+  /** Takes in the configuration that this host's disk kept; call it before the first event. */
+  public void restore(Configuration kept) {
+    configuration.offer(kept);
+    peers.restored();
   }
 
   /** Returns what to do about the event, in order. */
@@ -80,11 +87,11 @@
       case GatewayEvent.EndpointAnnounced e -> endpoints.announce(e.announcement(), now);
       case GatewayEvent.EndpointReported e -> endpoints.report(e.report());
       case GatewayEvent.EndpointLeft e -> endpoints.leave(e.endpoint(), e.incarnation());
-      case GatewayEvent.PeerConnected e -> greet(e.peer(), actions);
-      case GatewayEvent.PeerLost e -> {}
-      case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), actions);
-      case GatewayEvent.Ticked e -> endpoints.expire(now);
-      case GatewayEvent.StopAsked e -> stopping = true;
+      case GatewayEvent.PeerConnected e -> peers.connected(e.peer(), actions);
+      case GatewayEvent.PeerLost e -> peers.lost(e.peer());
+      case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
+      case GatewayEvent.Ticked e -> tick(now, actions);
+      case GatewayEvent.StopAsked e -> stop(actions);
     }
     if (stopping && calls.isEmpty()) {
       actions.add(new Stopped());
@@ -94,7 +101,7 @@
 
   /** Returns whether requests can be answered. */
   public boolean isReady() {
-    return configuration.isReady() && !stopping;
+    return peers.isServing() && !stopping;
   }
 
   private void open(CallHead head, Instant now, List<GatewayAction> actions) {
@@ -114,7 +121,7 @@
           Failure.notRunRetryAfter(
               ErrorCode.STOPPING, "this host is stopping; use another entry host", RETRY_SOON));
     }
-    if (!configuration.isReady()) {
+    if (!peers.isServing()) {
       return Optional.of(
           Failure.notRunRetryAfter(
               ErrorCode.NOT_READY, "this host has no configuration yet; try again", RETRY_SOON));
@@ -377,40 +384,53 @@
     actions.add(new AnswerEntryHosts(event.id(), directory.entryHosts(residency, self.place())));
   }
 
-  private void greet(HostId peer, List<GatewayAction> actions) {
-    actions.add(tell(peer, new DirectoryMessage.Here(self)));
-    actions.add(tell(peer, new DistributionMessage.Held(configuration.revision())));
-  }
-
-  private void hear(HostId peer, PeerMessage message, List<GatewayAction> actions) {
+  private void hear(HostId peer, PeerMessage message, Instant now, List<GatewayAction> actions) {
     switch (message) {
-      case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
-      case PeerMessage.Directory m -> hear(m.message());
+      case PeerMessage.Distribution m -> {
+        Revision before = configuration.revision();
+        peers.hear(peer, m.message(), now, actions);
+        if (configuration.revision().isAfter(before)) {
+          endWithdrawn(now, actions);
+        }
+      }
+      case PeerMessage.Directory m -> peers.hear(peer, m.message(), actions);
     }
   }
 
-  private void hear(HostId peer, DistributionMessage message, List<GatewayAction> actions) {
-    switch (message) {
-      case DistributionMessage.Full full -> {
-        configuration.offer(full.configuration());
-        actions.add(tell(peer, new DistributionMessage.Held(configuration.revision())));
-      }
-      case DistributionMessage.Held held -> {}
-    }
+  private void tick(Instant now, List<GatewayAction> actions) {
+    endpoints.expire(now);
+    peers.tick(now, actions);
   }
 
-  private void hear(DirectoryMessage message) {
-    switch (message) {
-      case DirectoryMessage.Here here -> directory.learn(List.of(here.host()));
-      case DirectoryMessage.Hosts all -> directory.learn(all.hosts());
-    }
+  private void stop(List<GatewayAction> actions) {
+    stopping = true;
+    peers.stop(actions);
   }
 
-  private static TellPeer tell(HostId peer, DirectoryMessage message) {
-    return new TellPeer(peer, new PeerMessage.Directory(message));
+  /** Ends every running request whose key has been withdrawn. */
+  private void endWithdrawn(Instant now, List<GatewayAction> actions) {
+    List<RunningCall> withdrawn =
+        calls.values().stream()
+            .filter(
+                call ->
+                    customerOf(call.head())
+                        .filter(customer -> customer.id().equals(call.customer().id()))
+                        .isEmpty())
+            .toList();
+    withdrawn.forEach(call -> endWithdrawn(call, now, actions));
   }
 
-  private static TellPeer tell(HostId peer, DistributionMessage message) {
-    return new TellPeer(peer, new PeerMessage.Distribution(message));
+  private void endWithdrawn(RunningCall call, Instant now, List<GatewayAction> actions) {
+    String message = "the key was withdrawn while the request was running";
+    if (call.attempts() == 0) {
+      refuse(call, Failure.notRun(ErrorCode.INVALID_KEY, message), now, actions);
+    } else if (call.hasAnswerBegun()) {
+      actions.add(new CancelCall(call.id(), Failure.ran(ErrorCode.INVALID_KEY, message)));
+    } else {
+      Failure failure = Failure.mayHaveRun(ErrorCode.INVALID_KEY, message);
+      call.endpoint().ifPresent(endpoint -> router.ended(endpoint.endpoint()));
+      actions.add(new Refuse(call.id(), failure));
+      finish(call, Usage.NONE, Optional.of(failure), now, actions);
+    }
   }
 }
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.Failure;
@@ -43,6 +44,18 @@
   /** Sends a message to another process of the system. */
   record TellPeer(HostId peer, PeerMessage message) implements GatewayAction {}
 
+  /** Keeps a connection to the address from now on. */
+  record Dial(HostAddress address) implements GatewayAction {}
+
+  /** Lets the connection to the address go once it is lost. */
+  record StopDialling(HostAddress address) implements GatewayAction {}
+
+  /** Writes the configuration to the disk, if there is one. */
+  record KeepConfiguration(Configuration configuration) implements GatewayAction {}
+
+  /** Cuts an answer that has begun and ends it with the failure in its place. */
+  record CancelCall(RequestId id, Failure failure) implements GatewayAction {}
+
   /** Counts a request that has ended. */
   record Count(RequestId id, CallRecord call) implements GatewayAction {}
 
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayPeers.java
@@ -0,0 +1,180 @@
+package org.cuminwell.core.gateway;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import org.cuminwell.core.directory.Contacts;
+import org.cuminwell.core.directory.DirectoryMessage;
+import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.directory.HostDirectory;
+import org.cuminwell.core.distribution.ConfigurationHolder;
+import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.distribution.Subscriber;
+import org.cuminwell.core.gateway.GatewayAction.Dial;
+import org.cuminwell.core.gateway.GatewayAction.KeepConfiguration;
+import org.cuminwell.core.gateway.GatewayAction.StopDialling;
+import org.cuminwell.core.gateway.GatewayAction.TellPeer;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.peer.Outgoing;
+import org.cuminwell.core.peer.PeerMessage;
+
+/**
+ * Keeps a gateway in touch with the control hosts and with the gateways of its data centre.
+ *
+ * <p>Of two gateways of a data centre the one with the lower name dials the other. Each is dialled
+ * until a control host says that it has gone, so that neighbours find each other again while cut
+ * off. Not thread safe: one thread owns it.
+ */
+final class GatewayPeers {
+
+  private final Contacts contacts;
+  private final ConfigurationHolder configuration;
+  private final HostDirectory directory;
+  private final Subscriber subscriber;
+  private final TreeMap<HostId, HostAddress> dialled = new TreeMap<>();
+  private HostDescription self;
+  private Revision kept;
+  private boolean fedWithDirectory;
+
+  GatewayPeers(HostDescription self, ConfigurationHolder configuration, HostDirectory directory) {
+    this.self = self;
+    this.configuration = configuration;
+    this.directory = directory;
+    this.contacts = new Contacts(self.place());
+    this.subscriber = new Subscriber(self.id(), contacts, configuration);
+    this.kept = configuration.revision();
+    directory.meet(self);
+  }
+
+  /** Returns whether the configuration may be served from. */
+  boolean isServing() {
+    return subscriber.isServing();
+  }
+
+  /** Returns who is in contact. */
+  Contacts contacts() {
+    return contacts;
+  }
+
+  /** Takes in that the configuration in force comes from this host's disk. */
+  void restored() {
+    kept = configuration.revision();
+  }
+
+  /** Greets a peer that has just been reached. */
+  void connected(HostId peer, List<GatewayAction> actions) {
+    actions.add(tell(peer, new DirectoryMessage.Here(self)));
+    send(subscriber.connected(peer), actions);
+  }
+
+  /** Takes in that a peer can't be reached. */
+  void lost(HostId peer) {
+    contacts.lost(peer);
+    subscriber.lost(peer);
+    directory.lose(peer, self.place());
+  }
+
+  /** Takes in a message about the configuration. */
+  void hear(HostId peer, DistributionMessage message, Instant now, List<GatewayAction> actions) {
+    send(subscriber.hear(peer, message, now), actions);
+    keep(actions);
+  }
+
+  /** Takes in a message about the entry hosts. */
+  void hear(HostId peer, DirectoryMessage message, List<GatewayAction> actions) {
+    switch (message) {
+      case DirectoryMessage.Here here -> meet(peer, here.host(), actions);
+      case DirectoryMessage.ControlHere here -> contacts.foundControl(peer);
+      case DirectoryMessage.Hosts hosts -> learn(peer, hosts, actions);
+    }
+  }
+
+  /** Does what is due by now. */
+  void tick(Instant now, List<GatewayAction> actions) {
+    send(subscriber.tick(now), actions);
+  }
+
+  /** Tells everyone that this host takes no new callers. */
+  void stop(List<GatewayAction> actions) {
+    self =
+        new HostDescription(
+            self.id(), self.place(), self.callers(), self.inner(), self.peer(), self.load(), true);
+    directory.meet(self);
+    List<HostId> peers = new ArrayList<>(contacts.controls());
+    peers.addAll(contacts.neighbours());
+    peers.addAll(contacts.remotes());
+    peers.forEach(peer -> actions.add(tell(peer, new DirectoryMessage.Here(self))));
+  }
+
+  /** Meets a gateway; one of the same data centre is told of the others there. */
+  private void meet(HostId peer, HostDescription host, List<GatewayAction> actions) {
+    if (!host.id().equals(peer)) {
+      return;
+    }
+    boolean isNew = !contacts.isNeighbour(peer);
+    contacts.foundGateway(host);
+    directory.meet(host);
+    if (contacts.isNeighbour(peer) && isNew) {
+      List<HostDescription> known =
+          directory.all().stream()
+              .filter(other -> fedWithDirectory || other.place().equals(self.place()))
+              .toList();
+      actions.add(tell(peer, new DirectoryMessage.Hosts(known, List.of())));
+      actions.add(
+          new TellPeer(
+              peer,
+              new PeerMessage.Distribution(
+                  new DistributionMessage.Held(configuration.revision()))));
+    }
+    dial(List.of(host), actions);
+  }
+
+  /** Learns of hosts, and passes on what a control host tells. */
+  private void learn(HostId peer, DirectoryMessage.Hosts hosts, List<GatewayAction> actions) {
+    directory.learn(hosts);
+    directory.meet(self);
+    if (contacts.isControl(peer)) {
+      fedWithDirectory = true;
+      contacts.neighbours().forEach(neighbour -> actions.add(tell(neighbour, hosts)));
+    }
+    for (HostId gone : hosts.gone()) {
+      HostAddress address = dialled.remove(gone);
+      if (address != null) {
+        actions.add(new StopDialling(address));
+      }
+    }
+    dial(hosts.hosts(), actions);
+  }
+
+  private void dial(List<HostDescription> hosts, List<GatewayAction> actions) {
+    for (HostDescription host : hosts) {
+      boolean isMine = host.place().equals(self.place()) && self.id().compareTo(host.id()) < 0;
+      if (!isMine || host.peer().equals(dialled.get(host.id()))) {
+        continue;
+      }
+      HostAddress old = dialled.put(host.id(), host.peer());
+      if (old != null) {
+        actions.add(new StopDialling(old));
+      }
+      actions.add(new Dial(host.peer()));
+    }
+  }
+
+  private void keep(List<GatewayAction> actions) {
+    if (configuration.revision().isAfter(kept)) {
+      kept = configuration.revision();
+      actions.add(new KeepConfiguration(configuration.index().configuration()));
+    }
+  }
+
+  private static void send(List<Outgoing> messages, List<GatewayAction> actions) {
+    messages.forEach(out -> actions.add(new TellPeer(out.peer(), out.message())));
+  }
+
+  private static TellPeer tell(HostId peer, DirectoryMessage message) {
+    return new TellPeer(peer, new PeerMessage.Directory(message));
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/gateway/AnswerStage.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/AnswerStage.java
@@ -1,5 +1,6 @@
 package org.cuminwell.shell.gateway;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.apache.pekko.stream.Attributes;
 import org.apache.pekko.stream.FlowShape;
@@ -7,6 +8,7 @@
 import org.apache.pekko.stream.Outlet;
 import org.apache.pekko.stream.stage.AbstractInHandler;
 import org.apache.pekko.stream.stage.AbstractOutHandler;
+import org.apache.pekko.stream.stage.AsyncCallback;
 import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
@@ -28,10 +30,12 @@
   private final Outlet<ByteString> out = Outlet.create("AnswerStage.out");
   private final FlowShape<ByteString, ByteString> shape = FlowShape.of(in, out);
   private final RequestId id;
+  private final CompletableFuture<Failure> cancelled;
   private final Consumer<AttemptEnd> ended;
 
-  AnswerStage(RequestId id, Consumer<AttemptEnd> ended) {
+  AnswerStage(RequestId id, CompletableFuture<Failure> cancelled, Consumer<AttemptEnd> ended) {
     this.id = id;
+    this.cancelled = cancelled;
     this.ended = ended;
   }
 
@@ -88,6 +92,12 @@
           });
     }
 
+    @Override
+    public void preStart() {
+      AsyncCallback<Failure> cut = createAsyncCallback(this::cut);
+      var _ = cancelled.thenAccept(cut::invoke);
+    }
+
     @Override
     public void postStop() {
       report(new AttemptEnd.CallerLeft(check.usage()));
@@ -99,7 +109,15 @@
         completeStage();
         return;
       }
-      Failure failure = Failure.mayHaveRun(ErrorCode.INCOMPLETE_ANSWER, problem);
+      fail(Failure.mayHaveRun(ErrorCode.INCOMPLETE_ANSWER, problem));
+    }
+
+    private void cut(Failure failure) {
+      cancel(in);
+      fail(failure);
+    }
+
+    private void fail(Failure failure) {
       report(new AttemptEnd.Failed(failure, check.usage()));
       emit(out, errorEvent(failure), this::completeStage);
     }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
@@ -115,7 +115,8 @@
               Source<ByteString, ?> answer =
                   Source.from(first)
                       .concat(parts.second())
-                      .via(new AnswerStage(call.id(), end -> ended(attempt, end)));
+                      .via(
+                          new AnswerStage(call.id(), call.cancelled(), end -> ended(attempt, end)));
               call.succeed(
                   HttpResponse.create()
                       .addHeader(RawHeader.create(HttpAnswers.REQUEST_ID_HEADER, call.id().value()))
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -1,6 +1,7 @@
 package org.cuminwell.shell.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -47,6 +48,7 @@
   private final PeerNode peers;
   private final CallerFront callers;
   private final EndpointClient endpoints;
+  private final ConfigurationKeeper keeper;
   private final Duty<GatewayEvent> decide;
   private final Duty<GatewayAction> dispatch;
   private final TimerDuty timer;
@@ -54,6 +56,9 @@
 
   private GatewayProcess(GatewaySettings settings) {
     gateway = new Gateway(settings.self());
+    Optional<ConfigurationStore> store = settings.data().map(ConfigurationStore::new);
+    store.flatMap(ConfigurationStore::load).ifPresent(gateway::restore);
+    keeper = new ConfigurationKeeper(store);
     http = HttpSystem.start("gateway");
     peers = new PeerNode(settings.self().id(), listener());
     callers = new CallerFront(http, calls, events);
@@ -76,6 +81,7 @@
     process.http.serve(settings.self().inner(), inner::handle);
     process.peers.listen(settings.self().peer());
     settings.controls().forEach(process.peers::dial);
+    settings.neighbours().forEach(process.peers::dial);
     LOG.log(System.Logger.Level.INFO, "gateway started at " + settings.self().callers());
     return process;
   }
@@ -95,6 +101,7 @@
     timer.close();
     decide.close();
     dispatch.close();
+    keeper.close();
     peers.close();
     http.close();
   }
@@ -139,6 +146,10 @@
           telemetry.count("peer_messages_dropped", 1);
         }
       }
+      case GatewayAction.Dial a -> peers.dial(a.address());
+      case GatewayAction.StopDialling a -> peers.stopDialling(a.address());
+      case GatewayAction.KeepConfiguration a -> keeper.keep(a.configuration());
+      case GatewayAction.CancelCall a -> calls.with(a.id(), call -> call.cancel(a.failure()));
       case GatewayAction.Count a -> {
         calls.remove(a.id());
         telemetry.record(a.call());
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewaySettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewaySettings.java
@@ -1,6 +1,8 @@
 package org.cuminwell.shell.gateway;
 
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.model.HostAddress;
 
@@ -9,11 +11,19 @@
  *
  * @param self how this host describes itself
  * @param controls the peer addresses of the control hosts
+ * @param neighbours the peer addresses of gateways of the same data centre, for a start while no
+ *     control host can be reached
+ * @param data the folder on the disk that keeps the last configuration, if there is a disk
  */
-public record GatewaySettings(HostDescription self, List<HostAddress> controls) {
+public record GatewaySettings(
+    HostDescription self,
+    List<HostAddress> controls,
+    List<HostAddress> neighbours,
+    Optional<Path> data) {
 
-  /** Copies the list. */
+  /** Copies the lists. */
   public GatewaySettings {
     controls = List.copyOf(controls);
+    neighbours = List.copyOf(neighbours);
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/PendingCall.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/PendingCall.java
@@ -18,6 +18,7 @@
   private final RequestId id;
   private final HttpRequest request;
   private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+  private final CompletableFuture<Failure> cancelled = new CompletableFuture<>();
   private volatile ByteString body = ByteString.emptyByteString();
   private volatile boolean stream;
 
@@ -52,6 +53,15 @@
     stream = streamed;
   }
 
+  /** Returns the failure that an answer under way is cut with, once there is one. */
+  CompletableFuture<Failure> cancelled() {
+    return cancelled;
+  }
+
+  void cancel(Failure failure) {
+    cancelled.complete(failure);
+  }
+
   void succeed(HttpResponse response) {
     answer.complete(response);
   }
--- a/shell/src/main/java/org/cuminwell/shell/peer/PeerListener.java
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerListener.java
@@ -9,7 +9,7 @@
  */
 public interface PeerListener {
 
-  /** Tells that messages can be sent to the peer. */
+  /** Tells that a connection to the peer has opened; there may have been another before. */
   void connected(HostId peer);
 
   /** Tells that the last connection to the peer has gone. */
--- a/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
@@ -16,9 +16,11 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.peer.PeerMessage;
@@ -50,7 +52,7 @@
   private final HostId self;
   private final PeerListener listener;
   private final EventLoopGroup threads;
-  private final Map<HostId, Channel> links = new ConcurrentHashMap<>();
+  private final Map<HostId, List<Channel>> links = new ConcurrentHashMap<>();
   private final Map<HostAddress, Boolean> dialled = new ConcurrentHashMap<>();
   private volatile boolean closed;
 
@@ -96,10 +98,11 @@
 
   /** Sends the message, and returns whether it was taken; a taken message may still be lost. */
   public boolean send(HostId peer, PeerMessage message) {
-    Channel link = links.get(peer);
-    if (link == null || !link.isWritable()) {
+    List<Channel> open = links.get(peer);
+    if (open == null || !open.getLast().isWritable()) {
       return false;
     }
+    Channel link = open.getLast();
     var _ =
         link.writeAndFlush(
             PeerFrameCodec.encode(new PeerFrame.Message(message)), link.voidPromise());
@@ -117,14 +120,14 @@
   }
 
   void opened(HostId peer, Channel channel) {
-    @Nullable Channel old = links.put(peer, channel);
-    if (old == null) {
-      listener.connected(peer);
-    }
+    links.merge(peer, List.of(channel), PeerNode::joined);
+    listener.connected(peer);
   }
 
+  /** Forgets the connection; the peer is lost when it was the last one. */
   void closed(HostId peer, Channel channel) {
-    if (links.remove(peer, channel)) {
+    links.computeIfPresent(peer, (id, open) -> without(open, channel));
+    if (!links.containsKey(peer)) {
       listener.lost(peer);
     }
   }
@@ -133,6 +136,15 @@
     listener.heard(peer, message);
   }
 
+  private static List<Channel> joined(List<Channel> open, List<Channel> more) {
+    return Stream.concat(open.stream(), more.stream()).toList();
+  }
+
+  private static @Nullable List<Channel> without(List<Channel> open, Channel closed) {
+    List<Channel> rest = open.stream().filter(channel -> !channel.equals(closed)).toList();
+    return rest.isEmpty() ? null : rest;
+  }
+
   private void connect(HostAddress address) {
     if (closed || !dialled.containsKey(address)) {
       return;
--- a/wire/src/main/java/org/cuminwell/wire/DirectoryCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/DirectoryCodec.java
@@ -21,9 +21,13 @@
     var to = org.cuminwell.wire.generated.DirectoryMessage.newBuilder();
     switch (from) {
       case DirectoryMessage.Here here -> to.setHere(toProto(here.host()));
+      case DirectoryMessage.ControlHere here ->
+          to.setControlHere(
+              org.cuminwell.wire.generated.DirectoryMessage.ControlHere.getDefaultInstance());
       case DirectoryMessage.Hosts all -> {
         var hosts = org.cuminwell.wire.generated.DirectoryMessage.Hosts.newBuilder();
         all.hosts().forEach(host -> hosts.addHost(toProto(host)));
+        all.gone().forEach(host -> hosts.addGone(host.value()));
         to.setHosts(hosts);
       }
     }
@@ -35,7 +39,9 @@
       case HERE -> new DirectoryMessage.Here(fromProto(from.getHere()));
       case HOSTS ->
           new DirectoryMessage.Hosts(
-              from.getHosts().getHostList().stream().map(DirectoryCodec::fromProto).toList());
+              from.getHosts().getHostList().stream().map(DirectoryCodec::fromProto).toList(),
+              from.getHosts().getGoneList().stream().map(HostId::new).toList());
+      case CONTROL_HERE -> new DirectoryMessage.ControlHere();
       case KIND_NOT_SET -> throw new IllegalArgumentException("directory message without a kind");
     };
   }
--- a/wire/src/main/java/org/cuminwell/wire/ViewJson.java
+++ b/wire/src/main/java/org/cuminwell/wire/ViewJson.java
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.cuminwell.core.control.ControlView;
-import org.cuminwell.core.control.ControlView.GatewayView;
+import org.cuminwell.core.distribution.GatewayContact;
 import org.cuminwell.core.ticket.TicketAnswer;
 import org.cuminwell.core.ticket.TicketAnswer.Accepted;
 import org.cuminwell.core.ticket.TicketFault;
@@ -69,7 +69,7 @@
     return node;
   }
 
-  private static ObjectNode write(GatewayView gateway) {
+  private static ObjectNode write(GatewayContact gateway) {
     ObjectNode node = MAPPER.createObjectNode();
     node.put("host", gateway.host().id().value());
     node.put("region", gateway.host().place().region().value());
@@ -77,6 +77,8 @@
     node.put("callers", gateway.host().callers().toString());
     node.put("revision", gateway.held().value());
     node.put("connected", gateway.connected());
+    node.put("since", gateway.since().toString());
+    node.put("feeder", gateway.feeder());
     return node;
   }
 }
