--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
+import com.beust.jcommander.ParametersDelegate;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,7 +19,7 @@
 
 /** Runs an entry host. */
 @Parameters(commandDescription = "Run an entry host that serves callers")
-final class GatewayCommand implements Command {
+final class GatewayCommand implements ProcessCommand {
 
   @Parameter(names = "--host-id", required = true, description = "name of this host")
   private String hostId = "";
@@ -47,6 +48,8 @@
   @Parameter(names = "--control", description = "peer HOST:PORT of each control host")
   private List<String> control = new ArrayList<>();
 
+  @ParametersDelegate private final TlsFlags tls = new TlsFlags();
+
   @Parameter(
       names = "--neighbour",
       description = "peer HOST:PORT of gateways of this data centre, for a start while cut off")
@@ -67,8 +70,8 @@
     return OK;
   }
 
-  /** Returns the checked settings. */
-  GatewaySettings settings() throws SettingException {
+  @Override
+  public GatewaySettings settings() throws SettingException {
     HostDescription self =
         new HostDescription(
             Settings.checked("--host-id", hostId, HostId::new),
@@ -89,6 +92,7 @@
         Settings.addresses("--neighbour", neighbour),
         data.isEmpty()
             ? Optional.empty()
-            : Optional.of(Settings.checked("--data", data, Path::of)));
+            : Optional.of(Settings.checked("--data", data, Path::of)),
+        tls.files());
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -11,8 +11,8 @@
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.peer.Outgoing;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.ticket.Ticket;
 import org.cuminwell.core.ticket.TicketAnswer;
-import org.cuminwell.core.ticket.TicketLedger;
 
 /**
  * Decides what a control host does with each event.
@@ -22,8 +22,9 @@
 public final class Control {
 
   private final HostId self;
-  private final TicketLedger ledger = new TicketLedger();
+  private final ReplicatedState state = new ReplicatedState();
   private final Publisher publisher = new Publisher();
+  private boolean changed;
 
   /** Makes the state of the control host with the given name. */
   public Control(HostId self) {
@@ -36,9 +37,9 @@
     switch (event) {
       case ControlEvent.TicketSubmitted e -> submit(e, now, actions);
       case ControlEvent.PeerConnected e -> tell(publisher.connected(e.peer()), actions);
-      case ControlEvent.PeerLost e -> lose(e.peer(), now, actions);
+      case ControlEvent.PeerLost e -> lose(e.peer(), now);
       case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
-      case ControlEvent.Ticked e -> tell(publisher.tick(now), actions);
+      case ControlEvent.Ticked e -> tick(now, actions);
     }
     return actions;
   }
@@ -46,38 +47,53 @@
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
-        self, ledger.configuration(), ledger.all(), List.copyOf(publisher.gateways()));
+        self, state.configuration(), state.ledger().all(), List.copyOf(publisher.gateways()));
   }
 
   private void submit(
       ControlEvent.TicketSubmitted event, Instant now, List<ControlAction> actions) {
-    Revision before = ledger.configuration().revision();
-    TicketAnswer answer = ledger.apply(event.ticket(), now);
+    Revision before = state.configuration().revision();
+    TicketAnswer answer = answer(event.ticket(), now);
     actions.add(new AnswerTicket(event.id(), answer));
-    if (ledger.configuration().revision().isAfter(before)) {
-      publisher.publish(ledger.configuration(), event.ticket().change());
+    if (state.configuration().revision().isAfter(before)) {
+      publisher.publish(state.configuration(), event.ticket().change());
       actions.add(new Show(view()));
     }
   }
 
-  private void lose(HostId peer, Instant now, List<ControlAction> actions) {
+  private TicketAnswer answer(Ticket ticket, Instant now) {
+    return switch (state.apply(new Command.AcceptTicket(ticket), now)) {
+      case Applied.TicketAnswered applied -> applied.answer();
+    };
+  }
+
+  private void lose(HostId peer, Instant now) {
     publisher.lost(peer, now);
-    actions.add(new Show(view()));
+    changed = true;
   }
 
   private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
     switch (message) {
       case PeerMessage.Distribution m -> {
         tell(publisher.hear(peer, m.message(), now), actions);
-        actions.add(new Show(view()));
+        changed = true;
       }
       case PeerMessage.Directory m -> {
         tell(publisher.hear(peer, m.message(), now), actions);
-        actions.add(new Show(view()));
+        changed = true;
       }
     }
   }
 
+  /** Sends what is due, and shows operators what has changed since the last tick. */
+  private void tick(Instant now, List<ControlAction> actions) {
+    tell(publisher.tick(now), actions);
+    if (changed) {
+      changed = false;
+      actions.add(new Show(view()));
+    }
+  }
+
   private static void tell(List<Outgoing> messages, List<ControlAction> actions) {
     messages.forEach(out -> actions.add(new TellPeer(out.peer(), out.message())));
   }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -24,6 +24,7 @@
 import org.cuminwell.shell.metrics.Telemetry;
 import org.cuminwell.shell.peer.PeerListener;
 import org.cuminwell.shell.peer.PeerNode;
+import org.cuminwell.shell.peer.PeerTls;
 
 /**
  * Runs a gateway: network threads put events into one ring, the decide thread turns them into
@@ -45,6 +46,7 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final Gateway gateway;
   private final HttpSystem http;
+  private final Optional<PeerTls> tls;
   private final PeerNode peers;
   private final CallerFront callers;
   private final EndpointClient endpoints;
@@ -52,6 +54,7 @@
   private final Duty<GatewayEvent> decide;
   private final Duty<GatewayAction> dispatch;
   private final TimerDuty timer;
+  private final TimerDuty certificates;
   private volatile boolean ready;
 
   private GatewayProcess(GatewaySettings settings) {
@@ -60,12 +63,19 @@
     store.flatMap(ConfigurationStore::load).ifPresent(gateway::restore);
     keeper = new ConfigurationKeeper(store);
     http = HttpSystem.start("gateway");
-    peers = new PeerNode(settings.self().id(), listener());
+    tls = settings.tls().map(PeerTls::orFail);
+    peers = new PeerNode(settings.self().id(), listener(), tls);
+    telemetry.gauge("peer_sent_bytes", peers::sentBytes);
+    telemetry.gauge("peer_received_bytes", peers::receivedBytes);
+    telemetry.gauge("peer_refused_connections", peers::refusedConnections);
     callers = new CallerFront(http, calls, events);
     endpoints = new EndpointClient(http, events::force);
     decide = Duty.start("decide", events.ring(), this::decide);
     dispatch = Duty.start("dispatch", actions, this::perform);
     timer = TimerDuty.start("timer", TICK, () -> events.offer(new GatewayEvent.Ticked()));
+    certificates =
+        TimerDuty.start(
+            "certificates", PeerTls.RELOAD, () -> tls.ifPresent(PeerTls::reloadIfChanged));
   }
 
   /**
@@ -99,6 +109,7 @@
   @Override
   public void close() {
     timer.close();
+    certificates.close();
     decide.close();
     dispatch.close();
     keeper.close();
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewaySettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.shell.peer.TlsFiles;
 
 /**
  * Holds the checked settings of a gateway. Immutable and thread safe.
@@ -14,12 +15,14 @@
  * @param neighbours the peer addresses of gateways of the same data centre, for a start while no
  *     control host can be reached
  * @param data the folder on the disk that keeps the last configuration, if there is a disk
+ * @param tls proves this host to others; without it peers are believed
  */
 public record GatewaySettings(
     HostDescription self,
     List<HostAddress> controls,
     List<HostAddress> neighbours,
-    Optional<Path> data) {
+    Optional<Path> data,
+    Optional<TlsFiles> tls) {
 
   /** Copies the lists. */
   public GatewaySettings {
