Exchange what endpoints say between the gateways of a data centre

Cause: a gateway knew only endpoints that announced to it; leaving was forgotten with the entry, so late news of the same life brought it back.

Change: each gateway tells its neighbours what it heard itself, by versioned differences with the remaining time to live; who misses a version asks for everything. Departures are remembered for a minute. The redundant cast in OperatorAccessTest, which failed under -Werror, is dropped.

Ruled out: passing news on further, since it would need a hop count to keep a life from being lengthened.

--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -2,8 +2,8 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import java.nio.file.Path;
 import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -90,9 +90,7 @@
         self,
         Settings.addresses("--control", control),
         Settings.addresses("--neighbour", neighbour),
-        data.isEmpty()
-            ? Optional.empty()
-            : Optional.of(Settings.checked("--data", data, Path::of)),
+        data.isEmpty() ? Optional.empty() : Optional.of(Settings.checked("--data", data, Path::of)),
         tls.files());
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -82,6 +82,7 @@
         tell(publisher.hear(peer, m.message(), now), actions);
         changed = true;
       }
+      case PeerMessage.Membership m -> {}
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -64,7 +64,7 @@
   /** Makes the state of the gateway that {@code self} describes. */
   public Gateway(HostDescription self) {
     this.self = self;
-    peers = new GatewayPeers(self, configuration, directory);
+    peers = new GatewayPeers(self, configuration, directory, endpoints);
   }
 
   /** Takes in the configuration that this host's disk kept; call it before the first event. */
@@ -84,9 +84,9 @@
       case GatewayEvent.AttemptEnded e -> attemptEnded(e, now, actions);
       case GatewayEvent.ModelsAsked e -> listModels(e, actions);
       case GatewayEvent.EntryHostsAsked e -> listEntryHosts(e, actions);
-      case GatewayEvent.EndpointAnnounced e -> endpoints.announce(e.announcement(), now);
-      case GatewayEvent.EndpointReported e -> endpoints.report(e.report());
-      case GatewayEvent.EndpointLeft e -> endpoints.leave(e.endpoint(), e.incarnation());
+      case GatewayEvent.EndpointAnnounced e -> peers.announced(e.announcement(), now);
+      case GatewayEvent.EndpointReported e -> peers.reported(e.report());
+      case GatewayEvent.EndpointLeft e -> peers.leaving(e.endpoint(), e.incarnation(), now);
       case GatewayEvent.PeerConnected e -> peers.connected(e.peer(), actions);
       case GatewayEvent.PeerLost e -> peers.lost(e.peer());
       case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
@@ -394,6 +394,7 @@
         }
       }
       case PeerMessage.Directory m -> peers.hear(peer, m.message(), actions);
+      case PeerMessage.Membership m -> peers.hear(peer, m.message(), now, actions);
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayPeers.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayPeers.java
@@ -15,6 +15,12 @@
 import org.cuminwell.core.gateway.GatewayAction.KeepConfiguration;
 import org.cuminwell.core.gateway.GatewayAction.StopDialling;
 import org.cuminwell.core.gateway.GatewayAction.TellPeer;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.membership.EndpointTable;
+import org.cuminwell.core.membership.LoadReport;
+import org.cuminwell.core.membership.MembershipExchange;
+import org.cuminwell.core.membership.MembershipMessage;
+import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Revision;
@@ -34,17 +40,23 @@
   private final ConfigurationHolder configuration;
   private final HostDirectory directory;
   private final Subscriber subscriber;
+  private final MembershipExchange membership;
   private final TreeMap<HostId, HostAddress> dialled = new TreeMap<>();
   private HostDescription self;
   private Revision kept;
   private boolean fedWithDirectory;
 
-  GatewayPeers(HostDescription self, ConfigurationHolder configuration, HostDirectory directory) {
+  GatewayPeers(
+      HostDescription self,
+      ConfigurationHolder configuration,
+      HostDirectory directory,
+      EndpointTable endpoints) {
     this.self = self;
     this.configuration = configuration;
     this.directory = directory;
     this.contacts = new Contacts(self.place());
     this.subscriber = new Subscriber(self.id(), contacts, configuration);
+    this.membership = new MembershipExchange(contacts, endpoints);
     this.kept = configuration.revision();
     directory.meet(self);
   }
@@ -74,6 +86,7 @@
   void lost(HostId peer) {
     contacts.lost(peer);
     subscriber.lost(peer);
+    membership.lost(peer);
     directory.lose(peer, self.place());
   }
 
@@ -92,9 +105,32 @@
     }
   }
 
+  /** Takes in what a neighbour heard from endpoints. */
+  void hear(HostId peer, MembershipMessage message, Instant now, List<GatewayAction> actions) {
+    if (contacts.isNeighbour(peer)) {
+      send(membership.hear(peer, message, now), actions);
+    }
+  }
+
+  /** Takes in an announcement that an endpoint made to this gateway. */
+  void announced(Announcement news, Instant now) {
+    membership.announced(news, now);
+  }
+
+  /** Takes in a load report that an endpoint made to this gateway. */
+  void reported(LoadReport report) {
+    membership.reported(report);
+  }
+
+  /** Takes in that an endpoint said to this gateway that it leaves. */
+  void leaving(EndpointId endpoint, long incarnation, Instant now) {
+    membership.leaving(endpoint, incarnation, now);
+  }
+
   /** Does what is due by now. */
   void tick(Instant now, List<GatewayAction> actions) {
     send(subscriber.tick(now), actions);
+    send(membership.tick(now), actions);
   }
 
   /** Tells everyone that this host takes no new callers. */
@@ -123,6 +159,7 @@
               .filter(other -> fedWithDirectory || other.place().equals(self.place()))
               .toList();
       actions.add(tell(peer, new DirectoryMessage.Hosts(known, List.of())));
+      send(membership.met(peer), actions);
       actions.add(
           new TellPeer(
               peer,
--- a/core/src/main/java/org/cuminwell/core/membership/EndpointTable.java
+++ b/core/src/main/java/org/cuminwell/core/membership/EndpointTable.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.membership;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -11,42 +12,69 @@
 /**
  * Holds the endpoints that have announced themselves and not left or fallen silent.
  *
- * <p>Invariant: news of an older incarnation never replaces news of a newer one. Not thread safe:
- * one thread owns it.
+ * <p>Invariants: news of an older incarnation never replaces news of a newer one; an incarnation
+ * that has left never comes back; no endpoint lives longer than its time to live after it was last
+ * heard, by whomever. Not thread safe: one thread owns it.
  */
 public final class EndpointTable {
 
+  /** How long it is remembered that an incarnation has left, against late news of it. */
+  static final Duration DEPARTED_MEMORY = Duration.ofMinutes(1);
+
   private final TreeMap<EndpointId, Entry> entries = new TreeMap<>();
+  private final TreeMap<EndpointId, Departed> departed = new TreeMap<>();
 
   /**
    * Tells what is known of one endpoint. Immutable and thread safe.
    *
-   * @param heardAt when the last announcement came
+   * @param heardAt when the last announcement came, to this gateway or to the neighbour that told
    * @param leaving whether the endpoint has said that it leaves; it then gets no new work
    */
   public record Entry(
       Announcement announcement, Instant heardAt, boolean leaving, Optional<LoadReport> load) {
 
     boolean isLive(Instant now) {
-      return now.isBefore(heardAt.plus(announcement.timeToLive()));
+      return now.isBefore(expiresAt());
+    }
+
+    Instant expiresAt() {
+      return heardAt.plus(announcement.timeToLive());
     }
   }
 
+  private record Departed(long incarnation, Instant at) {}
+
   /** Takes in an announcement; an endpoint that said it leaves stays leaving for that life. */
   public void announce(Announcement news, Instant now) {
+    hear(news, now);
+  }
+
+  /**
+   * Takes in an announcement that was heard at {@code heardAt}, here or by a neighbour.
+   *
+   * <p>A time to live that has run out since has no effect.
+   */
+  void hear(Announcement news, Instant heardAt) {
     Optional<Entry> old = Optional.ofNullable(entries.get(news.endpoint()));
-    if (old.filter(e -> e.announcement().incarnation() > news.incarnation()).isPresent()) {
+    if (old.filter(e -> e.announcement().incarnation() > news.incarnation()).isPresent()
+        || isOlderThanDeparture(news)) {
       return;
     }
     Optional<Entry> sameLife =
         old.filter(e -> e.announcement().incarnation() == news.incarnation());
-    boolean leaving = sameLife.map(Entry::leaving).orElse(false);
+    if (sameLife.filter(e -> e.expiresAt().isAfter(heardAt.plus(news.timeToLive()))).isPresent()) {
+      return;
+    }
     Optional<LoadReport> load = sameLife.flatMap(Entry::load);
-    entries.put(news.endpoint(), new Entry(news, now, leaving, load));
+    entries.put(news.endpoint(), new Entry(news, heardAt, hasLeft(news), load));
   }
 
-  /** Takes in that an endpoint leaves. */
-  public void leave(EndpointId endpoint, long incarnation) {
+  /** Takes in that an endpoint leaves, whether its announcement has come yet or not. */
+  public void leave(EndpointId endpoint, long incarnation, Instant now) {
+    Departed before = departed.get(endpoint);
+    if (before == null || before.incarnation() <= incarnation) {
+      departed.put(endpoint, new Departed(incarnation, now));
+    }
     entries.computeIfPresent(
         endpoint,
         (id, old) ->
@@ -65,16 +93,17 @@
                 : old);
   }
 
-  /** Drops endpoints whose announcements have run out, and returns them. */
-  public List<EndpointId> expire(Instant now) {
-    List<EndpointId> gone = new ArrayList<>();
+  /** Drops endpoints whose announcements have run out, and returns the last known of them. */
+  public List<Entry> expire(Instant now) {
+    departed.values().removeIf(left -> !now.isBefore(left.at().plus(DEPARTED_MEMORY)));
+    List<Entry> gone = new ArrayList<>();
     entries
         .values()
         .removeIf(
             entry -> {
               boolean expired = !entry.isLive(now);
               if (expired) {
-                gone.add(entry.announcement().endpoint());
+                gone.add(entry);
               }
               return expired;
             });
@@ -89,11 +118,26 @@
         .toList();
   }
 
+  /** Returns what is known of one endpoint. */
+  public Optional<Entry> find(EndpointId endpoint) {
+    return Optional.ofNullable(entries.get(endpoint));
+  }
+
   /** Returns everything known, live or leaving. */
   public Collection<Entry> all() {
     return List.copyOf(entries.values());
   }
 
+  private boolean hasLeft(Announcement news) {
+    Departed left = departed.get(news.endpoint());
+    return left != null && left.incarnation() == news.incarnation();
+  }
+
+  private boolean isOlderThanDeparture(Announcement news) {
+    Departed left = departed.get(news.endpoint());
+    return left != null && left.incarnation() > news.incarnation();
+  }
+
   private static boolean isNews(Entry old, LoadReport report) {
     return old.announcement().incarnation() == report.incarnation()
         && old.load().map(load -> load.reportedSequence() < report.reportedSequence()).orElse(true);
--- a/shell/src/test/java/org/cuminwell/shell/control/OperatorAccessTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/control/OperatorAccessTest.java
@@ -37,9 +37,7 @@
         Base64.getEncoder().encodeToString(credentials.getBytes(StandardCharsets.UTF_8));
     HttpRequest request = HttpRequest.GET("/");
     if (!scheme.isEmpty()) {
-      request =
-          (HttpRequest)
-              request.addHeader(RawHeader.create("Authorization", scheme + " " + encoded));
+      request = request.addHeader(RawHeader.create("Authorization", scheme + " " + encoded));
     }
 
     assertThat(access.allows(request)).isEqualTo(allowed);
--- /dev/null
+++ b/wire/src/main/java/org/cuminwell/wire/MembershipCodec.java
@@ -0,0 +1,147 @@
+package org.cuminwell.wire;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.membership.LoadReport;
+import org.cuminwell.core.membership.MembershipMessage;
+import org.cuminwell.core.membership.MembershipMessage.Item;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.VersionId;
+import org.cuminwell.wire.generated.MembershipMessage.Announced;
+import org.cuminwell.wire.generated.MembershipMessage.AskAll;
+import org.cuminwell.wire.generated.MembershipMessage.Heard;
+import org.cuminwell.wire.generated.MembershipMessage.Left;
+import org.cuminwell.wire.generated.MembershipMessage.Load;
+import org.cuminwell.wire.generated.MembershipMessage.Renewed;
+
+/**
+ * Maps messages about endpoints to protobuf and back. Methods that read throw {@link
+ * IllegalArgumentException} for values that the core refuses. Stateless and thread safe.
+ */
+final class MembershipCodec {
+
+  private MembershipCodec() {}
+
+  static org.cuminwell.wire.generated.MembershipMessage toProto(MembershipMessage from) {
+    var to = org.cuminwell.wire.generated.MembershipMessage.newBuilder();
+    switch (from) {
+      case MembershipMessage.AskAll ask -> to.setAskAll(AskAll.getDefaultInstance());
+      case MembershipMessage.Heard heard -> to.setHeard(toProto(heard));
+    }
+    return to.build();
+  }
+
+  static MembershipMessage fromProto(org.cuminwell.wire.generated.MembershipMessage from) {
+    return switch (from.getKindCase()) {
+      case ASK_ALL -> new MembershipMessage.AskAll();
+      case HEARD -> fromProto(from.getHeard());
+      case KIND_NOT_SET -> throw new IllegalArgumentException("membership message without a kind");
+    };
+  }
+
+  private static Heard toProto(MembershipMessage.Heard from) {
+    var to = Heard.newBuilder().setStart(from.start()).setFrom(from.from()).setTo(from.to());
+    for (Item item : from.items()) {
+      switch (item) {
+        case Item.Announced i -> to.addAnnounced(toProto(i));
+        case Item.Renewed i -> to.addRenewed(toProto(i));
+        case Item.Left i ->
+            to.addLeft(
+                Left.newBuilder()
+                    .setEndpoint(i.endpoint().value())
+                    .setIncarnation(i.incarnation()));
+      }
+    }
+    return to.build();
+  }
+
+  private static MembershipMessage.Heard fromProto(Heard from) {
+    List<Item> items = new ArrayList<>();
+    from.getAnnouncedList().forEach(item -> items.add(fromProto(item)));
+    from.getRenewedList().forEach(item -> items.add(fromProto(item)));
+    from.getLeftList()
+        .forEach(
+            item ->
+                items.add(
+                    new Item.Left(new EndpointId(item.getEndpoint()), item.getIncarnation())));
+    return new MembershipMessage.Heard(from.getStart(), from.getFrom(), from.getTo(), items);
+  }
+
+  private static Announced toProto(Item.Announced from) {
+    Announcement a = from.announcement();
+    var to =
+        Announced.newBuilder()
+            .setEndpoint(a.endpoint().value())
+            .setIncarnation(a.incarnation())
+            .setPlace(DirectoryCodec.toProto(a.place()))
+            .setAddress(DirectoryCodec.toProto(a.address()))
+            .addAllService(new TreeSet<>(a.services()))
+            .setVersion(a.version().value())
+            .setCapacity(a.capacity())
+            .setTimeToLiveMillis(a.timeToLive().toMillis())
+            .setChecksFencing(a.checksFencing())
+            .setRemainingMillis(from.remaining().toMillis());
+    from.load().ifPresent(load -> to.setLoad(toProto(load)));
+    return to.build();
+  }
+
+  private static Item.Announced fromProto(Announced from) {
+    EndpointId endpoint = new EndpointId(from.getEndpoint());
+    Announcement announcement =
+        new Announcement(
+            endpoint,
+            from.getIncarnation(),
+            DirectoryCodec.fromProto(from.getPlace()),
+            DirectoryCodec.fromProto(from.getAddress()),
+            Set.copyOf(from.getServiceList()),
+            new VersionId(from.getVersion()),
+            from.getCapacity(),
+            Duration.ofMillis(from.getTimeToLiveMillis()),
+            from.getChecksFencing());
+    return new Item.Announced(
+        announcement,
+        Duration.ofMillis(from.getRemainingMillis()),
+        load(endpoint, from.getIncarnation(), from.hasLoad(), from.getLoad()));
+  }
+
+  private static Renewed toProto(Item.Renewed from) {
+    var to =
+        Renewed.newBuilder()
+            .setEndpoint(from.endpoint().value())
+            .setIncarnation(from.incarnation())
+            .setRemainingMillis(from.remaining().toMillis());
+    from.load().ifPresent(load -> to.setLoad(toProto(load)));
+    return to.build();
+  }
+
+  private static Item.Renewed fromProto(Renewed from) {
+    EndpointId endpoint = new EndpointId(from.getEndpoint());
+    return new Item.Renewed(
+        endpoint,
+        from.getIncarnation(),
+        Duration.ofMillis(from.getRemainingMillis()),
+        load(endpoint, from.getIncarnation(), from.hasLoad(), from.getLoad()));
+  }
+
+  private static Load toProto(LoadReport from) {
+    return Load.newBuilder()
+        .setSequence(from.reportedSequence())
+        .setRunning(from.running())
+        .setQueued(from.queued())
+        .build();
+  }
+
+  private static Optional<LoadReport> load(
+      EndpointId endpoint, long incarnation, boolean present, Load from) {
+    return present
+        ? Optional.of(
+            new LoadReport(
+                endpoint, incarnation, from.getSequence(), from.getRunning(), from.getQueued()))
+        : Optional.empty();
+  }
+}
