--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -7,14 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationIndex;
-import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.directory.HostDirectory;
 import org.cuminwell.core.distribution.ConfigurationHolder;
-import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.gateway.GatewayAction.AnswerEntryHosts;
 import org.cuminwell.core.gateway.GatewayAction.AnswerModels;
+import org.cuminwell.core.gateway.GatewayAction.CancelCall;
 import org.cuminwell.core.gateway.GatewayAction.Count;
 import org.cuminwell.core.gateway.GatewayAction.ReadBody;
 import org.cuminwell.core.gateway.GatewayAction.Refuse;
@@ -31,6 +31,7 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.KeyHash;
 import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.model.Route;
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.Usage;
@@ -60,6 +61,7 @@
   private final int floorSlots;
   private final AwaitedShares awaited = new AwaitedShares();
   private final StartQueue starts = new StartQueue();
+  private final GatewayPeers peers;
   private final Router router = new Router();
   private final RetryPolicy retryPolicy = RetryPolicy.DEFAULT;
   private final Map<RequestId, RunningCall> calls = new HashMap<>();
@@ -79,7 +81,13 @@
   public Gateway(HostDescription self, int floorSlots) {
     this.self = self;
     this.floorSlots = floorSlots;
-    directory.learn(List.of(self));
+    peers = new GatewayPeers(self, configuration, directory, endpoints);
+  }
+
+  /** Takes in the configuration that this host's disk kept; call it before the first event. */
+  public void restore(Configuration kept) {
+    configuration.offer(kept);
+    peers.restored();
   }
 
   /** Returns what to do about the event, in order. */
@@ -96,17 +104,14 @@
       }
       case GatewayEvent.ModelsAsked e -> listModels(e, actions);
       case GatewayEvent.EntryHostsAsked e -> listEntryHosts(e, actions);
-      case GatewayEvent.EndpointAnnounced e -> endpoints.announce(e.announcement(), now);
-      case GatewayEvent.EndpointReported e -> endpoints.report(e.report());
-      case GatewayEvent.EndpointLeft e -> endpoints.leave(e.endpoint(), e.incarnation());
-      case GatewayEvent.PeerConnected e -> greet(e.peer(), actions);
-      case GatewayEvent.PeerLost e -> {}
+      case GatewayEvent.EndpointAnnounced e -> peers.announced(e.announcement(), now);
+      case GatewayEvent.EndpointReported e -> peers.reported(e.report());
+      case GatewayEvent.EndpointLeft e -> peers.leaving(e.endpoint(), e.incarnation(), now);
+      case GatewayEvent.PeerConnected e -> peers.connected(e.peer(), actions);
+      case GatewayEvent.PeerLost e -> peers.lost(e.peer());
       case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
       case GatewayEvent.Ticked e -> tick(now, actions);
-      case GatewayEvent.StopAsked e -> {
-        stopping = true;
-        limits(now).leave();
-      }
+      case GatewayEvent.StopAsked e -> stop(now, actions);
     }
     if (stopping && calls.isEmpty()) {
       actions.add(new Stopped());
@@ -116,11 +121,12 @@
 
   /** Returns whether requests can be answered. */
   public boolean isReady() {
-    return configuration.isReady() && !stopping;
+    return peers.isServing() && !stopping;
   }
 
   private void tick(Instant now, List<GatewayAction> actions) {
     endpoints.expire(now);
+    peers.tick(now, actions);
     retryAwaited(now, actions);
     startWaiting(now, actions);
     reportShares(now, actions);
@@ -143,7 +149,7 @@
           Failure.notRunRetryAfter(
               ErrorCode.STOPPING, "this host is stopping; use another entry host", RETRY_SOON));
     }
-    if (!configuration.isReady()) {
+    if (!peers.isServing()) {
       return Optional.of(
           Failure.notRunRetryAfter(
               ErrorCode.NOT_READY, "this host has no configuration yet; try again", RETRY_SOON));
@@ -470,44 +476,55 @@
     actions.add(new AnswerEntryHosts(event.id(), directory.entryHosts(residency, self.place())));
   }
 
-  private void greet(HostId peer, List<GatewayAction> actions) {
-    actions.add(tell(peer, new DirectoryMessage.Here(self)));
-    actions.add(tell(peer, new DistributionMessage.Held(configuration.revision())));
-  }
-
   private void hear(HostId peer, PeerMessage message, Instant now, List<GatewayAction> actions) {
     switch (message) {
-      case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
-      case PeerMessage.Directory m -> hear(m.message());
+      case PeerMessage.Distribution m -> {
+        Revision before = configuration.revision();
+        peers.hear(peer, m.message(), now, actions);
+        if (configuration.revision().isAfter(before)) {
+          endWithdrawn(now, actions);
+        }
+      }
+      case PeerMessage.Directory m -> peers.hear(peer, m.message(), actions);
       case PeerMessage.Limits m -> {
         limits(now).hear(peer, m.message(), now);
         retryAwaited(now, actions);
       }
+      case PeerMessage.Membership m -> peers.hear(peer, m.message(), now, actions);
     }
   }
 
-  private void hear(HostId peer, DistributionMessage message, List<GatewayAction> actions) {
-    switch (message) {
-      case DistributionMessage.Full full -> {
-        configuration.offer(full.configuration());
-        actions.add(tell(peer, new DistributionMessage.Held(configuration.revision())));
-      }
-      case DistributionMessage.Held held -> {}
-    }
+  private void stop(Instant now, List<GatewayAction> actions) {
+    stopping = true;
+    limits(now).leave();
+    peers.stop(actions);
   }
 
-  private void hear(DirectoryMessage message) {
-    switch (message) {
-      case DirectoryMessage.Here here -> directory.learn(List.of(here.host()));
-      case DirectoryMessage.Hosts all -> directory.learn(all.hosts());
+  /** Ends every running request whose key has been withdrawn. */
+  private void endWithdrawn(Instant now, List<GatewayAction> actions) {
+    List<RunningCall> withdrawn =
+        calls.values().stream()
+            .filter(
+                call ->
+                    customerOf(call.head())
+                        .filter(customer -> customer.id().equals(call.customer().id()))
+                        .isEmpty())
+            .toList();
+    withdrawn.forEach(call -> endWithdrawn(call, now, actions));
+  }
+
+  private void endWithdrawn(RunningCall call, Instant now, List<GatewayAction> actions) {
+    String message = "the key was withdrawn while the request was running";
+    if (call.attempts() == 0) {
+      drop(call.id(), now);
+      refuse(call, Failure.notRun(ErrorCode.INVALID_KEY, message), now, actions);
+    } else if (call.hasAnswerBegun()) {
+      actions.add(new CancelCall(call.id(), Failure.ran(ErrorCode.INVALID_KEY, message)));
+    } else {
+      Failure failure = Failure.mayHaveRun(ErrorCode.INVALID_KEY, message);
+      call.endpoint().ifPresent(endpoint -> router.ended(endpoint.endpoint()));
+      actions.add(new Refuse(call.id(), failure));
+      finish(call, Usage.NONE, Optional.of(failure), now, actions);
     }
   }
-
-  private static TellPeer tell(HostId peer, DirectoryMessage message) {
-    return new TellPeer(peer, new PeerMessage.Directory(message));
-  }
-
-  private static TellPeer tell(HostId peer, DistributionMessage message) {
-    return new TellPeer(peer, new PeerMessage.Distribution(message));
-  }
 }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -50,6 +50,7 @@
   private final PeerNode peers;
   private final CallerFront callers;
   private final EndpointClient endpoints;
+  private final ConfigurationKeeper keeper;
   private final Duty<GatewayEvent> decide;
   private final Duty<GatewayAction> dispatch;
   private final TimerDuty timer;
@@ -58,6 +59,9 @@
 
   private GatewayProcess(GatewaySettings settings) {
     gateway = new Gateway(settings.self(), settings.floorSlots());
+    Optional<ConfigurationStore> store = settings.data().map(ConfigurationStore::new);
+    store.flatMap(ConfigurationStore::load).ifPresent(gateway::restore);
+    keeper = new ConfigurationKeeper(store);
     http = HttpSystem.start("gateway");
     tls = settings.tls().map(PeerTls::orFail);
     peers = new PeerNode(settings.self().id(), listener(), tls);
@@ -87,6 +91,7 @@
     process.http.serve(settings.self().inner(), inner::handle);
     process.peers.listen(settings.self().peer());
     settings.controls().forEach(process.peers::dial);
+    settings.neighbours().forEach(process.peers::dial);
     LOG.log(System.Logger.Level.INFO, "gateway started at " + settings.self().callers());
     return process;
   }
@@ -107,6 +112,7 @@
     certificates.close();
     decide.close();
     dispatch.close();
+    keeper.close();
     peers.close();
     http.close();
   }
@@ -151,6 +157,10 @@
           telemetry.count("peer_messages_dropped", 1);
         }
       }
+      case GatewayAction.Dial a -> peers.dial(a.address());
+      case GatewayAction.StopDialling a -> peers.stopDialling(a.address());
+      case GatewayAction.KeepConfiguration a -> keeper.keep(a.configuration());
+      case GatewayAction.CancelCall a -> calls.with(a.id(), call -> call.cancel(a.failure()));
       case GatewayAction.Count a -> {
         calls.remove(a.id());
         telemetry.record(a.call());
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewaySettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewaySettings.java
@@ -1,5 +1,6 @@
 package org.cuminwell.shell.gateway;
 
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 import org.cuminwell.core.directory.HostDescription;
@@ -12,13 +13,22 @@
  * @param self how this host describes itself
  * @param floorSlots how many entry hosts this data centre may have; its floors are split over them
  * @param controls the peer addresses of the control hosts
+ * @param neighbours the peer addresses of gateways of the same data centre, for a start while no
+ *     control host can be reached
+ * @param data the folder on the disk that keeps the last configuration, if there is a disk
  * @param tls proves this host to others; without it peers are believed
  */
 public record GatewaySettings(
-    HostDescription self, int floorSlots, List<HostAddress> controls, Optional<TlsFiles> tls) {
+    HostDescription self,
+    int floorSlots,
+    List<HostAddress> controls,
+    List<HostAddress> neighbours,
+    Optional<Path> data,
+    Optional<TlsFiles> tls) {
 
-  /** Copies the list. */
+  /** Copies the lists. */
   public GatewaySettings {
     controls = List.copyOf(controls);
+    neighbours = List.copyOf(neighbours);
   }
 }
