Show fates and contact on the screen, measure differences, prove starts while cut off

Cause: screens got the whole state twice a second whether it had changed or not, and said neither who lacks a ticket nor since when a host is away.

Change: a screen gets a state when it differs, and a sign of life every 2 s; it shows data centres with their hosts, the latest tickets with the hosts that lack them, a control host that is behind, and silence over 5 s, after which it connects anew.

Proof: KeyWithdrawalTest (6 cases), CutOffStartTest (2 cases, sockets).

--- a/core/src/main/java/org/cuminwell/core/control/ControlView.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlView.java
@@ -29,4 +29,12 @@
   public long inForceAt(Revision revision) {
     return gateways.stream().filter(gateway -> !revision.isAfter(gateway.held())).count();
   }
+
+  /** Returns the greatest revision that any gateway has told of; above the own one if behind. */
+  public Revision highestHeld() {
+    return gateways.stream()
+        .map(GatewayContact::held)
+        .max(Revision::compareTo)
+        .orElse(Revision.ZERO);
+  }
 }
--- a/shell/src/main/java/org/cuminwell/shell/control/OperatorFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/OperatorFront.java
@@ -16,7 +16,6 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.MediaTypes;
-import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.control.ControlEvent;
 import org.cuminwell.core.control.ControlView;
@@ -36,7 +35,6 @@
 
   private static final String TICKETS = "/v1/tickets";
   private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(10);
-  private static final Duration EVENT_PERIOD = Duration.ofMillis(500);
 
   private final HttpSystem http;
   private final OpsPages pages;
@@ -152,12 +150,10 @@
   }
 
   private HttpResponse eventStream() {
-    Source<ByteString, ?> stream =
-        Source.tick(Duration.ZERO, EVENT_PERIOD, "")
-            .map(tick -> ByteString.fromString("data: " + ViewJson.write(view) + "\n\n"));
     return HttpResponse.create()
         .withEntity(
-            HttpEntities.createChunked(MediaTypes.TEXT_EVENT_STREAM.toContentType(), stream));
+            HttpEntities.createChunked(
+                MediaTypes.TEXT_EVENT_STREAM.toContentType(), ViewEvents.of(() -> view)));
   }
 
   private static HttpResponse screen() {
--- a/wire/src/main/java/org/cuminwell/wire/ViewJson.java
+++ b/wire/src/main/java/org/cuminwell/wire/ViewJson.java
@@ -13,6 +13,9 @@
 
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
+  private static final int SCREEN_TICKETS = 12;
+  private static final int SCREEN_MISSING_HOSTS = 6;
+
   private ViewJson() {}
 
   /** Returns the state of the whole system. */
@@ -27,6 +30,28 @@
     return root;
   }
 
+  /** Returns what a screen shows: every gateway, and the latest tickets with who lacks them. */
+  public static ObjectNode screen(ControlView view) {
+    ObjectNode root = MAPPER.createObjectNode();
+    root.put("control_host", view.self().value());
+    root.put("revision", view.configuration().revision().value());
+    root.put("highest_held", view.highestHeld().value());
+    var gateways = root.putArray("gateways");
+    view.gateways().forEach(gateway -> gateways.add(write(gateway)));
+    var tickets = root.putArray("tickets");
+    int first = Math.max(0, view.tickets().size() - SCREEN_TICKETS);
+    for (Accepted ticket : view.tickets().subList(first, view.tickets().size())) {
+      ObjectNode node = summary(ticket, view);
+      var missing = node.putArray("not_in_force");
+      view.gateways().stream()
+          .filter(gateway -> ticket.revision().isAfter(gateway.held()))
+          .limit(SCREEN_MISSING_HOSTS)
+          .forEach(gateway -> missing.add(gateway.host().id().value()));
+      tickets.add(node);
+    }
+    return root;
+  }
+
   /** Returns the fate of one ticket with its content. */
   public static ObjectNode write(Accepted ticket, ControlView view) {
     ObjectNode node = summary(ticket, view);
@@ -79,6 +104,7 @@
     node.put("connected", gateway.connected());
     node.put("since", gateway.since().toString());
     node.put("feeder", gateway.feeder());
+    node.put("stopping", gateway.host().stopping());
     return node;
   }
 }
