--- a/app/src/main/java/org/cuminwell/app/ControlCommand.java
+++ b/app/src/main/java/org/cuminwell/app/ControlCommand.java
@@ -3,10 +3,14 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
+import org.cuminwell.shell.control.AgreementSettings;
 import org.cuminwell.shell.control.ControlProcess;
 import org.cuminwell.shell.control.ControlSettings;
 
@@ -29,6 +33,22 @@
   @Parameter(names = "--control", description = "peer HOST:PORT of each control host")
   private List<String> control = new ArrayList<>();
 
+  @Parameter(
+      names = "--data",
+      required = true,
+      description = "folder for the journal, on a disk of this host and used by nobody else")
+  private String data = "";
+
+  @Parameter(
+      names = "--voter",
+      description = "host id of each control host, this one among them; the same on all of them")
+  private List<String> voter = new ArrayList<>();
+
+  @Parameter(
+      names = "--bootstrap",
+      description = "found a new cluster if the folders of all control hosts are empty")
+  private boolean bootstrap;
+
   @ParametersDelegate private final TlsFlags tls = new TlsFlags();
 
   @Override
@@ -45,6 +65,22 @@
         Settings.checked("--http", http, HostAddress::parse),
         Settings.checked("--peer", peer, HostAddress::parse),
         Settings.addresses("--control", control),
+        agreement(),
         tls.files());
   }
+
+  private AgreementSettings agreement() throws SettingException {
+    HostId self = Settings.checked("--host-id", hostId, HostId::new);
+    Set<HostId> voters = new TreeSet<>();
+    for (String id : voter) {
+      voters.add(Settings.checked("--voter", id, HostId::new));
+    }
+    if (voters.isEmpty() && control.size() <= 1) {
+      voters.add(self);
+    }
+    if (!voters.contains(self)) {
+      throw new SettingException("--voter", "must name every control host, also " + self);
+    }
+    return new AgreementSettings(Settings.checked("--data", data, Path::of), voters, bootstrap);
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Agreement.java
+++ b/core/src/main/java/org/cuminwell/core/control/Agreement.java
@@ -18,7 +18,6 @@
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.consensus.ReplicaEvent;
 import org.cuminwell.core.consensus.Snapshot;
-import org.cuminwell.core.consensus.Standing;
 import org.cuminwell.core.control.PendingCommand.Stage;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
@@ -124,19 +123,14 @@
     return replica.leads(now) ? OptionalLong.of(replica.term()) : OptionalLong.empty();
   }
 
-  /** Returns the host that leads as far as this host knows. */
-  public Optional<HostId> leader(Instant now) {
-    return replica.leader(now);
-  }
-
-  /** Returns what this host may do for the agreement. */
-  public Standing standing() {
-    return replica.standing();
-  }
-
-  /** Returns the latest term that this host has seen. */
-  public long term() {
-    return replica.term();
+  /** Returns how this host stands in the agreement. */
+  public AgreementStatus status(Instant now) {
+    return new AgreementStatus(
+        replica.term(),
+        replica.leader(now),
+        replica.leads(now),
+        replica.standing(),
+        replica.appliedIndex());
   }
 
   /** Returns the last entry of the log that the state includes. */
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.Show;
@@ -12,10 +13,9 @@
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.peer.PeerMessage;
-import org.cuminwell.core.ticket.Ticket;
-import org.cuminwell.core.ticket.TicketAnswer;
 
 /**
  * Decides what a control host does with each event.
@@ -25,39 +25,57 @@
 public final class Control {
 
   private final HostId self;
-  private final ReplicatedState state = new ReplicatedState();
+  private final Agreement agreement;
+  private final ReplicatedState state;
   private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
+  private Revision shown = Revision.ZERO;
 
-  /** Makes the state of the control host with the given name. */
-  public Control(HostId self) {
+  /** Makes the state of a control host that takes part in the agreement. */
+  public Control(HostId self, Agreement agreement) {
     this.self = self;
+    this.agreement = agreement;
+    this.state = agreement.state();
   }
 
   /** Returns what to do about the event, in order. */
   public List<ControlAction> handle(ControlEvent event, Instant now) {
     List<ControlAction> actions = new ArrayList<>();
     switch (event) {
-      case ControlEvent.TicketSubmitted e -> submit(e, now, actions);
+      case ControlEvent.TicketSubmitted e ->
+          perform(agreement.submit(e.id(), new Command.AcceptTicket(e.ticket()), now), actions);
+      case ControlEvent.JournalSynced e -> perform(agreement.persisted(e.sequence(), now), actions);
       case ControlEvent.PeerConnected e -> {}
       case ControlEvent.PeerLost e -> lose(e.peer(), actions);
-      case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), actions);
-      case ControlEvent.Ticked e -> {}
+      case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
+      case ControlEvent.Ticked e -> perform(agreement.tick(now), actions);
     }
     return actions;
   }
 
+  /**
+   * Returns the number that orders to endpoints must carry, if this host may give any; it grows
+   * with each new leader.
+   */
+  public OptionalLong fencingNumber(Instant now) {
+    return agreement.fencingNumber(now);
+  }
+
+  /** Returns how this host stands in the agreement. */
+  public AgreementStatus agreement(Instant now) {
+    return agreement.status(now);
+  }
+
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
         self, state.configuration(), state.ledger().all(), List.copyOf(gateways.values()));
   }
 
-  private void submit(
-      ControlEvent.TicketSubmitted event, Instant now, List<ControlAction> actions) {
-    Revision before = state.configuration().revision();
-    TicketAnswer answer = answer(event.ticket(), now);
-    actions.add(new AnswerTicket(event.id(), answer));
+  private void perform(List<AgreementAction> decided, List<ControlAction> actions) {
+    Revision before = shown;
+    decided.forEach(action -> perform(action, actions));
     if (state.configuration().revision().isAfter(before)) {
+      shown = state.configuration().revision();
       gateways.values().stream()
           .filter(GatewayView::connected)
           .forEach(gateway -> actions.add(configurationFor(gateway.host().id())));
@@ -65,10 +83,27 @@
     }
   }
 
-  private TicketAnswer answer(Ticket ticket, Instant now) {
-    return switch (state.apply(new Command.AcceptTicket(ticket), now)) {
-      case Applied.TicketAnswered applied -> applied.answer();
-    };
+  private void perform(AgreementAction action, List<ControlAction> actions) {
+    switch (action) {
+      case AgreementAction.Tell a ->
+          actions.add(new TellPeer(a.to(), new PeerMessage.Consensus(a.message())));
+      case AgreementAction.Write a -> actions.add(new ControlAction.WriteJournal(a.write()));
+      case AgreementAction.Answer a -> answer(a.id(), a.outcome(), actions);
+      case AgreementAction.StateChanged a -> {}
+    }
+  }
+
+  private void answer(RequestId id, CommandOutcome outcome, List<ControlAction> actions) {
+    switch (outcome) {
+      case CommandOutcome.Done done -> {
+        switch (done.result()) {
+          case Applied.TicketAnswered applied ->
+              actions.add(new AnswerTicket(id, applied.answer()));
+        }
+      }
+      case CommandOutcome.Failed failed ->
+          actions.add(new ControlAction.FailTicket(id, failed.failure()));
+    }
   }
 
   private void lose(HostId peer, List<ControlAction> actions) {
@@ -76,10 +111,11 @@
     actions.add(new Show(view()));
   }
 
-  private void hear(HostId peer, PeerMessage message, List<ControlAction> actions) {
+  private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
     switch (message) {
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(peer, m.message(), actions);
+      case PeerMessage.Consensus m -> perform(agreement.hear(peer, m.message(), now), actions);
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
@@ -11,6 +11,9 @@
   /** An operator has submitted a ticket. */
   record TicketSubmitted(RequestId id, Ticket ticket) implements ControlEvent {}
 
+  /** Every journal write up to the sequence number is synced. */
+  record JournalSynced(long sequence) implements ControlEvent {}
+
   /** A process of the system can be reached. */
   record PeerConnected(HostId peer) implements ControlEvent {}
 
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -386,6 +386,7 @@
     switch (message) {
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(m.message());
+      case PeerMessage.Consensus m -> {}
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.peer;
 
+import org.cuminwell.core.control.AgreementMessage;
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.distribution.DistributionMessage;
 
@@ -11,4 +12,7 @@
 
   /** Concerns the entry hosts. */
   record Directory(DirectoryMessage message) implements PeerMessage {}
+
+  /** Concerns the agreement of the control hosts. */
+  record Consensus(AgreementMessage message) implements PeerMessage {}
 }
--- a/core/src/test/java/org/cuminwell/core/control/AgreementNetwork.java
+++ b/core/src/test/java/org/cuminwell/core/control/AgreementNetwork.java
@@ -82,13 +82,11 @@
 
   private void checkSettled(AgreementHost host) {
     Agreement agreement = host.agreement;
-    if (agreement == null || agreement.leader(now).isEmpty()) {
+    if (agreement == null || agreement.status(now).leader().isEmpty()) {
       history.fault(
           host.id
               + " knows no leader at the end; it is "
-              + (agreement == null
-                  ? "down"
-                  : agreement.standing() + " in term " + agreement.term()));
+              + (agreement == null ? "down" : agreement.status(now)));
     } else {
       history.settled(agreement);
     }
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/control/AgreementSettings.java
@@ -0,0 +1,21 @@
+package org.cuminwell.shell.control;
+
+import java.nio.file.Path;
+import java.util.Set;
+import org.cuminwell.core.model.HostId;
+
+/**
+ * Holds the checked settings of the agreement. Immutable and thread safe.
+ *
+ * @param data the folder that keeps the journal
+ * @param voters every control host, this one among them
+ * @param bootstrap whether an empty data folder may found a new cluster; otherwise the host joins
+ *     the cluster that there is
+ */
+public record AgreementSettings(Path data, Set<HostId> voters, boolean bootstrap) {
+
+  /** Copies the set. */
+  public AgreementSettings {
+    voters = Set.copyOf(voters);
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -1,7 +1,12 @@
 package org.cuminwell.shell.control;
 
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.SplittableRandom;
+import org.cuminwell.core.consensus.HardState;
+import org.cuminwell.core.control.Agreement;
+import org.cuminwell.core.control.AgreementStatus;
 import org.cuminwell.core.control.Control;
 import org.cuminwell.core.control.ControlAction;
 import org.cuminwell.core.control.ControlEvent;
@@ -14,6 +19,8 @@
 import org.cuminwell.shell.duty.TimerDuty;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.OpsPages;
+import org.cuminwell.shell.journal.Journal;
+import org.cuminwell.shell.journal.JournalDuty;
 import org.cuminwell.shell.metrics.Telemetry;
 import org.cuminwell.shell.peer.PeerListener;
 import org.cuminwell.shell.peer.PeerNode;
@@ -35,7 +42,10 @@
   private final Telemetry telemetry = new Telemetry();
   private final Ring<ControlEvent> events = new Ring<>(RING);
   private final Ring<ControlAction> actions = new Ring<>(RING);
+  private final Journal journal;
+  private final JournalDuty journalDuty;
   private final Control control;
+  private volatile AgreementStatus status;
   private final HttpSystem http;
   private final Optional<PeerTls> tls;
   private final PeerNode peers;
@@ -46,15 +56,21 @@
   private final TimerDuty certificates;
 
   private ControlProcess(ControlSettings settings) {
-    control = new Control(settings.self());
+    journal = Journal.open(settings.agreement().data(), () -> fresh(settings.agreement()));
+    control = new Control(settings.self(), agreement(settings));
+    status = control.agreement(time.instant());
     http = HttpSystem.start("control");
     tls = settings.tls().map(PeerTls::orFail);
     peers = new PeerNode(settings.self(), listener(), tls);
     telemetry.gauge("peer_sent_bytes", peers::sentBytes);
     telemetry.gauge("peer_received_bytes", peers::receivedBytes);
     telemetry.gauge("peer_refused_connections", peers::refusedConnections);
-    OpsPages pages = new OpsPages(() -> true, telemetry);
+    telemetry.gauge("agreement_term", () -> status.term());
+    telemetry.gauge("agreement_applied_index", () -> status.appliedIndex());
+    telemetry.gauge("agreement_leads", () -> status.leads() ? 1L : 0L);
+    OpsPages pages = new OpsPages(() -> status.leader().isPresent(), telemetry);
     operators = new OperatorFront(http, pages, events::offer, control.view());
+    journalDuty = new JournalDuty(journal, this::synced, telemetry);
     decide = Duty.start("decide", events, this::decide);
     dispatch = Duty.start("dispatch", actions, this::perform);
     timer = TimerDuty.start("timer", TICK, () -> events.offer(new ControlEvent.Ticked()));
@@ -85,21 +101,61 @@
     certificates.close();
     decide.close();
     dispatch.close();
+    journalDuty.close();
     peers.close();
     http.close();
   }
 
   private void decide(ControlEvent event) {
     for (ControlAction action : control.handle(event, time.instant())) {
-      if (!actions.offer(action)) {
+      if (action instanceof ControlAction.WriteJournal write) {
+        journalDuty.take(write.write());
+      } else if (!actions.offer(action)) {
         telemetry.count("actions_dropped", 1);
       }
     }
+    note(control.agreement(time.instant()));
+  }
+
+  private void note(AgreementStatus latest) {
+    if (!latest.hasSameRoles(status)) {
+      LOG.log(System.Logger.Level.INFO, "agreement: " + latest);
+    }
+    status = latest;
+  }
+
+  /**
+   * Passes on a sync; the journal's thread may wait, since the decide thread never waits for it.
+   */
+  private void synced(long sequence) {
+    try {
+      events.put(new ControlEvent.JournalSynced(sequence));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private Agreement agreement(ControlSettings settings) {
+    return new Agreement(
+        settings.self(),
+        settings.agreement().voters(),
+        journal.recovered(),
+        new SplittableRandom(new SecureRandom().nextLong()),
+        Agreement.COMPACT_ENTRIES,
+        time.instant());
+  }
+
+  private static HardState fresh(AgreementSettings settings) {
+    return settings.bootstrap()
+        ? HardState.founding()
+        : HardState.learner(new SecureRandom().nextLong());
   }
 
   private void perform(ControlAction action) {
     switch (action) {
       case ControlAction.AnswerTicket a -> operators.answer(a.id(), a.answer());
+      case ControlAction.FailTicket a -> operators.fail(a.id(), a.failure());
+      case ControlAction.WriteJournal a -> journalDuty.take(a.write());
       case ControlAction.TellPeer a -> {
         if (!peers.send(a.peer(), a.message())) {
           telemetry.count("peer_messages_dropped", 1);
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
@@ -12,6 +12,7 @@
  * @param operators where operators reach it over HTTP
  * @param peer where the system's own messages reach it
  * @param controls the peer addresses of all control hosts
+ * @param agreement what makes this host one of several that agree
  * @param tls proves this host to others; without it peers are believed
  */
 public record ControlSettings(
@@ -19,6 +20,7 @@
     HostAddress operators,
     HostAddress peer,
     List<HostAddress> controls,
+    AgreementSettings agreement,
     Optional<TlsFiles> tls) {
 
   /** Copies the list. */
--- a/shell/src/main/java/org/cuminwell/shell/control/OperatorFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/OperatorFront.java
@@ -20,6 +20,7 @@
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.control.ControlEvent;
 import org.cuminwell.core.control.ControlView;
+import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.TicketNumber;
 import org.cuminwell.core.ticket.Ticket;
@@ -41,7 +42,7 @@
   private final HttpSystem http;
   private final OpsPages pages;
   private final Predicate<ControlEvent> events;
-  private final ConcurrentHashMap<RequestId, CompletableFuture<TicketAnswer>> waiting =
+  private final ConcurrentHashMap<RequestId, CompletableFuture<HttpResponse>> waiting =
       new ConcurrentHashMap<>();
   private volatile ControlView view;
 
@@ -60,9 +61,23 @@
 
   /** Passes the answer to the operator who waits for it. */
   void answer(RequestId id, TicketAnswer answer) {
-    CompletableFuture<TicketAnswer> waiter = waiting.remove(id);
+    complete(id, answerOf(answer));
+  }
+
+  /** Tells the operator who waits that there is no answer, and whether the ticket may yet stand. */
+  void fail(RequestId id, Failure failure) {
+    ObjectNode body = JsonNodeFactory.instance.objectNode();
+    body.putObject("error")
+        .put("code", failure.code().label())
+        .put("message", failure.message())
+        .put("verdict", failure.verdict().label());
+    complete(id, HttpAnswers.json(failure.code().httpStatus(), body));
+  }
+
+  private void complete(RequestId id, HttpResponse response) {
+    CompletableFuture<HttpResponse> waiter = waiting.remove(id);
     if (waiter != null) {
-      waiter.complete(answer);
+      waiter.complete(response);
     }
   }
 
@@ -115,7 +130,7 @@
 
   private CompletionStage<HttpResponse> submit(Ticket ticket) {
     RequestId id = new RequestId(UUID.randomUUID().toString());
-    CompletableFuture<TicketAnswer> waiter = new CompletableFuture<>();
+    CompletableFuture<HttpResponse> waiter = new CompletableFuture<>();
     waiting.put(id, waiter);
     if (!events.test(new ControlEvent.TicketSubmitted(id, ticket))) {
       waiting.remove(id);
@@ -124,7 +139,6 @@
     }
     return waiter
         .orTimeout(ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-        .thenApply(this::answerOf)
         .exceptionally(
             late -> {
               waiting.remove(id);
--- a/shell/src/main/java/org/cuminwell/shell/duty/Ring.java
+++ b/shell/src/main/java/org/cuminwell/shell/duty/Ring.java
@@ -1,5 +1,6 @@
 package org.cuminwell.shell.duty;
 
+import java.util.Optional;
 import java.util.concurrent.ArrayBlockingQueue;
 
 /**
@@ -41,6 +42,20 @@
     return queue.take();
   }
 
+  /** Returns the oldest element, or nothing if none waits. */
+  public Optional<E> poll() {
+    return Optional.ofNullable(queue.poll());
+  }
+
+  /**
+   * Adds the element, waiting for room if need be; only for producers that may wait.
+   *
+   * @throws InterruptedException if the thread is asked to end
+   */
+  public void put(E element) throws InterruptedException {
+    queue.put(element);
+  }
+
   /** Returns how many elements wait. */
   public int size() {
     return queue.size();
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/journal/RecoveredState.java
@@ -0,0 +1,75 @@
+package org.cuminwell.shell.journal;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cuminwell.core.consensus.DurableState;
+import org.cuminwell.core.consensus.HardState;
+import org.cuminwell.core.consensus.LogEntry;
+import org.cuminwell.core.consensus.Snapshot;
+import org.cuminwell.core.control.Command;
+import org.cuminwell.core.control.StateSnapshot;
+import org.cuminwell.wire.JournalCodec;
+import org.cuminwell.wire.JournalRecord;
+import org.cuminwell.wire.WireFormatException;
+import org.jspecify.annotations.Nullable;
+
+/** Builds the durable state from the records of a journal. Not thread safe. */
+final class RecoveredState {
+
+  private final Path file;
+  private final List<LogEntry<Command>> entries = new ArrayList<>();
+  private Optional<Snapshot<StateSnapshot>> snapshot = Optional.empty();
+  private @Nullable HardState hard;
+
+  RecoveredState(Path file) {
+    this.file = file;
+  }
+
+  /**
+   * Takes the next record.
+   *
+   * @throws JournalException if the record doesn't fit
+   */
+  void add(byte[] bytes) {
+    switch (decode(bytes)) {
+      case JournalRecord.Hard r -> hard = r.state();
+      case JournalRecord.Base r -> snapshot = Optional.of(r.snapshot());
+      case JournalRecord.Entry r -> add(r.entry());
+    }
+  }
+
+  /**
+   * Returns what was recovered.
+   *
+   * @throws JournalException if the journal has no hard state
+   */
+  DurableState<Command, StateSnapshot> state() {
+    if (hard == null) {
+      throw new JournalException(file + " has no hard state; move the data folder away");
+    }
+    return new DurableState<>(hard, snapshot, entries);
+  }
+
+  private void add(LogEntry<Command> entry) {
+    long base = snapshot.map(Snapshot::index).orElse(0L);
+    long position = entry.index() - base - 1;
+    if (position < 0 || position > entries.size()) {
+      throw new JournalException(
+          file + " has a gap before entry " + entry.index() + "; move the data folder away");
+    }
+    entries.subList((int) position, entries.size()).clear();
+    entries.add(entry);
+  }
+
+  private JournalRecord decode(byte[] bytes) {
+    try {
+      return JournalCodec.decode(bytes);
+    } catch (WireFormatException e) {
+      throw new JournalException(
+          file + " holds a record that this version can't read; start the version that wrote it",
+          e);
+    }
+  }
+}
--- /dev/null
+++ b/shell/src/test/java/org/cuminwell/shell/journal/JournalTest.java
@@ -0,0 +1,225 @@
+package org.cuminwell.shell.journal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.cuminwell.core.config.ConfigurationChange;
+import org.cuminwell.core.consensus.DurableState;
+import org.cuminwell.core.consensus.EntryContent;
+import org.cuminwell.core.consensus.HardState;
+import org.cuminwell.core.consensus.LogEntry;
+import org.cuminwell.core.consensus.ReplicaAction;
+import org.cuminwell.core.consensus.Standing;
+import org.cuminwell.core.control.Agreement;
+import org.cuminwell.core.control.AgreementAction;
+import org.cuminwell.core.control.Command;
+import org.cuminwell.core.control.StateSnapshot;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.Region;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.TicketNumber;
+import org.cuminwell.core.ticket.Ticket;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class JournalTest {
+
+  private static final Instant AT = Instant.parse("2030-01-01T00:00:00Z");
+  private static final HostId SELF = new HostId("c0");
+  private static final HardState HARD = new HardState(3, Optional.of(SELF), new Standing.Voter());
+
+  @TempDir private Path folder;
+
+  @ParameterizedTest(name = "{0} entries synced, then {1} cut at every byte")
+  @CsvSource({"0, 1", "3, 1", "2, 3"})
+  void writeCutAtAnyByteKeepsAllThatWasSynced(int synced, int last) throws IOException {
+    write(1, synced);
+    long before = Files.size(journal());
+    write(synced + 1, last);
+    byte[] whole = Files.readAllBytes(journal());
+    for (int end = (int) before; end <= whole.length; end++) {
+      Files.write(journal(), Arrays.copyOf(whole, end));
+      List<LogEntry<Command>> entries = recover().entries();
+      assertThat(entries)
+          .hasSizeBetween(synced, synced + last)
+          .isEqualTo(entries(1, entries.size()));
+      if (end == whole.length) {
+        assertThat(entries).hasSize(synced + last);
+      }
+    }
+  }
+
+  @ParameterizedTest(name = "bit {0} of each byte")
+  @ValueSource(ints = {0, 3, 7})
+  void flippedBitStopsTheStart(int bit) throws IOException {
+    write(1, 3);
+    byte[] whole = Files.readAllBytes(journal());
+    for (int position = 0; position < whole.length; position++) {
+      byte[] damaged = whole.clone();
+      damaged[position] ^= (byte) (1 << bit);
+      Files.write(journal(), damaged);
+      assertThatThrownBy(this::recover)
+          .as("flip at byte %d", position)
+          .isInstanceOf(JournalException.class)
+          .hasMessageContaining("damaged at byte");
+    }
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({"zeros after a loss of power", "an unfinished snapshot", "an older generation"})
+  void leftoversOfACrashAreRemoved(String leftover) throws IOException {
+    write(1, 3);
+    switch (leftover) {
+      case "zeros after a loss of power" ->
+          Files.write(journal(), new byte[40], StandardOpenOption.APPEND);
+      case "an unfinished snapshot" ->
+          Files.write(folder.resolve("journal-2.tmp"), new byte[] {1, 2, 3});
+      default -> Files.write(folder.resolve("journal-0"), new byte[] {1, 2, 3});
+    }
+    assertThat(recover().entries()).isEqualTo(entries(1, 3));
+    try (var files = Files.list(folder)) {
+      assertThat(files.map(path -> path.getFileName().toString()))
+          .containsExactlyInAnyOrder("journal-1", "lock");
+    }
+    write(4, 1);
+    assertThat(recover().entries()).isEqualTo(entries(1, 4));
+  }
+
+  @ParameterizedTest(name = "{0} entries")
+  @ValueSource(ints = {1, 20})
+  void fullDiskStopsTheHostAndKeepsWhatWasSynced(int synced) throws IOException {
+    Path full = Path.of("/dev/full");
+    Assumptions.assumeTrue(Files.exists(full), "this system has no full device");
+    write(1, synced);
+    Files.createSymbolicLink(folder.resolve("journal-2.tmp"), full);
+    try (Journal journal = Journal.open(folder, () -> HARD)) {
+      Files.deleteIfExists(folder.resolve("journal-2.tmp"));
+      Files.createSymbolicLink(folder.resolve("journal-2.tmp"), full);
+      var replace = new ReplicaAction.Replace<Command, StateSnapshot>(1, journal.recovered());
+      assertThatThrownBy(() -> journal.write(replace))
+          .isInstanceOf(JournalException.class)
+          .hasMessageContaining("free space");
+    }
+    assertThat(recover().entries()).isEqualTo(entries(1, synced));
+  }
+
+  @ParameterizedTest(name = "entry {0} displaces the rest of {1}")
+  @CsvSource({"1, 3", "2, 3", "3, 3", "4, 3"})
+  void laterEntryOfTheSameIndexDisplacesWhatFollows(int index, int last) {
+    write(1, last);
+    var entry = new LogEntry<Command>(index, 9, AT, new EntryContent.NoOp<>());
+    try (Journal journal = Journal.open(folder, () -> HARD)) {
+      journal.write(new ReplicaAction.Append<>(1, HARD, List.of(entry)));
+      journal.sync();
+    }
+    List<LogEntry<Command>> recovered = recover().entries();
+    assertThat(recovered).hasSize(index);
+    assertThat(recovered.getLast()).isEqualTo(entry);
+  }
+
+  @ParameterizedTest(name = "second process {0}")
+  @ValueSource(strings = {"of the same folder"})
+  void folderInUseIsRefused(String name) {
+    try (Journal first = Journal.open(folder, () -> HARD)) {
+      assertThat(first.recovered().entries()).isEmpty();
+      assertThatThrownBy(this::recover)
+          .as(name)
+          .isInstanceOf(JournalException.class)
+          .hasMessageContaining("in use");
+    }
+  }
+
+  @ParameterizedTest(name = "{0} tickets, a snapshot each {1} entries")
+  @CsvSource({"600, 1024", "600, 50", "60, 1"})
+  void restartAfterManyTicketsGivesTheSameState(int tickets, int compactEntries) {
+    StateSnapshot before;
+    try (Journal journal = Journal.open(folder, HardState::founding)) {
+      Agreement agreement = agreement(journal, compactEntries);
+      elect(agreement, journal);
+      for (int number = 1; number <= tickets; number++) {
+        RequestId id = new RequestId("r" + number);
+        perform(agreement, journal, agreement.submit(id, accept(number), AT.plusSeconds(9)));
+      }
+      before = agreement.state().snapshot();
+    }
+    assertThat(before.tickets()).hasSize(tickets);
+    try (Journal journal = Journal.open(folder, HardState::founding)) {
+      Agreement agreement = agreement(journal, compactEntries);
+      elect(agreement, journal);
+      assertThat(agreement.state().snapshot()).isEqualTo(before);
+    }
+  }
+
+  private static Agreement agreement(Journal journal, int compactEntries) {
+    return new Agreement(
+        SELF, Set.of(SELF), journal.recovered(), new SplittableRandom(1), compactEntries, AT);
+  }
+
+  private static void elect(Agreement agreement, Journal journal) {
+    perform(agreement, journal, agreement.tick(AT.plusSeconds(9)));
+  }
+
+  private static void perform(Agreement agreement, Journal journal, List<AgreementAction> actions) {
+    for (AgreementAction action : actions) {
+      if (action instanceof AgreementAction.Write write) {
+        journal.write(write.write());
+        journal.sync();
+        Instant now = AT.plusSeconds(9);
+        perform(agreement, journal, agreement.persisted(write.write().sequence(), now));
+      }
+    }
+  }
+
+  private void write(int first, int count) {
+    try (Journal journal = Journal.open(folder, () -> HARD)) {
+      entries(first, count)
+          .forEach(entry -> journal.write(new ReplicaAction.Append<>(1, HARD, List.of(entry))));
+      journal.sync();
+    }
+  }
+
+  private DurableState<Command, StateSnapshot> recover() {
+    try (Journal journal = Journal.open(folder, () -> HARD)) {
+      assertThat(journal.recovered().hard()).isEqualTo(HARD);
+      return journal.recovered();
+    }
+  }
+
+  private Path journal() {
+    return folder.resolve("journal-1");
+  }
+
+  private static List<LogEntry<Command>> entries(int first, int count) {
+    return LongStream.range(first, first + count)
+        .mapToObj(
+            index -> new LogEntry<>(index, 3, AT, new EntryContent.Proposed<>(accept((int) index))))
+        .toList();
+  }
+
+  private static Command accept(int number) {
+    RegionId id = new RegionId("region" + number);
+    Region region = new Region(id, Set.of(new DataCentreId("dc" + number)));
+    return new Command.AcceptTicket(
+        new Ticket(
+            new TicketNumber(number),
+            new ConfigurationChange(
+                Map.of(), Map.of(), Map.of(id, Optional.of(region)), Map.of())));
+  }
+}
--- /dev/null
+++ b/wire/src/main/java/org/cuminwell/wire/StateCodec.java
@@ -0,0 +1,74 @@
+package org.cuminwell.wire;
+
+import java.time.Instant;
+import org.cuminwell.core.control.Command;
+import org.cuminwell.core.control.StateSnapshot;
+import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.model.TicketNumber;
+import org.cuminwell.core.ticket.Ticket;
+import org.cuminwell.core.ticket.TicketAnswer.Accepted;
+import org.cuminwell.wire.generated.AcceptedTicket;
+
+/**
+ * Maps commands and the replicated state to protobuf and back. Methods that read throw {@link
+ * IllegalArgumentException} for values that the core refuses. Stateless and thread safe.
+ */
+final class StateCodec {
+
+  private StateCodec() {}
+
+  static org.cuminwell.wire.generated.Command toProto(Command from) {
+    var to = org.cuminwell.wire.generated.Command.newBuilder();
+    switch (from) {
+      case Command.AcceptTicket c -> to.setAcceptTicket(toProto(c.ticket()));
+    }
+    return to.build();
+  }
+
+  static Command fromProto(org.cuminwell.wire.generated.Command from) {
+    return switch (from.getKindCase()) {
+      case ACCEPT_TICKET -> new Command.AcceptTicket(fromProto(from.getAcceptTicket()));
+      case KIND_NOT_SET -> throw new IllegalArgumentException("command without a kind");
+    };
+  }
+
+  static org.cuminwell.wire.generated.StateSnapshot toProto(StateSnapshot from) {
+    var to = org.cuminwell.wire.generated.StateSnapshot.newBuilder();
+    to.setConfiguration(ConfigurationCodec.toProto(from.configuration()));
+    from.tickets().forEach(ticket -> to.addTicket(toProto(ticket)));
+    return to.build();
+  }
+
+  static StateSnapshot fromProto(org.cuminwell.wire.generated.StateSnapshot from) {
+    return new StateSnapshot(
+        ConfigurationCodec.fromProto(from.getConfiguration()),
+        from.getTicketList().stream().map(StateCodec::fromProto).toList());
+  }
+
+  private static org.cuminwell.wire.generated.Ticket toProto(Ticket from) {
+    return org.cuminwell.wire.generated.Ticket.newBuilder()
+        .setNumber(from.number().value())
+        .setChange(ConfigurationCodec.toProto(from.change()))
+        .build();
+  }
+
+  private static Ticket fromProto(org.cuminwell.wire.generated.Ticket from) {
+    return new Ticket(
+        new TicketNumber(from.getNumber()), ConfigurationCodec.fromProto(from.getChange()));
+  }
+
+  private static AcceptedTicket toProto(Accepted from) {
+    return AcceptedTicket.newBuilder()
+        .setTicket(toProto(from.ticket()))
+        .setRevision(from.revision().value())
+        .setAtMillis(from.at().toEpochMilli())
+        .build();
+  }
+
+  private static Accepted fromProto(AcceptedTicket from) {
+    return new Accepted(
+        fromProto(from.getTicket()),
+        new Revision(from.getRevision()),
+        Instant.ofEpochMilli(from.getAtMillis()));
+  }
+}
