--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -12,6 +12,8 @@
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.limit.ShareGranter;
+import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Revision;
@@ -29,6 +31,7 @@
   private final ReplicatedState state;
   private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
   private Revision shown = Revision.ZERO;
+  private final ShareGranter shares = new ShareGranter();
 
   /** Makes the state of a control host that takes part in the agreement. */
   public Control(HostId self, Agreement agreement) {
@@ -40,6 +43,7 @@
   /** Returns what to do about the event, in order. */
   public List<ControlAction> handle(ControlEvent event, Instant now) {
     List<ControlAction> actions = new ArrayList<>();
+    grantShares(now, actions);
     switch (event) {
       case ControlEvent.TicketSubmitted e ->
           perform(agreement.submit(e.id(), new Command.AcceptTicket(e.ticket()), now), actions);
@@ -106,7 +110,24 @@
     }
   }
 
+  /** Grants shares while this host leads, in terms that only grow. */
+  private void grantShares(Instant now, List<ControlAction> actions) {
+    shares.configure(state.configuration());
+    OptionalLong term = fencingNumber(now);
+    if (term.isPresent()) {
+      tell(shares.lead(term.getAsLong(), now), actions);
+    } else {
+      shares.follow();
+    }
+    tell(shares.tick(now), actions);
+  }
+
+  private static void tell(List<ShareHolder.Addressed> messages, List<ControlAction> actions) {
+    messages.forEach(m -> actions.add(new TellPeer(m.to(), new PeerMessage.Limits(m.message()))));
+  }
+
   private void lose(HostId peer, List<ControlAction> actions) {
+    shares.lost(peer);
     gateways.computeIfPresent(peer, (id, old) -> new GatewayView(old.host(), old.held(), false));
     actions.add(new Show(view()));
   }
@@ -116,6 +137,7 @@
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(peer, m.message(), actions);
       case PeerMessage.Consensus m -> perform(agreement.hear(peer, m.message(), now), actions);
+      case PeerMessage.Limits m -> tell(shares.hear(peer, m.message(), now), actions);
     }
   }
 
@@ -139,6 +161,7 @@
         GatewayView old = gateways.get(peer);
         Revision held = old == null ? Revision.ZERO : old.held();
         gateways.put(peer, new GatewayView(here.host(), held, true));
+        tell(shares.connected(peer), actions);
         tellDirectory(actions);
         actions.add(new Show(view()));
       }
--- a/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
@@ -40,6 +40,7 @@
       case PeerMessage.Distribution m -> to.setDistribution(DistributionCodec.toProto(m.message()));
       case PeerMessage.Directory m -> to.setDirectory(DirectoryCodec.toProto(m.message()));
       case PeerMessage.Consensus m -> to.setConsensus(ConsensusCodec.toProto(m.message()));
+      case PeerMessage.Limits m -> to.setLimit(LimitCodec.toProto(m.message()));
     }
   }
 
@@ -54,6 +55,7 @@
           message(new PeerMessage.Directory(DirectoryCodec.fromProto(from.getDirectory())));
       case CONSENSUS ->
           message(new PeerMessage.Consensus(ConsensusCodec.fromProto(from.getConsensus())));
+      case LIMIT -> message(new PeerMessage.Limits(LimitCodec.fromProto(from.getLimit())));
       case KIND_NOT_SET -> throw new WireFormatException("frame without a kind");
     };
   }
