--- a/core/src/main/java/org/cuminwell/core/control/Agreement.java
+++ b/core/src/main/java/org/cuminwell/core/control/Agreement.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.consensus.DurableState;
 import org.cuminwell.core.consensus.EntryContent;
 import org.cuminwell.core.consensus.LogEntry;
@@ -18,7 +19,6 @@
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.consensus.ReplicaEvent;
 import org.cuminwell.core.consensus.Snapshot;
-import org.cuminwell.core.consensus.Standing;
 import org.cuminwell.core.control.PendingCommand.Stage;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
@@ -124,19 +124,14 @@
     return replica.leads(now) ? OptionalLong.of(replica.term()) : OptionalLong.empty();
   }
 
-  /** Returns the host that leads as far as this host knows. */
-  public Optional<HostId> leader(Instant now) {
-    return replica.leader(now);
-  }
-
-  /** Returns what this host may do for the agreement. */
-  public Standing standing() {
-    return replica.standing();
-  }
-
-  /** Returns the latest term that this host has seen. */
-  public long term() {
-    return replica.term();
+  /** Returns how this host stands in the agreement. */
+  public AgreementStatus status(Instant now) {
+    return new AgreementStatus(
+        replica.term(),
+        replica.leader(now),
+        replica.leads(now),
+        replica.standing(),
+        replica.appliedIndex());
   }
 
   /** Returns the last entry of the log that the state includes. */
@@ -213,7 +208,7 @@
       case EntryContent.Proposed<Command> c -> {
         Applied result = state.apply(c.command(), entry.at());
         settle(entry, new CommandOutcome.Done(result));
-        actions.add(new AgreementAction.StateChanged());
+        actions.add(new AgreementAction.StateChanged(state.configuration(), changeOf(c.command())));
       }
       case EntryContent.NoOp<Command> c -> settle(entry, PendingCommand.unknown());
       case EntryContent.Admit<Command> c -> settle(entry, PendingCommand.unknown());
@@ -233,9 +228,15 @@
     }
   }
 
+  private static Optional<ConfigurationChange> changeOf(Command command) {
+    return switch (command) {
+      case Command.AcceptTicket accept -> Optional.of(accept.ticket().change());
+    };
+  }
+
   private void restore(Snapshot<StateSnapshot> snapshot) {
     state.restore(snapshot.state());
-    actions.add(new AgreementAction.StateChanged());
+    actions.add(new AgreementAction.StateChanged(state.configuration(), Optional.empty()));
     Iterator<Map.Entry<RequestId, PendingCommand>> all = pending.entrySet().iterator();
     while (all.hasNext()) {
       Map.Entry<RequestId, PendingCommand> next = all.next();
--- a/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.peer;
 
+import org.cuminwell.core.control.AgreementMessage;
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.limit.LimitMessage;
@@ -14,6 +15,9 @@
   /** Concerns the entry hosts. */
   record Directory(DirectoryMessage message) implements PeerMessage {}
 
+  /** Concerns the agreement of the control hosts. */
+  record Consensus(AgreementMessage message) implements PeerMessage {}
+
   /** Concerns shares of customers' limits. */
   record Limits(LimitMessage message) implements PeerMessage {}
 
--- a/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
@@ -39,6 +39,7 @@
     switch (message) {
       case PeerMessage.Distribution m -> to.setDistribution(DistributionCodec.toProto(m.message()));
       case PeerMessage.Directory m -> to.setDirectory(DirectoryCodec.toProto(m.message()));
+      case PeerMessage.Consensus m -> to.setConsensus(ConsensusCodec.toProto(m.message()));
       case PeerMessage.Limits m -> to.setLimit(LimitCodec.toProto(m.message()));
       case PeerMessage.Membership m -> to.setMembership(MembershipCodec.toProto(m.message()));
     }
@@ -53,6 +54,8 @@
               new PeerMessage.Distribution(DistributionCodec.fromProto(from.getDistribution())));
       case DIRECTORY ->
           message(new PeerMessage.Directory(DirectoryCodec.fromProto(from.getDirectory())));
+      case CONSENSUS ->
+          message(new PeerMessage.Consensus(ConsensusCodec.fromProto(from.getConsensus())));
       case LIMIT -> message(new PeerMessage.Limits(LimitCodec.fromProto(from.getLimit())));
       case MEMBERSHIP ->
           message(new PeerMessage.Membership(MembershipCodec.fromProto(from.getMembership())));
