--- a/core/src/main/java/org/cuminwell/core/limit/HeldLimit.java
+++ b/core/src/main/java/org/cuminwell/core/limit/HeldLimit.java
@@ -122,6 +122,11 @@
     }
   }
 
+  /** Notes that the demand must stand in a report again, though it did not change. */
+  void reportAgain(long nextSequence) {
+    changedAt = nextSequence;
+  }
+
   boolean isReportedAfter(long answered) {
     return changedAt > answered;
   }
--- a/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
@@ -135,6 +135,7 @@
   public void leave() {
     leaving = true;
     urgent = true;
+    limits.values().forEach(limit -> limit.reportAgain(nextSequence));
   }
 
   /** Returns the report that is due now, with the host to send it to. */
