Move shares only where they are needed

Each request raised the demand of its customer at its gateway for a second, and each change moved the shares of all.

Change: demand is measured over 10 s, a single request less; it is reported when it rises by a quarter or halves; shares shrink only where another needs them or nothing is asked; holders that have nothing are set aside; grants carry only what is not acknowledged. A restarted host now introduces itself, so that its old share is free at once.

--- a/core/src/main/java/org/cuminwell/core/limit/Allotted.java
+++ b/core/src/main/java/org/cuminwell/core/limit/Allotted.java
@@ -92,6 +92,14 @@
     return possible.getLast().number() > acknowledged;
   }
 
+  /** Returns whether nothing is allotted, certainly, and nothing wanted. */
+  boolean isEmpty() {
+    return possible.size() == 1
+        && share().equals(Share.NONE)
+        && demand.tokensPerSecond() == 0
+        && demand.largestTokens() == 0;
+  }
+
   Allotment allotment() {
     State last = possible.getLast();
     return new Allotment(demand.customer(), last.share(), last.credit(), overRate);
--- a/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
+++ b/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
@@ -2,10 +2,13 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import org.cuminwell.core.model.CustomerId;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.TokenLimit;
@@ -24,10 +27,11 @@
   private static final double SECONDS_OF_BURST = 3;
   private static final double SPREAD_OF_REST = 0.5;
   private static final double SHRINK_BELOW = 0.8;
-  private static final double GROW_ABOVE = 1.1;
+  private static final double ENOUGH = 0.9;
 
   private final CustomerId customer;
   private final TreeMap<HostId, Allotted> holders = new TreeMap<>();
+  private final Map<HostId, Allotted> parked = new HashMap<>();
   private final TokenBucket pool;
   private long wholeRate;
   private long rate;
@@ -37,7 +41,7 @@
   interface Grants {
 
     /** Returns the number of the next grant to the holder, and notes that there is one to send. */
-    long next(HostId holder);
+    long next(HostId holder, CustomerId customer);
   }
 
   /** Makes a book whose pool is empty at {@code now}. */
@@ -55,13 +59,39 @@
     burst = Floors.movable(limit.map(TokenLimit::burstTokens).orElse(0L));
   }
 
+  /** Returns what the holder has, which then counts until {@link #park} or {@link #remove}. */
   Allotted of(HostId holder) {
+    Allotted again = parked.remove(holder);
+    if (again != null) {
+      holders.put(holder, again);
+    }
     return holders.computeIfAbsent(holder, id -> new Allotted(customer));
   }
 
+  /** Sets holders aside that certainly have nothing and want nothing, so that they cost no time. */
+  void park() {
+    holders
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean empty = entry.getValue().isEmpty();
+              if (empty) {
+                parked.put(entry.getKey(), entry.getValue());
+              }
+              return empty;
+            });
+  }
+
+  /** Returns what the holder has without making it count. */
+  Optional<Allotted> find(HostId holder) {
+    return Optional.ofNullable(holders.get(holder))
+        .or(() -> Optional.ofNullable(parked.get(holder)));
+  }
+
   /** Frees what the holder had, which must have let go of it. */
   void remove(HostId holder, Instant now) {
     holders.remove(holder);
+    parked.remove(holder);
     fitPool(now);
   }
 
@@ -71,72 +101,97 @@
     pool.charge(-tokens, now);
   }
 
-  Map<HostId, Allotted> holders() {
-    return holders;
-  }
-
-  /** Brings each share towards its target. */
+  /**
+   * Brings each share towards its target. A share that its holder does not need shrinks only if
+   * another needs it, so that small changes of demand move nothing.
+   */
   void divide(Grants grants, Instant now) {
     List<Map.Entry<HostId, Allotted>> all = new ArrayList<>(holders.entrySet());
-    double[] rates = targetRates(all);
-    double[] bursts = targetBursts(all);
+    double[] rates = wantedRates(all);
+    double[] bursts = wantedBursts(all);
+    shrink(all, rates, bursts, grants);
+    fitPool(now);
+    double[] targetRates = withRest((double) rate, rates);
+    double[] targetBursts = withRest((double) burst, bursts);
+    for (int i = 0; i < all.size(); i++) {
+      Share before = all.get(i).getValue().share();
+      Share target =
+          new Share(
+              target(before.tokensPerSecond(), rates[i], targetRates[i]),
+              target(before.burstTokens(), bursts[i], targetBursts[i]));
+      grow(all.get(i), target, grants, now);
+    }
+  }
+
+  private void shrink(
+      List<Map.Entry<HostId, Allotted>> all, double[] rates, double[] bursts, Grants grants) {
+    boolean needsRate = isNeeded(all, rates, rate - bookedRate(), Share::tokensPerSecond);
+    boolean needsBurst = isNeeded(all, bursts, burst - bookedBurst(), Share::burstTokens);
     boolean overRate = demand(all) > wholeRate;
     for (int i = 0; i < all.size(); i++) {
       Allotted allotted = all.get(i).getValue();
       Share before = allotted.share();
       Share after =
           new Share(
-              shrunk(before.tokensPerSecond(), rates[i]), shrunk(before.burstTokens(), bursts[i]));
+              shrunk(before.tokensPerSecond(), rates[i], needsRate),
+              shrunk(before.burstTokens(), bursts[i], needsBurst));
       if (!after.equals(before) || overRate != allotted.isOverRate()) {
-        allotted.set(grants.next(all.get(i).getKey()), after, 0, overRate);
+        allotted.set(grants.next(all.get(i).getKey(), customer), after, 0, overRate);
       }
     }
-    fitPool(now);
-    for (int i = 0; i < all.size(); i++) {
-      grow(all.get(i), rates[i], bursts[i], grants, now);
+  }
+
+  /** Returns whether those who have too little need more than is free. */
+  private static boolean isNeeded(
+      List<Map.Entry<HostId, Allotted>> all,
+      double[] wanted,
+      long free,
+      ToLongFunction<Share> part) {
+    double lacking = 0;
+    for (int i = 0; i < wanted.length; i++) {
+      double has = (double) part.applyAsLong(all.get(i).getValue().share());
+      lacking += has < ENOUGH * wanted[i] ? wanted[i] - has : 0;
     }
+    return lacking > (double) free;
+  }
+
+  private static long shrunk(long before, double wanted, boolean needed) {
+    boolean tooMuch = wanted == 0 || (needed && wanted < SHRINK_BELOW * (double) before);
+    return tooMuch ? Math.min(before, (long) wanted) : before;
+  }
+
+  private static long target(long before, double wanted, double withRest) {
+    return (double) before < ENOUGH * wanted ? Math.max(before, (long) withRest) : before;
   }
 
-  private void grow(
-      Map.Entry<HostId, Allotted> holder,
-      double targetRate,
-      double targetBurst,
-      Grants grants,
-      Instant now) {
+  private void grow(Map.Entry<HostId, Allotted> holder, Share target, Grants grants, Instant now) {
     Allotted allotted = holder.getValue();
     Share before = allotted.share();
+    long freeRate = Math.max(0, rate - bookedRate());
     long freeBurst = Math.max(0, burst - bookedBurst());
     Share after =
         new Share(
-            grown(before.tokensPerSecond(), targetRate, Math.max(0, rate - bookedRate())),
-            grown(before.burstTokens(), targetBurst, freeBurst));
+            Math.min(target.tokensPerSecond(), before.tokensPerSecond() + freeRate),
+            Math.min(target.burstTokens(), before.burstTokens() + freeBurst));
     long added = after.burstTokens() - before.burstTokens();
     long wanted = Math.max(added, Math.min(freeBurst, allotted.takeMissing()));
     long credit = Math.min(wanted, (long) Math.max(0, pool.level(now)));
     if (!after.equals(before) || credit > 0) {
       pool.charge(credit, now);
-      allotted.set(grants.next(holder.getKey()), after, credit, allotted.isOverRate());
+      allotted.set(grants.next(holder.getKey(), customer), after, credit, allotted.isOverRate());
       fitPool(now);
     }
   }
 
-  private static long shrunk(long before, double target) {
-    return target < SHRINK_BELOW * (double) before ? (long) target : before;
-  }
-
-  private static long grown(long before, double target, long free) {
-    return target > GROW_ABOVE * (double) before ? Math.min((long) target, before + free) : before;
-  }
-
-  private double[] targetRates(List<Map.Entry<HostId, Allotted>> all) {
+  private double[] wantedRates(List<Map.Entry<HostId, Allotted>> all) {
     double[] wanted =
         all.stream()
             .mapToDouble(e -> (double) e.getValue().demand().tokensPerSecond() * HEADROOM)
             .toArray();
-    return withRest((double) rate, MaxMin.divide((double) rate, wanted));
+    return MaxMin.divide((double) rate, wanted);
   }
 
-  private double[] targetBursts(List<Map.Entry<HostId, Allotted>> all) {
+  private double[] wantedBursts(List<Map.Entry<HostId, Allotted>> all) {
     double[] largest =
         all.stream().mapToDouble(e -> (double) e.getValue().demand().largestTokens()).toArray();
     double[] first = MaxMin.divide((double) burst, largest);
@@ -151,7 +206,7 @@
     for (int i = 0; i < first.length; i++) {
       first[i] += second[i];
     }
-    return withRest((double) burst, first);
+    return first;
   }
 
   /** Spreads a part of what nobody asked for in proportion to what each gets. */
@@ -160,14 +215,8 @@
     for (double target : targets) {
       sum += target;
     }
-    if (sum == 0) {
-      return targets;
-    }
-    double factor = 1 + SPREAD_OF_REST * Math.max(0, amount - sum) / sum;
-    for (int i = 0; i < targets.length; i++) {
-      targets[i] *= factor;
-    }
-    return targets;
+    double factor = sum == 0 ? 1 : 1 + SPREAD_OF_REST * Math.max(0, amount - sum) / sum;
+    return Arrays.stream(targets).map(target -> target * factor).toArray();
   }
 
   private static long demand(List<Map.Entry<HostId, Allotted>> all) {
--- a/core/src/main/java/org/cuminwell/core/limit/DemandMeter.java
+++ b/core/src/main/java/org/cuminwell/core/limit/DemandMeter.java
@@ -2,55 +2,71 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Arrays;
 
 /**
  * Measures how many tokens a customer asks for at one gateway.
  *
- * <p>A rise shows at the end of a period, a fall over a few. Not thread safe: one thread owns it.
+ * <p>A single request counts as its tokens spread over {@link #PERIODS}, so that rare requests
+ * hardly move it; many at once show after a period. Not thread safe: one thread owns it.
  */
 final class DemandMeter {
 
-  private static final double KEPT = 0.7;
-  private static final long PERIOD_NANOS = ShareLease.REPORT_PERIOD.toNanos();
+  private static final int PERIODS = 10;
+  private static final int RECENT_PERIODS = 2;
+  private static final Duration PERIOD = ShareLease.REPORT_PERIOD;
 
+  private final double[] tokens = new double[PERIODS];
   private Instant periodStart;
-  private double periodTokens;
-  private double tokensPerSecond;
+  private int period;
   private double largest;
 
   DemandMeter(Instant now) {
     periodStart = now;
   }
 
-  void add(double tokens) {
-    periodTokens += tokens;
+  void add(double added) {
+    tokens[period] += added;
   }
 
-  void sized(double tokens) {
-    largest = Math.max(largest, tokens);
+  void sized(double size) {
+    largest = Math.max(largest, size);
   }
 
-  /** Closes the period if it is over, and returns whether it did. */
-  boolean roll(Instant now) {
-    long nanos = Duration.between(periodStart, now).toNanos();
-    if (nanos < PERIOD_NANOS) {
-      return false;
+  /** Drops what is older than all periods. */
+  void roll(Instant now) {
+    for (int i = 0; i < PERIODS && !now.isBefore(periodStart.plus(PERIOD)); i++) {
+      periodStart = periodStart.plus(PERIOD);
+      period = (period + 1) % PERIODS;
+      tokens[period] = 0;
+    }
+    if (!now.isBefore(periodStart.plus(PERIOD))) {
+      periodStart = now;
+    }
+    if (sum(PERIODS) <= 0) {
+      largest = 0;
     }
-    double latest = Math.max(0, periodTokens) * 1e9 / nanos;
-    double kept = Math.pow(KEPT, (double) nanos / PERIOD_NANOS);
-    tokensPerSecond = Math.max(latest, kept * tokensPerSecond + (1 - kept) * latest);
-    largest = periodTokens == 0 && tokensPerSecond < 1 ? 0 : largest * 0.98;
-    periodStart = now;
-    periodTokens = 0;
-    return true;
   }
 
-  /** Returns the demand with what the running period already shows, in tokens a second. */
+  /** Returns the demand, in tokens a second. */
   double tokensPerSecond() {
-    return Math.max(tokensPerSecond, periodTokens);
+    double lasting = sum(PERIODS) / PERIODS;
+    double recent = (sum(RECENT_PERIODS) - largest) / RECENT_PERIODS;
+    return Math.max(0, Math.max(lasting, recent));
   }
 
   double largest() {
     return largest;
   }
+
+  private double sum(int periods) {
+    if (periods == PERIODS) {
+      return Arrays.stream(tokens).sum();
+    }
+    double sum = 0;
+    for (int i = 0; i < periods; i++) {
+      sum += tokens[(period - i + PERIODS) % PERIODS];
+    }
+    return sum;
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/limit/HeldLimit.java
+++ b/core/src/main/java/org/cuminwell/core/limit/HeldLimit.java
@@ -14,8 +14,10 @@
  */
 final class HeldLimit {
 
-  /** A change of demand below this part of what was reported is not reported. */
-  private static final double REPORTED_CHANGE = 0.15;
+  /** Demand within these multiples of what was reported is not reported anew. */
+  private static final double REPORTED_RISE = 1.25;
+
+  private static final double REPORTED_FALL = 0.5;
 
   /** A request of at most this part of the floor's burst needs no share. */
   private static final double FLOOR_SUFFICES = 0.5;
@@ -156,13 +158,13 @@
   private boolean differs(Demand present) {
     return present.returnedTokens() != reported.returnedTokens()
         || isFar(present.tokensPerSecond(), reported.tokensPerSecond())
-        || present.largestTokens() > reported.largestTokens()
+        || (double) present.largestTokens() > REPORTED_RISE * (double) reported.largestTokens()
         || (present.largestTokens() == 0 && reported.largestTokens() > 0);
   }
 
   private static boolean isFar(long present, long before) {
-    return (double) Math.abs(present - before)
-        > REPORTED_CHANGE * (double) Math.max(present, before);
+    return (double) present > REPORTED_RISE * (double) before
+        || (double) present < REPORTED_FALL * (double) before;
   }
 
   private double fit(Instant now) {
--- a/core/src/main/java/org/cuminwell/core/limit/ShareGranter.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareGranter.java
@@ -49,6 +49,7 @@
   private static final class Holder {
     final long session;
     final Set<CustomerId> customers = new HashSet<>();
+    final Set<CustomerId> unacknowledged = new HashSet<>();
     long heard;
     long acknowledged;
     long number;
@@ -184,17 +185,13 @@
     if (number <= holder.acknowledged) {
       return;
     }
-    for (CustomerId id : List.copyOf(holder.customers)) {
-      CustomerBook book = books.get(id);
-      if (book == null) {
-        holder.customers.remove(id);
-        continue;
-      }
-      Allotted allotted = book.of(from);
-      if (allotted.isAfter(holder.acknowledged)) {
-        allotted.acknowledge(number);
-        changed.add(id);
+    for (CustomerId id : List.copyOf(holder.unacknowledged)) {
+      Optional<Allotted> allotted = allotted(from, id);
+      allotted.ifPresent(a -> a.acknowledge(number));
+      if (allotted.filter(a -> a.isAfter(number)).isEmpty()) {
+        holder.unacknowledged.remove(id);
       }
+      changed.add(id);
     }
     holder.acknowledged = number;
   }
@@ -220,27 +217,30 @@
       CustomerBook book = books.get(id);
       if (book != null) {
         book.divide(this::nextNumber, now);
+        book.park();
       }
     }
     changed.clear();
   }
 
-  private long nextNumber(HostId host) {
+  private Optional<Allotted> allotted(HostId host, CustomerId customer) {
+    return Optional.ofNullable(books.get(customer)).flatMap(book -> book.find(host));
+  }
+
+  private long nextNumber(HostId host, CustomerId customer) {
     Holder holder = holders.get(host);
     if (holder == null) {
       throw new IllegalStateException("shares of " + host + " are booked without a session");
     }
     holder.unsent = true;
+    holder.unacknowledged.add(customer);
     return holder.number + 1;
   }
 
   private Addressed grant(HostId to, Holder holder) {
     List<Allotment> allotments = new ArrayList<>();
-    for (CustomerId id : holder.customers) {
-      CustomerBook book = books.get(id);
-      if (book != null && book.of(to).isAfter(holder.acknowledged)) {
-        allotments.add(book.of(to).allotment());
-      }
+    for (CustomerId id : holder.unacknowledged) {
+      allotted(to, id).ifPresent(allotted -> allotments.add(allotted.allotment()));
     }
     holder.number++;
     holder.unsent = false;
--- a/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
@@ -42,6 +42,7 @@
   private Optional<HostId> granter = Optional.empty();
   private long epoch;
   private long heldEpoch;
+  private long introduced;
   private long session;
   private long nextSequence = FIRST_SEQUENCE;
   private long answered;
@@ -153,6 +154,7 @@
       return Optional.empty();
     }
     reportedAt = now;
+    introduced = epoch;
     acknowledges = false;
     sent.removeIf(report -> !now.isBefore(report.at().plus(ShareLease.LEASE)));
     sent.addLast(new SentReport(nextSequence, now));
@@ -183,7 +185,8 @@
   }
 
   private boolean hasNews() {
-    return limits.values().stream().anyMatch(limit -> limit.isReportedAfter(answered));
+    return introduced != epoch
+        || limits.values().stream().anyMatch(limit -> limit.isReportedAfter(answered));
   }
 
   private List<Demand> demands() {
