--- a/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
+++ b/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
@@ -2,7 +2,6 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +24,6 @@
 
   private static final double HEADROOM = 1.3;
   private static final double SECONDS_OF_BURST = 3;
-  private static final double SPREAD_OF_REST = 0.5;
   private static final double SHRINK_BELOW = 0.8;
   private static final double ENOUGH = 0.9;
 
@@ -111,14 +109,11 @@
     double[] bursts = wantedBursts(all);
     shrink(all, rates, bursts, grants);
     fitPool(now);
-    double[] targetRates = withRest((double) rate, rates);
-    double[] targetBursts = withRest((double) burst, bursts);
     for (int i = 0; i < all.size(); i++) {
       Share before = all.get(i).getValue().share();
       Share target =
           new Share(
-              target(before.tokensPerSecond(), rates[i], targetRates[i]),
-              target(before.burstTokens(), bursts[i], targetBursts[i]));
+              target(before.tokensPerSecond(), rates[i]), target(before.burstTokens(), bursts[i]));
       grow(all.get(i), target, grants, now);
     }
   }
@@ -160,8 +155,8 @@
     return tooMuch ? Math.min(before, (long) wanted) : before;
   }
 
-  private static long target(long before, double wanted, double withRest) {
-    return (double) before < ENOUGH * wanted ? Math.max(before, (long) withRest) : before;
+  private static long target(long before, double wanted) {
+    return (double) before < ENOUGH * wanted ? (long) wanted : before;
   }
 
   private void grow(Map.Entry<HostId, Allotted> holder, Share target, Grants grants, Instant now) {
@@ -209,16 +204,6 @@
     return first;
   }
 
-  /** Spreads a part of what nobody asked for in proportion to what each gets. */
-  private static double[] withRest(double amount, double[] targets) {
-    double sum = 0;
-    for (double target : targets) {
-      sum += target;
-    }
-    double factor = sum == 0 ? 1 : 1 + SPREAD_OF_REST * Math.max(0, amount - sum) / sum;
-    return Arrays.stream(targets).map(target -> target * factor).toArray();
-  }
-
   private static long demand(List<Map.Entry<HostId, Allotted>> all) {
     return all.stream().mapToLong(e -> e.getValue().demand().tokensPerSecond()).sum();
   }
--- a/core/src/main/java/org/cuminwell/core/limit/ShareLease.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareLease.java
@@ -18,7 +18,7 @@
   public static final Duration REPORT_PERIOD = Duration.ofSeconds(1);
 
   /** How much time is at least between two reports of a holder. */
-  public static final Duration URGENT_GAP = Duration.ofMillis(20);
+  public static final Duration URGENT_GAP = Duration.ofMillis(100);
 
   /** After what time a holder asks again for tokens that a request lacks. */
   public static final Duration ASK_AGAIN = Duration.ofMillis(300);
