--- a/core/src/main/java/org/cuminwell/core/control/AgreementAction.java
+++ b/core/src/main/java/org/cuminwell/core/control/AgreementAction.java
@@ -1,5 +1,8 @@
 package org.cuminwell.core.control;
 
+import java.util.Optional;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
@@ -16,6 +19,12 @@
   /** Answers who submitted a command here. */
   record Answer(RequestId id, CommandOutcome outcome) implements AgreementAction {}
 
-  /** Tells that the replicated state is another one now. */
-  record StateChanged() implements AgreementAction {}
+  /**
+   * Tells that a command was applied or a snapshot taken in.
+   *
+   * @param configuration the configuration that is in force now
+   * @param change the change that the command asked for; empty if the way here is not known
+   */
+  record StateChanged(Configuration configuration, Optional<ConfigurationChange> change)
+      implements AgreementAction {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -10,11 +10,9 @@
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.distribution.Publisher;
 import org.cuminwell.core.model.HostId;
-import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.peer.Outgoing;
 import org.cuminwell.core.peer.PeerMessage;
-import org.cuminwell.core.ticket.Ticket;
-import org.cuminwell.core.ticket.TicketAnswer;
 
 /**
  * Decides what a control host does with each event.
@@ -24,23 +22,28 @@
 public final class Control {
 
   private final HostId self;
-  private final ReplicatedState state = new ReplicatedState();
+  private final Agreement agreement;
+  private final ReplicatedState state;
   private final ShareDuty shares = new ShareDuty();
   private final Publisher publisher = new Publisher();
   private boolean changed;
-  private OptionalLong firstTerm = OptionalLong.empty();
 
-  /** Makes the state of the control host with the given name. */
-  public Control(HostId self) {
+  /** Makes the state of a control host that takes part in the agreement. */
+  public Control(HostId self, Agreement agreement) {
     this.self = self;
+    this.agreement = agreement;
+    this.state = agreement.state();
+    publisher.publish(state.configuration());
   }
 
   /** Returns what to do about the event, in order. */
   public List<ControlAction> handle(ControlEvent event, Instant now) {
     List<ControlAction> actions = new ArrayList<>();
-    shares.step(term(now), state.configuration(), now, actions);
+    shares.step(fencingNumber(now), state.configuration(), now, actions);
     switch (event) {
-      case ControlEvent.TicketSubmitted e -> submit(e, now, actions);
+      case ControlEvent.TicketSubmitted e ->
+          perform(agreement.submit(e.id(), new Command.AcceptTicket(e.ticket()), now), actions);
+      case ControlEvent.JournalSynced e -> perform(agreement.persisted(e.sequence(), now), actions);
       case ControlEvent.PeerConnected e -> tell(publisher.connected(e.peer()), actions);
       case ControlEvent.PeerLost e -> lose(e.peer(), now);
       case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
@@ -49,35 +52,56 @@
     return actions;
   }
 
+  /**
+   * Returns the number that orders to endpoints must carry, if this host may give any; it grows
+   * with each new leader.
+   */
+  public OptionalLong fencingNumber(Instant now) {
+    return agreement.fencingNumber(now);
+  }
+
+  /** Returns how this host stands in the agreement. */
+  public AgreementStatus agreement(Instant now) {
+    return agreement.status(now);
+  }
+
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
         self, state.configuration(), state.ledger().all(), List.copyOf(publisher.gateways()));
   }
 
-  private void submit(
-      ControlEvent.TicketSubmitted event, Instant now, List<ControlAction> actions) {
-    Revision before = state.configuration().revision();
-    TicketAnswer answer = answer(event.ticket(), now);
-    actions.add(new AnswerTicket(event.id(), answer));
-    if (state.configuration().revision().isAfter(before)) {
-      publisher.publish(state.configuration(), event.ticket().change());
-      actions.add(new Show(view()));
-    }
+  private void perform(List<AgreementAction> decided, List<ControlAction> actions) {
+    decided.forEach(action -> perform(action, actions));
   }
 
-  private TicketAnswer answer(Ticket ticket, Instant now) {
-    return switch (state.apply(new Command.AcceptTicket(ticket), now)) {
-      case Applied.TicketAnswered applied -> applied.answer();
-    };
+  private void perform(AgreementAction action, List<ControlAction> actions) {
+    switch (action) {
+      case AgreementAction.Tell a ->
+          actions.add(new TellPeer(a.to(), new PeerMessage.Consensus(a.message())));
+      case AgreementAction.Write a -> actions.add(new ControlAction.WriteJournal(a.write()));
+      case AgreementAction.Answer a -> answer(a.id(), a.outcome(), actions);
+      case AgreementAction.StateChanged a -> {
+        a.change()
+            .ifPresentOrElse(
+                change -> publisher.publish(a.configuration(), change),
+                () -> publisher.publish(a.configuration()));
+        changed = true;
+      }
+    }
   }
 
-  /** Returns the term in which this host leads; while nothing is replicated, since its start. */
-  private OptionalLong term(Instant now) {
-    if (firstTerm.isEmpty()) {
-      firstTerm = OptionalLong.of(now.toEpochMilli());
+  private void answer(RequestId id, CommandOutcome outcome, List<ControlAction> actions) {
+    switch (outcome) {
+      case CommandOutcome.Done done -> {
+        switch (done.result()) {
+          case Applied.TicketAnswered applied ->
+              actions.add(new AnswerTicket(id, applied.answer()));
+        }
+      }
+      case CommandOutcome.Failed failed ->
+          actions.add(new ControlAction.FailTicket(id, failed.failure()));
     }
-    return firstTerm;
   }
 
   private void lose(HostId peer, Instant now) {
@@ -92,6 +116,7 @@
         tell(publisher.hear(peer, m.message(), now), actions);
         changed = true;
       }
+      case PeerMessage.Consensus m -> perform(agreement.hear(peer, m.message(), now), actions);
       case PeerMessage.Limits m -> shares.hear(peer, m.message(), now, actions);
       case PeerMessage.Directory m -> {
         if (m.message() instanceof DirectoryMessage.Here) {
@@ -106,6 +131,7 @@
 
   /** Sends what is due, and shows operators what has changed since the last tick. */
   private void tick(Instant now, List<ControlAction> actions) {
+    perform(agreement.tick(now), actions);
     tell(publisher.tick(now), actions);
     if (changed) {
       changed = false;
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -490,6 +490,7 @@
         limits(now).hear(peer, m.message(), now);
         retryAwaited(now, actions);
       }
+      case PeerMessage.Consensus m -> {}
       case PeerMessage.Membership m -> peers.hear(peer, m.message(), now, actions);
     }
   }
