Send idempotent commands again to a new leader

A ticket forwarded to a leader that died was answered as unknown only after 6 s. It now goes to the leader of the next term, since a ticket applied twice has its first answer.

A replica that finds a leader replacing a committed entry stops; the test network takes that as a fault.

--- a/core/src/main/java/org/cuminwell/core/control/Agreement.java
+++ b/core/src/main/java/org/cuminwell/core/control/Agreement.java
@@ -153,7 +153,7 @@
     }
     for (Map.Entry<RequestId, PendingCommand> entry : List.copyOf(pending.entrySet())) {
       PendingCommand command = entry.getValue();
-      if (command.stage() instanceof Stage.Waiting) {
+      if (command.isReadyFor(replica.term())) {
         pass(leader.get(), entry.getKey(), command, now);
       }
     }
@@ -163,7 +163,7 @@
     if (leader.equals(self)) {
       run(new ReplicaEvent.Propose<>(id, command.command()), now);
     } else {
-      command.forwarded();
+      command.forwarded(replica.term());
       tell(leader, new AgreementMessage.Forward(id, command.command()));
     }
   }
@@ -216,17 +216,20 @@
 
   /** Answers whoever waits for the place of the entry. */
   private void settle(LogEntry<Command> entry, CommandOutcome outcome) {
-    Iterator<Map.Entry<RequestId, PendingCommand>> all = pending.entrySet().iterator();
-    while (all.hasNext()) {
-      Map.Entry<RequestId, PendingCommand> next = all.next();
+    for (Map.Entry<RequestId, PendingCommand> next : List.copyOf(pending.entrySet())) {
       if (next.getValue().stage() instanceof Stage.Placed place && place.index() == entry.index()) {
-        all.remove();
-        boolean same = place.term() == entry.term();
-        answer(next.getKey(), same ? outcome : next.getValue().displaced());
+        settle(next.getKey(), next.getValue(), place.term() == entry.term(), outcome);
       }
     }
   }
 
+  private void settle(RequestId id, PendingCommand command, boolean same, CommandOutcome outcome) {
+    if (same || !command.displaced()) {
+      pending.remove(id);
+      answer(id, same ? outcome : PendingCommand.unknown());
+    }
+  }
+
   private void restore(Snapshot<StateSnapshot> snapshot) {
     state.restore(snapshot.state());
     actions.add(new AgreementAction.StateChanged());
--- a/core/src/main/java/org/cuminwell/core/control/Command.java
+++ b/core/src/main/java/org/cuminwell/core/control/Command.java
@@ -12,4 +12,14 @@
 
   /** Asks to put a ticket in force under its number. */
   record AcceptTicket(Ticket ticket) implements Command {}
+
+  /**
+   * Returns whether applying the command twice gives the same state and result as once, so that it
+   * may be sent to a new leader while its fate with the old one is unknown.
+   */
+  default boolean isIdempotent() {
+    return switch (this) {
+      case AcceptTicket c -> true;
+    };
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/control/PendingCommand.java
+++ b/core/src/main/java/org/cuminwell/core/control/PendingCommand.java
@@ -16,8 +16,8 @@
     /** Waits for a leader; nobody else has seen it. */
     record Waiting() implements Stage {}
 
-    /** Was sent to a leader that has not answered. */
-    record Forwarded() implements Stage {}
+    /** Was sent to the leader of a term, who has not answered. */
+    record Forwarded(long term) implements Stage {}
 
     /** Has a place in a leader's log. */
     record Placed(long index, long term) implements Stage {}
@@ -45,9 +45,18 @@
     return !now.isBefore(deadline);
   }
 
-  void forwarded() {
+  /** Returns whether the command should be sent to the leader of the given term. */
+  boolean isReadyFor(long term) {
+    return switch (stage) {
+      case Stage.Waiting s -> true;
+      case Stage.Forwarded s -> s.term() < term && command.isIdempotent();
+      case Stage.Placed s -> false;
+    };
+  }
+
+  void forwarded(long term) {
     sent = true;
-    stage = new Stage.Forwarded();
+    stage = new Stage.Forwarded(term);
   }
 
   void placed(long index, long term) {
@@ -59,9 +68,16 @@
     stage = new Stage.Waiting();
   }
 
-  /** Returns the outcome when the entry at the command's place turned out to be another one. */
-  CommandOutcome displaced() {
-    return sent ? unknown() : notTaken("another control host took the lead");
+  /**
+   * Learns that another entry was committed at the command's place, and returns whether the command
+   * now waits for another place. If it was only ever at that place it can't be committed any more.
+   */
+  boolean displaced() {
+    if (sent && !command.isIdempotent()) {
+      return false;
+    }
+    stage = new Stage.Waiting();
+    return true;
   }
 
   /** Returns the outcome when no more can be learnt in time. */
--- a/core/src/test/java/org/cuminwell/core/control/AgreementNetwork.java
+++ b/core/src/test/java/org/cuminwell/core/control/AgreementNetwork.java
@@ -120,8 +120,13 @@
       return;
     }
     Agreement agreement = host.agreement;
-    event.apply(agreement).forEach(action -> perform(host, action));
-    history.observe(host, agreement, now);
+    try {
+      event.apply(agreement).forEach(action -> perform(host, action));
+      history.observe(host, agreement, now);
+    } catch (IllegalStateException e) {
+      history.fault(host.id + " stops: " + e.getMessage());
+      host.crash();
+    }
   }
 
   private void perform(AgreementHost host, AgreementAction action) {
