--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -3,10 +3,13 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.limit.Floors;
 import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
@@ -48,6 +51,21 @@
 
   @ParametersDelegate private final TlsFlags tls = new TlsFlags();
 
+  @Parameter(
+      names = "--floor-slots",
+      description =
+          "the most entry hosts that this data centre may have; the same on each of them. The part"
+              + " of limits that needs no control host is split over them")
+  private int floorSlots = Floors.DEFAULT_SLOTS;
+
+  @Parameter(
+      names = "--neighbour",
+      description = "peer HOST:PORT of gateways of this data centre, for a start while cut off")
+  private List<String> neighbour = new ArrayList<>();
+
+  @Parameter(names = "--data", description = "folder that keeps the last configuration on disk")
+  private String data = "";
+
   @Parameter(
       names = "--stop-timeout-s",
       description = "how long running requests may take after SIGTERM, in seconds")
@@ -73,9 +91,18 @@
             Settings.checked("--peer", peer, HostAddress::parse),
             0,
             false);
+    if (floorSlots < 1) {
+      throw new SettingException("--floor-slots", "must be 1 or more");
+    }
     if (stopTimeoutSeconds < 0) {
       throw new SettingException("--stop-timeout-s", "must be 0 or more");
     }
-    return new GatewaySettings(self, Settings.addresses("--control", control), tls.files());
+    return new GatewaySettings(
+        self,
+        floorSlots,
+        Settings.addresses("--control", control),
+        Settings.addresses("--neighbour", neighbour),
+        data.isEmpty() ? Optional.empty() : Optional.of(Settings.checked("--data", data, Path::of)),
+        tls.files());
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Agreement.java
+++ b/core/src/main/java/org/cuminwell/core/control/Agreement.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.consensus.DurableState;
 import org.cuminwell.core.consensus.EntryContent;
 import org.cuminwell.core.consensus.LogEntry;
@@ -21,6 +22,7 @@
 import org.cuminwell.core.control.PendingCommand.Stage;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Revision;
 
 /**
  * Brings submitted commands into the agreed order, from whichever control host they come, and keeps
@@ -205,15 +207,26 @@
   private void apply(LogEntry<Command> entry) {
     switch (entry.content()) {
       case EntryContent.Proposed<Command> c -> {
+        Revision before = state.configuration().revision();
         Applied result = state.apply(c.command(), entry.at());
+        if (state.configuration().revision().isAfter(before)) {
+          changed(c.command());
+        }
         settle(entry, new CommandOutcome.Done(result));
-        actions.add(new AgreementAction.StateChanged());
       }
       case EntryContent.NoOp<Command> c -> settle(entry, PendingCommand.unknown());
       case EntryContent.Admit<Command> c -> settle(entry, PendingCommand.unknown());
     }
   }
 
+  private void changed(Command command) {
+    Optional<ConfigurationChange> change =
+        switch (command) {
+          case Command.AcceptTicket c -> Optional.of(c.ticket().change());
+        };
+    actions.add(new AgreementAction.StateChanged(state.configuration(), change));
+  }
+
   /** Answers whoever waits for the place of the entry. */
   private void settle(LogEntry<Command> entry, CommandOutcome outcome) {
     for (Map.Entry<RequestId, PendingCommand> next : List.copyOf(pending.entrySet())) {
@@ -232,7 +245,7 @@
 
   private void restore(Snapshot<StateSnapshot> snapshot) {
     state.restore(snapshot.state());
-    actions.add(new AgreementAction.StateChanged());
+    actions.add(new AgreementAction.StateChanged(state.configuration(), Optional.empty()));
     Iterator<Map.Entry<RequestId, PendingCommand>> all = pending.entrySet().iterator();
     while (all.hasNext()) {
       Map.Entry<RequestId, PendingCommand> next = all.next();
--- a/core/src/main/java/org/cuminwell/core/control/AgreementAction.java
+++ b/core/src/main/java/org/cuminwell/core/control/AgreementAction.java
@@ -1,5 +1,8 @@
 package org.cuminwell.core.control;
 
+import java.util.Optional;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
@@ -16,6 +19,12 @@
   /** Answers who submitted a command here. */
   record Answer(RequestId id, CommandOutcome outcome) implements AgreementAction {}
 
-  /** Tells that the replicated state is another one now. */
-  record StateChanged() implements AgreementAction {}
+  /**
+   * Tells of a new configuration.
+   *
+   * @param change what led to it from the one before; empty if it was reached at once from an older
+   *     one
+   */
+  record StateChanged(Configuration configuration, Optional<ConfigurationChange> change)
+      implements AgreementAction {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -4,19 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.TreeMap;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.Show;
 import org.cuminwell.core.control.ControlAction.TellPeer;
-import org.cuminwell.core.control.ControlView.GatewayView;
 import org.cuminwell.core.directory.DirectoryMessage;
-import org.cuminwell.core.directory.HostDescription;
-import org.cuminwell.core.distribution.DistributionMessage;
-import org.cuminwell.core.limit.ShareGranter;
-import org.cuminwell.core.limit.ShareHolder;
+import org.cuminwell.core.distribution.Publisher;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
-import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.peer.Outgoing;
 import org.cuminwell.core.peer.PeerMessage;
 
 /**
@@ -29,29 +24,30 @@
   private final HostId self;
   private final Agreement agreement;
   private final ReplicatedState state;
-  private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
-  private Revision shown = Revision.ZERO;
-  private final ShareGranter shares = new ShareGranter();
+  private final ShareDuty shares = new ShareDuty();
+  private final Publisher publisher = new Publisher();
+  private boolean changed;
 
   /** Makes the state of a control host that takes part in the agreement. */
   public Control(HostId self, Agreement agreement) {
     this.self = self;
     this.agreement = agreement;
     this.state = agreement.state();
+    publisher.publish(state.configuration());
   }
 
   /** Returns what to do about the event, in order. */
   public List<ControlAction> handle(ControlEvent event, Instant now) {
     List<ControlAction> actions = new ArrayList<>();
-    grantShares(now, actions);
+    shares.step(fencingNumber(now), state.configuration(), now, actions);
     switch (event) {
       case ControlEvent.TicketSubmitted e ->
           perform(agreement.submit(e.id(), new Command.AcceptTicket(e.ticket()), now), actions);
       case ControlEvent.JournalSynced e -> perform(agreement.persisted(e.sequence(), now), actions);
-      case ControlEvent.PeerConnected e -> {}
-      case ControlEvent.PeerLost e -> lose(e.peer(), actions);
+      case ControlEvent.PeerConnected e -> tell(publisher.connected(e.peer()), actions);
+      case ControlEvent.PeerLost e -> lose(e.peer(), now);
       case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
-      case ControlEvent.Ticked e -> perform(agreement.tick(now), actions);
+      case ControlEvent.Ticked e -> tick(now, actions);
     }
     return actions;
   }
@@ -72,19 +68,11 @@
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
-        self, state.configuration(), state.ledger().all(), List.copyOf(gateways.values()));
+        self, state.configuration(), state.ledger().all(), List.copyOf(publisher.gateways()));
   }
 
   private void perform(List<AgreementAction> decided, List<ControlAction> actions) {
-    Revision before = shown;
     decided.forEach(action -> perform(action, actions));
-    if (state.configuration().revision().isAfter(before)) {
-      shown = state.configuration().revision();
-      gateways.values().stream()
-          .filter(GatewayView::connected)
-          .forEach(gateway -> actions.add(configurationFor(gateway.host().id())));
-      actions.add(new Show(view()));
-    }
   }
 
   private void perform(AgreementAction action, List<ControlAction> actions) {
@@ -93,7 +81,13 @@
           actions.add(new TellPeer(a.to(), new PeerMessage.Consensus(a.message())));
       case AgreementAction.Write a -> actions.add(new ControlAction.WriteJournal(a.write()));
       case AgreementAction.Answer a -> answer(a.id(), a.outcome(), actions);
-      case AgreementAction.StateChanged a -> {}
+      case AgreementAction.StateChanged a -> {
+        a.change()
+            .ifPresentOrElse(
+                change -> publisher.publish(a.configuration(), change),
+                () -> publisher.publish(a.configuration()));
+        actions.add(new Show(view()));
+      }
     }
   }
 
@@ -110,79 +104,42 @@
     }
   }
 
-  /** Grants shares while this host leads, in terms that only grow. */
-  private void grantShares(Instant now, List<ControlAction> actions) {
-    shares.configure(state.configuration());
-    OptionalLong term = fencingNumber(now);
-    if (term.isPresent()) {
-      tell(shares.lead(term.getAsLong(), now), actions);
-    } else {
-      shares.follow();
-    }
-    tell(shares.tick(now), actions);
-  }
-
-  private static void tell(List<ShareHolder.Addressed> messages, List<ControlAction> actions) {
-    messages.forEach(m -> actions.add(new TellPeer(m.to(), new PeerMessage.Limits(m.message()))));
-  }
-
-  private void lose(HostId peer, List<ControlAction> actions) {
+  private void lose(HostId peer, Instant now) {
     shares.lost(peer);
-    gateways.computeIfPresent(peer, (id, old) -> new GatewayView(old.host(), old.held(), false));
-    actions.add(new Show(view()));
+    publisher.lost(peer, now);
+    changed = true;
   }
 
   private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
     switch (message) {
-      case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
-      case PeerMessage.Directory m -> hear(peer, m.message(), actions);
-      case PeerMessage.Consensus m -> perform(agreement.hear(peer, m.message(), now), actions);
-      case PeerMessage.Limits m -> tell(shares.hear(peer, m.message(), now), actions);
-    }
-  }
-
-  private void hear(HostId peer, DistributionMessage message, List<ControlAction> actions) {
-    switch (message) {
-      case DistributionMessage.Held held -> {
-        gateways.computeIfPresent(
-            peer, (id, old) -> new GatewayView(old.host(), held.revision(), true));
-        if (state.configuration().revision().isAfter(held.revision())) {
-          actions.add(configurationFor(peer));
+      case PeerMessage.Distribution m -> {
+        tell(publisher.hear(peer, m.message(), now), actions);
+        changed = true;
+      }
+      case PeerMessage.Limits m -> shares.hear(peer, m.message(), now, actions);
+      case PeerMessage.Directory m -> {
+        if (m.message() instanceof DirectoryMessage.Here) {
+          shares.connected(peer, actions);
         }
-        actions.add(new Show(view()));
+        tell(publisher.hear(peer, m.message(), now), actions);
+        changed = true;
       }
-      case DistributionMessage.Full full -> {}
+      case PeerMessage.Consensus m -> perform(agreement.hear(peer, m.message(), now), actions);
+      case PeerMessage.Membership m -> {}
     }
   }
 
-  private void hear(HostId peer, DirectoryMessage message, List<ControlAction> actions) {
-    switch (message) {
-      case DirectoryMessage.Here here -> {
-        GatewayView old = gateways.get(peer);
-        Revision held = old == null ? Revision.ZERO : old.held();
-        gateways.put(peer, new GatewayView(here.host(), held, true));
-        tell(shares.connected(peer), actions);
-        tellDirectory(actions);
-        actions.add(new Show(view()));
-      }
-      case DirectoryMessage.Hosts hosts -> {}
+  /** Sends what is due, and shows operators what has changed since the last tick. */
+  private void tick(Instant now, List<ControlAction> actions) {
+    perform(agreement.tick(now), actions);
+    tell(publisher.tick(now), actions);
+    if (changed) {
+      changed = false;
+      actions.add(new Show(view()));
     }
   }
 
-  private void tellDirectory(List<ControlAction> actions) {
-    List<HostDescription> hosts = gateways.values().stream().map(GatewayView::host).toList();
-    gateways.values().stream()
-        .filter(GatewayView::connected)
-        .forEach(
-            gateway ->
-                actions.add(
-                    new TellPeer(
-                        gateway.host().id(),
-                        new PeerMessage.Directory(new DirectoryMessage.Hosts(hosts)))));
-  }
-
-  private TellPeer configurationFor(HostId gateway) {
-    return new TellPeer(
-        gateway, new PeerMessage.Distribution(new DistributionMessage.Full(state.configuration())));
+  private static void tell(List<Outgoing> messages, List<ControlAction> actions) {
+    messages.forEach(out -> actions.add(new TellPeer(out.peer(), out.message())));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.limit.LimitMessage;
+import org.cuminwell.core.membership.MembershipMessage;
 
 /** Is one message between two processes of the system, by subject. Immutable and thread safe. */
 public sealed interface PeerMessage {
@@ -19,4 +20,7 @@
 
   /** Concerns shares of customers' limits. */
   record Limits(LimitMessage message) implements PeerMessage {}
+
+  /** Concerns the endpoints of a data centre. */
+  record Membership(MembershipMessage message) implements PeerMessage {}
 }
--- a/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
@@ -41,6 +41,7 @@
       case PeerMessage.Directory m -> to.setDirectory(DirectoryCodec.toProto(m.message()));
       case PeerMessage.Consensus m -> to.setConsensus(ConsensusCodec.toProto(m.message()));
       case PeerMessage.Limits m -> to.setLimit(LimitCodec.toProto(m.message()));
+      case PeerMessage.Membership m -> to.setMembership(MembershipCodec.toProto(m.message()));
     }
   }
 
@@ -56,6 +57,8 @@
       case CONSENSUS ->
           message(new PeerMessage.Consensus(ConsensusCodec.fromProto(from.getConsensus())));
       case LIMIT -> message(new PeerMessage.Limits(LimitCodec.fromProto(from.getLimit())));
+      case MEMBERSHIP ->
+          message(new PeerMessage.Membership(MembershipCodec.fromProto(from.getMembership())));
       case KIND_NOT_SET -> throw new WireFormatException("frame without a kind");
     };
   }
