--- a/core/src/main/java/org/cuminwell/core/control/Agreement.java
+++ b/core/src/main/java/org/cuminwell/core/control/Agreement.java
@@ -22,6 +22,7 @@
 import org.cuminwell.core.control.PendingCommand.Stage;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Revision;
 
 /**
  * Brings submitted commands into the agreed order, from whichever control host they come, and keeps
@@ -154,7 +155,7 @@
     }
     for (Map.Entry<RequestId, PendingCommand> entry : List.copyOf(pending.entrySet())) {
       PendingCommand command = entry.getValue();
-      if (command.stage() instanceof Stage.Waiting) {
+      if (command.isReadyFor(replica.term())) {
         pass(leader.get(), entry.getKey(), command, now);
       }
     }
@@ -164,7 +165,7 @@
     if (leader.equals(self)) {
       run(new ReplicaEvent.Propose<>(id, command.command()), now);
     } else {
-      command.forwarded();
+      command.forwarded(replica.term());
       tell(leader, new AgreementMessage.Forward(id, command.command()));
     }
   }
@@ -206,32 +207,40 @@
   private void apply(LogEntry<Command> entry) {
     switch (entry.content()) {
       case EntryContent.Proposed<Command> c -> {
+        Revision before = state.configuration().revision();
         Applied result = state.apply(c.command(), entry.at());
+        if (state.configuration().revision().isAfter(before)) {
+          changed(c.command());
+        }
         settle(entry, new CommandOutcome.Done(result));
-        actions.add(new AgreementAction.StateChanged(state.configuration(), changeOf(c.command())));
       }
       case EntryContent.NoOp<Command> c -> settle(entry, PendingCommand.unknown());
       case EntryContent.Admit<Command> c -> settle(entry, PendingCommand.unknown());
     }
   }
 
+  private void changed(Command command) {
+    Optional<ConfigurationChange> change =
+        switch (command) {
+          case Command.AcceptTicket c -> Optional.of(c.ticket().change());
+        };
+    actions.add(new AgreementAction.StateChanged(state.configuration(), change));
+  }
+
   /** Answers whoever waits for the place of the entry. */
   private void settle(LogEntry<Command> entry, CommandOutcome outcome) {
-    Iterator<Map.Entry<RequestId, PendingCommand>> all = pending.entrySet().iterator();
-    while (all.hasNext()) {
-      Map.Entry<RequestId, PendingCommand> next = all.next();
+    for (Map.Entry<RequestId, PendingCommand> next : List.copyOf(pending.entrySet())) {
       if (next.getValue().stage() instanceof Stage.Placed place && place.index() == entry.index()) {
-        all.remove();
-        boolean same = place.term() == entry.term();
-        answer(next.getKey(), same ? outcome : next.getValue().displaced());
+        settle(next.getKey(), next.getValue(), place.term() == entry.term(), outcome);
       }
     }
   }
 
-  private static Optional<ConfigurationChange> changeOf(Command command) {
-    return switch (command) {
-      case Command.AcceptTicket accept -> Optional.of(accept.ticket().change());
-    };
+  private void settle(RequestId id, PendingCommand command, boolean same, CommandOutcome outcome) {
+    if (same || !command.displaced()) {
+      pending.remove(id);
+      answer(id, same ? outcome : PendingCommand.unknown());
+    }
   }
 
   private void restore(Snapshot<StateSnapshot> snapshot) {
--- a/core/src/main/java/org/cuminwell/core/control/AgreementAction.java
+++ b/core/src/main/java/org/cuminwell/core/control/AgreementAction.java
@@ -20,10 +20,10 @@
   record Answer(RequestId id, CommandOutcome outcome) implements AgreementAction {}
 
   /**
-   * Tells that a command was applied or a snapshot taken in.
+   * Tells of a new configuration.
    *
-   * @param configuration the configuration that is in force now
-   * @param change the change that the command asked for; empty if the way here is not known
+   * @param change what led to it from the one before; empty if it was reached at once from an older
+   *     one
    */
   record StateChanged(Configuration configuration, Optional<ConfigurationChange> change)
       implements AgreementAction {}
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -86,7 +86,7 @@
             .ifPresentOrElse(
                 change -> publisher.publish(a.configuration(), change),
                 () -> publisher.publish(a.configuration()));
-        changed = true;
+        actions.add(new Show(view()));
       }
     }
   }
--- a/shell/src/test/java/org/cuminwell/shell/gateway/CutOffStartTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/CutOffStartTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.limit.Floors;
 import org.cuminwell.core.model.DataCentreId;
@@ -20,6 +21,7 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Place;
 import org.cuminwell.core.model.RegionId;
+import org.cuminwell.shell.control.AgreementSettings;
 import org.cuminwell.shell.control.ControlProcess;
 import org.cuminwell.shell.control.ControlSettings;
 import org.junit.jupiter.api.AfterEach;
@@ -122,8 +124,11 @@
     }
   }
 
-  private static ControlSettings control(HostAddress operators, HostAddress peer) {
-    return new ControlSettings(new HostId("c0"), operators, peer, List.of(peer), Optional.empty());
+  private ControlSettings control(HostAddress operators, HostAddress peer) {
+    HostId self = new HostId("c0");
+    AgreementSettings agreement =
+        new AgreementSettings(folder.resolve("control"), Set.of(self), true);
+    return new ControlSettings(self, operators, peer, List.of(peer), agreement, Optional.empty());
   }
 
   private static GatewaySettings settings(HostDescription self, HostAddress control) {
