Claim calls with an Idempotency-Key before they are sent

A resend of a call that must not run twice could run it again at another gateway, since no gateway knew of the other's call. A call with an Idempotency-Key is now claimed under customer, route and key in the replicated log before it is sent; a resend gets the kept answer, 'in progress' or a true 'may have run'. A claim is given back only where its call certainly has not run.

--- a/core/src/main/java/org/cuminwell/core/control/Applied.java
+++ b/core/src/main/java/org/cuminwell/core/control/Applied.java
@@ -1,5 +1,7 @@
 package org.cuminwell.core.control;
 
+import org.cuminwell.core.idempotency.ClaimAnswer;
+import org.cuminwell.core.idempotency.ClaimId;
 import org.cuminwell.core.ticket.TicketAnswer;
 
 /** Is the result of applying one command. Immutable and thread safe. */
@@ -7,4 +9,7 @@
 
   /** Answers a {@link Command.AcceptTicket}. */
   record TicketAnswered(TicketAnswer answer) implements Applied {}
+
+  /** Answers a {@link Command.ChangeClaim}. */
+  record ClaimAnswered(ClaimId id, ClaimAnswer answer) implements Applied {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/Command.java
+++ b/core/src/main/java/org/cuminwell/core/control/Command.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.control;
 
+import org.cuminwell.core.idempotency.ClaimChange;
 import org.cuminwell.core.ticket.Ticket;
 
 /**
@@ -12,4 +13,7 @@
 
   /** Asks to put a ticket in force under its number. */
   record AcceptTicket(Ticket ticket) implements Command {}
+
+  /** Asks to change the claim on a key. */
+  record ChangeClaim(ClaimChange change) implements Command {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.Show;
@@ -11,6 +12,7 @@
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.idempotency.IdempotencyMessage;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.peer.PeerMessage;
@@ -38,9 +40,9 @@
     List<ControlAction> actions = new ArrayList<>();
     switch (event) {
       case ControlEvent.TicketSubmitted e -> submit(e, now, actions);
-      case ControlEvent.PeerConnected e -> {}
+      case ControlEvent.PeerConnected e -> greet(e.peer(), actions);
       case ControlEvent.PeerLost e -> lose(e.peer(), actions);
-      case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), actions);
+      case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
       case ControlEvent.Ticked e -> {}
     }
     return actions;
@@ -68,6 +70,8 @@
   private TicketAnswer answer(Ticket ticket, Instant now) {
     return switch (state.apply(new Command.AcceptTicket(ticket), now)) {
       case Applied.TicketAnswered applied -> applied.answer();
+      case Applied.ClaimAnswered applied ->
+          throw new IllegalStateException("a ticket can't answer claim " + applied.id());
     };
   }
 
@@ -76,10 +80,15 @@
     actions.add(new Show(view()));
   }
 
-  private void hear(HostId peer, PeerMessage message, List<ControlAction> actions) {
+  private void greet(HostId peer, List<ControlAction> actions) {
+    actions.add(tell(peer, new IdempotencyMessage.Led(Optional.of(self))));
+  }
+
+  private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
     switch (message) {
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(peer, m.message(), actions);
+      case PeerMessage.Idempotency m -> hear(m.message(), now, actions);
     }
   }
 
@@ -110,6 +119,22 @@
     }
   }
 
+  private void hear(IdempotencyMessage message, Instant now, List<ControlAction> actions) {
+    switch (message) {
+      case IdempotencyMessage.Asked asked -> {
+        if (state.apply(new Command.ChangeClaim(asked.change()), now)
+            instanceof Applied.ClaimAnswered applied) {
+          actions.add(
+              tell(
+                  applied.id().gateway(),
+                  new IdempotencyMessage.Answered(applied.id(), applied.answer())));
+        }
+      }
+      case IdempotencyMessage.Answered answered -> {}
+      case IdempotencyMessage.Led led -> {}
+    }
+  }
+
   private void tellDirectory(List<ControlAction> actions) {
     List<HostDescription> hosts = gateways.values().stream().map(GatewayView::host).toList();
     gateways.values().stream()
@@ -122,6 +147,10 @@
                         new PeerMessage.Directory(new DirectoryMessage.Hosts(hosts)))));
   }
 
+  private static TellPeer tell(HostId peer, IdempotencyMessage message) {
+    return new TellPeer(peer, new PeerMessage.Idempotency(message));
+  }
+
   private TellPeer configurationFor(HostId gateway) {
     return new TellPeer(
         gateway, new PeerMessage.Distribution(new DistributionMessage.Full(state.configuration())));
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.idempotency.ClaimBook;
 import org.cuminwell.core.ticket.TicketLedger;
 
 /**
@@ -14,6 +15,7 @@
 public final class ReplicatedState {
 
   private final TicketLedger ledger;
+  private final ClaimBook claims = new ClaimBook();
 
   /** Makes the state before any command. */
   public ReplicatedState() {
@@ -33,6 +35,8 @@
   public Applied apply(Command command, Instant at) {
     return switch (command) {
       case Command.AcceptTicket c -> new Applied.TicketAnswered(ledger.apply(c.ticket(), at));
+      case Command.ChangeClaim c ->
+          new Applied.ClaimAnswered(c.change().id(), claims.apply(c.change(), at));
     };
   }
 
--- a/core/src/main/java/org/cuminwell/core/gateway/CallBody.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/CallBody.java
@@ -1,5 +1,7 @@
 package org.cuminwell.core.gateway;
 
+import java.util.Optional;
+import org.cuminwell.core.idempotency.IdempotentCall;
 import org.cuminwell.core.model.RequestId;
 
 /** Holds what decisions need of a request's body; the bytes stay with the front end. */
@@ -22,6 +24,13 @@
    * Holds the parts of a plain call.
    *
    * @param bytes the length of the body, in bytes
+   * @param idempotent the caller's Idempotency-Key with what it stands for, if there is one
    */
-  record Plain(RequestId id, long bytes) implements CallBody {}
+  record Plain(RequestId id, long bytes, Optional<IdempotentCall> idempotent) implements CallBody {
+
+    /** Holds the parts of a call without an Idempotency-Key. */
+    public Plain(RequestId id, long bytes) {
+      this(id, bytes, Optional.empty());
+    }
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -21,6 +21,11 @@
 import org.cuminwell.core.gateway.GatewayAction.SendToEndpoint;
 import org.cuminwell.core.gateway.GatewayAction.Stopped;
 import org.cuminwell.core.gateway.GatewayAction.TellPeer;
+import org.cuminwell.core.idempotency.ClaimKey;
+import org.cuminwell.core.idempotency.ClaimStep;
+import org.cuminwell.core.idempotency.ClaimTracker;
+import org.cuminwell.core.idempotency.IdempotentCall;
+import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.limit.CustomerLimits;
 import org.cuminwell.core.membership.EndpointTable;
 import org.cuminwell.core.model.Customer;
@@ -32,6 +37,7 @@
 import org.cuminwell.core.model.Route;
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.Usage;
+import org.cuminwell.core.model.Verdict;
 import org.cuminwell.core.peer.PeerMessage;
 import org.cuminwell.core.residency.Residency;
 import org.cuminwell.core.retry.RetryPolicy;
@@ -56,6 +62,7 @@
   private final EndpointTable endpoints = new EndpointTable();
   private final CustomerLimits limits = new CustomerLimits();
   private final Router router = new Router();
+  private final ClaimTracker claims;
   private final RetryPolicy retryPolicy = RetryPolicy.DEFAULT;
   private final Map<RequestId, RunningCall> calls = new HashMap<>();
   private boolean stopping;
@@ -63,6 +70,7 @@
   /** Makes the state of the gateway that {@code self} describes. */
   public Gateway(HostDescription self) {
     this.self = self;
+    claims = new ClaimTracker(self.id());
     directory.learn(List.of(self));
   }
 
@@ -75,18 +83,19 @@
       case GatewayEvent.CallDropped e -> calls.remove(e.id());
       case GatewayEvent.AnswerBegan e -> answerBegan(e, now);
       case GatewayEvent.AttemptEnded e -> attemptEnded(e, now, actions);
+      case GatewayEvent.AnswerKept e -> keep(e);
       case GatewayEvent.ModelsAsked e -> listModels(e, actions);
       case GatewayEvent.EntryHostsAsked e -> listEntryHosts(e, actions);
       case GatewayEvent.EndpointAnnounced e -> endpoints.announce(e.announcement(), now);
       case GatewayEvent.EndpointReported e -> endpoints.report(e.report());
       case GatewayEvent.EndpointLeft e -> endpoints.leave(e.endpoint(), e.incarnation());
       case GatewayEvent.PeerConnected e -> greet(e.peer(), actions);
-      case GatewayEvent.PeerLost e -> {}
-      case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), actions);
-      case GatewayEvent.Ticked e -> endpoints.expire(now);
+      case GatewayEvent.PeerLost e -> claims.lost(e.peer());
+      case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
+      case GatewayEvent.Ticked e -> tick(now, actions);
       case GatewayEvent.StopAsked e -> stopping = true;
     }
-    if (stopping && calls.isEmpty()) {
+    if (stopping && calls.isEmpty() && claims.isSettled()) {
       actions.add(new Stopped());
     }
     return actions;
@@ -226,7 +235,66 @@
           actions);
       return;
     }
-    attempt(call, now, actions);
+    begin(call, body, now, actions);
+  }
+
+  /** Sends the call, or claims its key first where it must not run twice. */
+  private void begin(RunningCall call, CallBody body, Instant now, List<GatewayAction> actions) {
+    Optional<IdempotentCall> claim =
+        switch (body) {
+          case CallBody.Completion c -> Optional.empty();
+          case CallBody.Plain p -> p.idempotent().filter(_ -> !call.isIdempotent());
+        };
+    if (claim.isEmpty()) {
+      attempt(call, now, actions);
+      return;
+    }
+    ClaimKey key = new ClaimKey(call.customer().id(), call.route().id(), claim.get().key());
+    Duration runLimit = Duration.between(now, call.deadline());
+    claimed(claims.ask(call.id(), key, claim.get().fingerprint(), runLimit, now), now, actions);
+  }
+
+  private void claimed(List<ClaimStep> steps, Instant now, List<GatewayAction> actions) {
+    for (ClaimStep step : steps) {
+      switch (step) {
+        case ClaimStep.Tell s ->
+            actions.add(new TellPeer(s.control(), new PeerMessage.Idempotency(s.message())));
+        case ClaimStep.Proceed s -> proceed(s.request(), now, actions);
+        case ClaimStep.Replay s -> replay(s, now, actions);
+        case ClaimStep.Refuse s -> {
+          RunningCall call = calls.get(s.request());
+          if (call != null) {
+            limits.settle(call.customer(), call.estimate(), 0, now);
+            refuse(call, s.failure(), now, actions);
+          }
+        }
+      }
+    }
+  }
+
+  private void proceed(RequestId id, Instant now, List<GatewayAction> actions) {
+    RunningCall call = calls.get(id);
+    if (call == null) {
+      claimed(claims.notRun(id, now), now, actions);
+    } else if (now.isBefore(call.deadline())) {
+      attempt(call, now, actions);
+    } else {
+      limits.settle(call.customer(), call.estimate(), 0, now);
+      refuse(
+          call,
+          Failure.notRun(ErrorCode.DEADLINE_EXCEEDED, "the claim took too long; try again"),
+          now,
+          actions);
+    }
+  }
+
+  private void replay(ClaimStep.Replay step, Instant now, List<GatewayAction> actions) {
+    RunningCall call = calls.remove(step.request());
+    if (call != null) {
+      limits.settle(call.customer(), call.estimate(), 0, now);
+      actions.add(new GatewayAction.Replay(call.id(), step.answer()));
+      actions.add(new Count(call.id(), call.record(now, Usage.NONE, Optional.empty())));
+    }
   }
 
   private Optional<Route> routeOf(CallHead.Target target, CallBody body) {
@@ -285,6 +353,13 @@
     }
   }
 
+  private void keep(GatewayEvent.AnswerKept event) {
+    RunningCall call = calls.get(event.id());
+    if (call != null && call.attempts() == event.attempt()) {
+      call.keep(event.outcome());
+    }
+  }
+
   private void attemptEnded(
       GatewayEvent.AttemptEnded event, Instant now, List<GatewayAction> actions) {
     RunningCall call = calls.get(event.id());
@@ -294,7 +369,10 @@
     call.endpoint().ifPresent(endpoint -> router.ended(endpoint.endpoint()));
     switch (event.end()) {
       case AttemptEnd.Completed end -> finish(call, end.usage(), Optional.empty(), now, actions);
-      case AttemptEnd.CallerLeft end -> finish(call, end.used(), Optional.empty(), now, actions);
+      case AttemptEnd.CallerLeft end -> {
+        claimed(claims.ended(call.id(), new Outcome.Unknown(), now), now, actions);
+        finish(call, end.used(), Optional.empty(), now, actions);
+      }
       case AttemptEnd.Failed end -> attemptFailed(call, end, now, actions);
     }
   }
@@ -332,16 +410,34 @@
           case Service.Plain p -> PLAIN_CALL_TOKENS;
         };
     limits.settle(call.customer(), call.estimate(), used, now);
+    claimed(settleClaim(call, failure, now), now, actions);
     actions.add(new Count(call.id(), call.record(now, usage, failure)));
   }
 
-  /** Ends a request that was never sent. */
+  private List<ClaimStep> settleClaim(RunningCall call, Optional<Failure> failure, Instant now) {
+    if (failure.isEmpty()) {
+      return claims.ended(call.id(), call.completed(), now);
+    }
+    return switch (failure.get().verdict()) {
+      case Verdict.NotRun v -> claims.notRun(call.id(), now);
+      case Verdict.MayHaveRun v -> claims.ended(call.id(), new Outcome.Unknown(), now);
+      case Verdict.Ran v -> claims.ended(call.id(), new Outcome.AnswerLost(), now);
+    };
+  }
+
+  /** Ends a request that certainly has not run. */
   private void refuse(RunningCall call, Failure failure, Instant now, List<GatewayAction> actions) {
     calls.remove(call.id());
+    claimed(claims.notRun(call.id(), now), now, actions);
     actions.add(new Refuse(call.id(), failure));
     actions.add(new Count(call.id(), call.record(now, Usage.NONE, Optional.of(failure))));
   }
 
+  private void tick(Instant now, List<GatewayAction> actions) {
+    endpoints.expire(now);
+    claimed(claims.tick(now), now, actions);
+  }
+
   private void listModels(GatewayEvent.ModelsAsked event, List<GatewayAction> actions) {
     if (event.key().flatMap(configuration.index()::customerByKey).isEmpty()) {
       actions.add(new Refuse(event.id(), keyFailure(event.key())));
@@ -382,10 +478,11 @@
     actions.add(tell(peer, new DistributionMessage.Held(configuration.revision())));
   }
 
-  private void hear(HostId peer, PeerMessage message, List<GatewayAction> actions) {
+  private void hear(HostId peer, PeerMessage message, Instant now, List<GatewayAction> actions) {
     switch (message) {
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(m.message());
+      case PeerMessage.Idempotency m -> claimed(claims.hear(peer, m.message(), now), now, actions);
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
@@ -24,6 +25,9 @@
       RequestId id, int attempt, EndpointId endpoint, HostAddress address, Duration timeout)
       implements GatewayAction {}
 
+  /** Answers a resent call with what the first one was answered. */
+  record Replay(RequestId id, Outcome.Answered answer) implements GatewayAction {}
+
   /** Answers with the names of the models. */
   record AnswerModels(RequestId id, List<String> models) implements GatewayAction {
     /** Copies the list. */
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayEvent.java
@@ -1,6 +1,7 @@
 package org.cuminwell.core.gateway;
 
 import java.util.Optional;
+import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.membership.LoadReport;
 import org.cuminwell.core.model.EndpointId;
@@ -28,6 +29,9 @@
   /** An attempt at an endpoint has ended. */
   record AttemptEnded(RequestId id, int attempt, AttemptEnd end) implements GatewayEvent {}
 
+  /** The whole answer to a call with an Idempotency-Key has come; its attempt ends next. */
+  record AnswerKept(RequestId id, int attempt, Outcome outcome) implements GatewayEvent {}
+
   /** A caller asks which models there are. */
   record ModelsAsked(RequestId id, Optional<KeyHash> key) implements GatewayEvent {}
 
--- a/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.model.Customer;
 import org.cuminwell.core.model.EndpointId;
@@ -13,6 +14,7 @@
 import org.cuminwell.core.model.Route;
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.Usage;
+import org.cuminwell.core.residency.Residency;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,6 +31,7 @@
   private @Nullable Route route;
   private @Nullable Announcement endpoint;
   private @Nullable Instant firstByteAt;
+  private @Nullable Outcome kept;
   private long estimate;
   private int attempts;
 
@@ -101,6 +104,24 @@
     return firstByteAt != null;
   }
 
+  /** Keeps the answer of the attempt that is under way, for resends. */
+  void keep(Outcome outcome) {
+    kept = outcome;
+  }
+
+  /**
+   * Returns what resends are told once the call has completed.
+   *
+   * <p>Control hosts stand in every region, so the body of a bound call's answer is not kept there.
+   */
+  Outcome completed() {
+    if (kept == null) {
+      return new Outcome.AnswerLost();
+    }
+    boolean bound = Residency.of(customer, route()).regionsIfBound().isPresent();
+    return bound && kept instanceof Outcome.Answered answered ? answered.withoutBody() : kept;
+  }
+
   /** Returns whether running the request twice does no harm. */
   boolean isIdempotent() {
     return switch (head.target()) {
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/idempotency/Fingerprint.java
@@ -0,0 +1,52 @@
+package org.cuminwell.core.idempotency;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * Tells calls of different content apart, so that a key which is used for another call is noticed.
+ *
+ * <p>Invariant: {@code hex} is 64 lower-case hexadecimal digits. Immutable and thread safe.
+ */
+public record Fingerprint(String hex) {
+
+  private static final int HEX_DIGITS = 64;
+
+  /**
+   * Checks the digest.
+   *
+   * @throws IllegalArgumentException if {@code hex} has another form
+   */
+  public Fingerprint {
+    boolean digits = hex.chars().allMatch(c -> (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'));
+    if (hex.length() != HEX_DIGITS || !digits) {
+      throw new IllegalArgumentException("fingerprint must be 64 lower-case hexadecimal digits");
+    }
+  }
+
+  /** Returns the fingerprint of a call: its method, its path with query, and its body. */
+  public static Fingerprint of(String method, String path, byte[] body) {
+    MessageDigest digest = sha256();
+    add(digest, method.getBytes(StandardCharsets.UTF_8));
+    add(digest, path.getBytes(StandardCharsets.UTF_8));
+    add(digest, body);
+    return new Fingerprint(HexFormat.of().formatHex(digest.digest()));
+  }
+
+  /** Adds a part with its length, so that no two lists of parts give the same input. */
+  private static void add(MessageDigest digest, byte[] part) {
+    digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).flip());
+    digest.update(part);
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/idempotency/IdempotencyKey.java
@@ -0,0 +1,33 @@
+package org.cuminwell.core.idempotency;
+
+/**
+ * Holds the key by which a caller marks the resends of one call.
+ *
+ * <p>Invariant: {@code value} is 1 to {@link #MAX_LENGTH} printable ASCII characters. Immutable and
+ * thread safe.
+ */
+public record IdempotencyKey(String value) {
+
+  /** The length of the longest key, in characters. */
+  public static final int MAX_LENGTH = 128;
+
+  /**
+   * Checks the key.
+   *
+   * @throws IllegalArgumentException if the key is empty, too long or holds other characters
+   */
+  public IdempotencyKey {
+    boolean printable = value.chars().allMatch(c -> c > ' ' && c < 0x7f);
+    if (value.isEmpty() || value.length() > MAX_LENGTH || !printable) {
+      throw new IllegalArgumentException(
+          "Idempotency-Key must be 1 to "
+              + MAX_LENGTH
+              + " printable ASCII characters without spaces");
+    }
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/model/ErrorCode.java
+++ b/core/src/main/java/org/cuminwell/core/model/ErrorCode.java
@@ -2,6 +2,7 @@
 
 /** Names each way in which a request can fail, with the HTTP status that callers see. */
 public enum ErrorCode {
+  ANSWER_NOT_KEPT("answer_not_kept", 409),
   BAD_REQUEST("bad_request", 400),
   BODY_TOO_LARGE("body_too_large", 413),
   BUSY("busy", 503),
@@ -16,6 +17,7 @@
   NO_ENDPOINT("no_endpoint", 503),
   NO_QUORUM("no_quorum", 503),
   NOT_READY("not_ready", 503),
+  OUTCOME_UNKNOWN("outcome_unknown", 409),
   RATE_LIMITED("rate_limited", 429),
   STOPPING("stopping", 503),
   SUSPENDED("request_suspended", 422),
--- a/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.idempotency.IdempotencyMessage;
 
 /** Is one message between two processes of the system, by subject. Immutable and thread safe. */
 public sealed interface PeerMessage {
@@ -11,4 +12,7 @@
 
   /** Concerns the entry hosts. */
   record Directory(DirectoryMessage message) implements PeerMessage {}
+
+  /** Concerns calls that must not run twice. */
+  record Idempotency(IdempotencyMessage message) implements PeerMessage {}
 }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/CallerFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/CallerFront.java
@@ -8,16 +8,22 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpMethods;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.gateway.CallBody;
 import org.cuminwell.core.gateway.CallHead;
 import org.cuminwell.core.gateway.GatewayEvent;
+import org.cuminwell.core.idempotency.Fingerprint;
+import org.cuminwell.core.idempotency.IdempotencyKey;
+import org.cuminwell.core.idempotency.IdempotentCall;
+import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.KeyHash;
@@ -41,6 +47,7 @@
   private static final String MODELS = "/v1/models";
   private static final String ENTRY_HOSTS = "/v1/entry-hosts";
   private static final String HOP_HEADER = "Cuminwell-Hop";
+  private static final String REPLAYED_HEADER = "Idempotency-Replayed";
   private static final String ROUTE_HEADER = "Cuminwell-Route";
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -86,6 +93,16 @@
     call.fail(failure);
   }
 
+  /** Answers a resent call with the answer that was kept of the first one. */
+  void replay(PendingCall call, Outcome.Answered answer) {
+    call.succeed(
+        HttpResponse.create()
+            .withStatus(StatusCodes.get(answer.status()))
+            .addHeader(RawHeader.create(REPLAYED_HEADER, "true"))
+            .addHeader(RawHeader.create(HttpAnswers.REQUEST_ID_HEADER, call.id().value()))
+            .withEntity(ContentTypes.parse(answer.contentType()), answer.body().toArray()));
+  }
+
   void answerModels(PendingCall call, List<String> models) {
     ObjectNode root = MAPPER.createObjectNode();
     root.put("object", "list");
@@ -172,8 +189,7 @@
 
   private void bodyRead(PendingCall call, ByteString bytes) {
     if (!call.request().getUri().path().equals(COMPLETIONS)) {
-      call.read(bytes, false);
-      events.force(new GatewayEvent.CallRead(new CallBody.Plain(call.id(), bytes.size())));
+      plainRead(call, bytes);
       return;
     }
     try {
@@ -185,6 +201,25 @@
     }
   }
 
+  private void plainRead(PendingCall call, ByteString bytes) {
+    try {
+      Optional<IdempotentCall> idempotent =
+          call.idempotencyKey()
+              .map(IdempotencyKey::new)
+              .map(key -> new IdempotentCall(key, fingerprint(call.request(), bytes)));
+      call.read(bytes, false);
+      events.force(
+          new GatewayEvent.CallRead(new CallBody.Plain(call.id(), bytes.size(), idempotent)));
+    } catch (IllegalArgumentException e) {
+      drop(call, Failure.notRun(ErrorCode.BAD_REQUEST, String.valueOf(e.getMessage())));
+    }
+  }
+
+  private static Fingerprint fingerprint(HttpRequest request, ByteString body) {
+    String path = request.getUri().getPathString() + OutgoingHeaders.query(request);
+    return Fingerprint.of(request.method().value(), path, body.toArray());
+  }
+
   private void drop(PendingCall call, Failure failure) {
     call.fail(failure);
     calls.remove(call.id());
--- a/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
@@ -24,6 +24,7 @@
 import org.cuminwell.core.gateway.AttemptEnd;
 import org.cuminwell.core.gateway.GatewayAction.SendToEndpoint;
 import org.cuminwell.core.gateway.GatewayEvent;
+import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.Usage;
@@ -163,10 +164,23 @@
                       .addHeaders(headers)
                       .addHeader(RawHeader.create(HttpAnswers.REQUEST_ID_HEADER, call.id().value()))
                       .withEntity(HttpEntities.create(response.entity().getContentType(), body)));
+              keep(call, attempt, response, body);
               ended(attempt, new AttemptEnd.Completed(Usage.NONE));
             });
   }
 
+  private void keep(
+      PendingCall call, SendToEndpoint attempt, HttpResponse response, ByteString body) {
+    if (call.idempotencyKey().isPresent()) {
+      Outcome outcome =
+          Outcome.answered(
+              response.status().intValue(),
+              response.entity().getContentType().toString(),
+              body.toArray());
+      events.accept(new GatewayEvent.AnswerKept(attempt.id(), attempt.attempt(), outcome));
+    }
+  }
+
   private CompletionStage<ByteString> strict(HttpResponse response, Duration timeout) {
     return response
         .entity()
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -130,6 +130,7 @@
       case GatewayAction.ReadBody a -> calls.with(a.id(), callers::readBody);
       case GatewayAction.Refuse a -> end(a.id(), call -> callers.refuse(call, a.failure()));
       case GatewayAction.SendToEndpoint a -> calls.with(a.id(), call -> endpoints.send(call, a));
+      case GatewayAction.Replay a -> end(a.id(), call -> callers.replay(call, a.answer()));
       case GatewayAction.AnswerModels a ->
           end(a.id(), call -> callers.answerModels(call, a.models()));
       case GatewayAction.AnswerEntryHosts a ->
--- a/shell/src/main/java/org/cuminwell/shell/gateway/PendingCall.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/PendingCall.java
@@ -1,6 +1,8 @@
 package org.cuminwell.shell.gateway;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.util.ByteString;
@@ -15,6 +17,8 @@
  */
 final class PendingCall {
 
+  private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
   private final RequestId id;
   private final HttpRequest request;
   private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
@@ -52,6 +56,11 @@
     stream = streamed;
   }
 
+  /** Returns the caller's Idempotency-Key, as it stands in the header. */
+  Optional<String> idempotencyKey() {
+    return request.getHeader(IDEMPOTENCY_KEY).map(HttpHeader::value).map(String::strip);
+  }
+
   void succeed(HttpResponse response) {
     answer.complete(response);
   }
--- /dev/null
+++ b/wire/src/main/java/org/cuminwell/wire/IdempotencyCodec.java
@@ -0,0 +1,166 @@
+package org.cuminwell.wire;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.Optional;
+import org.cuminwell.core.idempotency.AnswerBytes;
+import org.cuminwell.core.idempotency.ClaimAnswer;
+import org.cuminwell.core.idempotency.ClaimChange;
+import org.cuminwell.core.idempotency.ClaimId;
+import org.cuminwell.core.idempotency.ClaimKey;
+import org.cuminwell.core.idempotency.Fingerprint;
+import org.cuminwell.core.idempotency.IdempotencyKey;
+import org.cuminwell.core.idempotency.IdempotencyMessage;
+import org.cuminwell.core.idempotency.Outcome;
+import org.cuminwell.core.model.CustomerId;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.RouteId;
+import org.cuminwell.wire.generated.ClaimAnswer.Empty;
+import org.cuminwell.wire.generated.ClaimOutcome;
+
+/**
+ * Maps claims to protobuf and back. Methods that read throw {@link IllegalArgumentException} for
+ * values that the core refuses. Stateless and thread safe.
+ */
+final class IdempotencyCodec {
+
+  private IdempotencyCodec() {}
+
+  static org.cuminwell.wire.generated.IdempotencyMessage toProto(IdempotencyMessage from) {
+    var to = org.cuminwell.wire.generated.IdempotencyMessage.newBuilder();
+    switch (from) {
+      case IdempotencyMessage.Asked m -> to.setAsked(toProto(m.change()));
+      case IdempotencyMessage.Answered m ->
+          to.getAnsweredBuilder().setId(toProto(m.id())).setAnswer(toProto(m.answer()));
+      case IdempotencyMessage.Led m ->
+          to.getLedBuilder().setLeader(m.leader().map(HostId::value).orElse(""));
+    }
+    return to.build();
+  }
+
+  static IdempotencyMessage fromProto(org.cuminwell.wire.generated.IdempotencyMessage from) {
+    return switch (from.getKindCase()) {
+      case ASKED -> new IdempotencyMessage.Asked(fromProto(from.getAsked()));
+      case ANSWERED ->
+          new IdempotencyMessage.Answered(
+              fromProto(from.getAnswered().getId()), fromProto(from.getAnswered().getAnswer()));
+      case LED ->
+          new IdempotencyMessage.Led(
+              Optional.of(from.getLed().getLeader()).filter(l -> !l.isEmpty()).map(HostId::new));
+      case KIND_NOT_SET -> throw new IllegalArgumentException("idempotency message without a kind");
+    };
+  }
+
+  static org.cuminwell.wire.generated.ClaimChange toProto(ClaimChange from) {
+    var to =
+        org.cuminwell.wire.generated.ClaimChange.newBuilder()
+            .setCustomer(from.key().customer().value())
+            .setRoute(from.key().route().value())
+            .setKey(from.key().key().value())
+            .setId(toProto(from.id()));
+    switch (from) {
+      case ClaimChange.Claim c ->
+          to.getClaimBuilder()
+              .setFingerprint(c.fingerprint().hex())
+              .setRunLimitMillis(c.runLimit().toMillis());
+      case ClaimChange.Release c ->
+          to.setRelease(org.cuminwell.wire.generated.ClaimChange.Release.getDefaultInstance());
+      case ClaimChange.Settle c -> to.setSettle(toProto(c.outcome()));
+    }
+    return to.build();
+  }
+
+  static ClaimChange fromProto(org.cuminwell.wire.generated.ClaimChange from) {
+    ClaimKey key =
+        new ClaimKey(
+            new CustomerId(from.getCustomer()),
+            new RouteId(from.getRoute()),
+            new IdempotencyKey(from.getKey()));
+    ClaimId id = fromProto(from.getId());
+    return switch (from.getKindCase()) {
+      case CLAIM ->
+          new ClaimChange.Claim(
+              key,
+              id,
+              new Fingerprint(from.getClaim().getFingerprint()),
+              Duration.ofMillis(from.getClaim().getRunLimitMillis()));
+      case RELEASE -> new ClaimChange.Release(key, id);
+      case SETTLE -> new ClaimChange.Settle(key, id, fromProto(from.getSettle()));
+      case KIND_NOT_SET -> throw new IllegalArgumentException("claim change without a kind");
+    };
+  }
+
+  private static org.cuminwell.wire.generated.ClaimId toProto(ClaimId from) {
+    return org.cuminwell.wire.generated.ClaimId.newBuilder()
+        .setGateway(from.gateway().value())
+        .setRequest(from.request().value())
+        .build();
+  }
+
+  private static ClaimId fromProto(org.cuminwell.wire.generated.ClaimId from) {
+    return new ClaimId(new HostId(from.getGateway()), new RequestId(from.getRequest()));
+  }
+
+  private static org.cuminwell.wire.generated.ClaimAnswer toProto(ClaimAnswer from) {
+    var to = org.cuminwell.wire.generated.ClaimAnswer.newBuilder();
+    Empty empty = Empty.getDefaultInstance();
+    switch (from) {
+      case ClaimAnswer.Granted a -> to.setGranted(empty);
+      case ClaimAnswer.InProgress a -> to.setInProgress(empty);
+      case ClaimAnswer.Ended a -> to.setEnded(toProto(a.outcome()));
+      case ClaimAnswer.KeyReused a -> to.setKeyReused(empty);
+      case ClaimAnswer.Full a -> to.setFull(empty);
+      case ClaimAnswer.Withdrawn a -> to.setWithdrawn(empty);
+      case ClaimAnswer.Noted a -> to.setNoted(empty);
+    }
+    return to.build();
+  }
+
+  private static ClaimAnswer fromProto(org.cuminwell.wire.generated.ClaimAnswer from) {
+    return switch (from.getKindCase()) {
+      case GRANTED -> new ClaimAnswer.Granted();
+      case IN_PROGRESS -> new ClaimAnswer.InProgress();
+      case ENDED -> new ClaimAnswer.Ended(fromProto(from.getEnded()));
+      case KEY_REUSED -> new ClaimAnswer.KeyReused();
+      case FULL -> new ClaimAnswer.Full();
+      case WITHDRAWN -> new ClaimAnswer.Withdrawn();
+      case NOTED -> new ClaimAnswer.Noted();
+      case KIND_NOT_SET -> throw new IllegalArgumentException("claim answer without a kind");
+    };
+  }
+
+  private static ClaimOutcome toProto(Outcome from) {
+    ClaimOutcome.Builder to = ClaimOutcome.newBuilder();
+    switch (from) {
+      case Outcome.Answered o ->
+          to.getAnsweredBuilder()
+              .setStatus(o.status())
+              .setContentType(o.contentType())
+              .setBody(ByteString.copyFrom(o.body().toArray()));
+      case Outcome.NotKept o ->
+          to.getNotKeptBuilder().setStatus(o.status()).setBytes(o.bytes()).setSha256(o.sha256());
+      case Outcome.AnswerLost o -> to.setAnswerLost(ClaimOutcome.AnswerLost.getDefaultInstance());
+      case Outcome.Unknown o -> to.setUnknown(ClaimOutcome.Unknown.getDefaultInstance());
+    }
+    return to.build();
+  }
+
+  private static Outcome fromProto(ClaimOutcome from) {
+    return switch (from.getKindCase()) {
+      case ANSWERED ->
+          new Outcome.Answered(
+              from.getAnswered().getStatus(),
+              from.getAnswered().getContentType(),
+              AnswerBytes.copyOf(from.getAnswered().getBody().toByteArray()));
+      case NOT_KEPT ->
+          new Outcome.NotKept(
+              from.getNotKept().getStatus(),
+              from.getNotKept().getBytes(),
+              from.getNotKept().getSha256());
+      case ANSWER_LOST -> new Outcome.AnswerLost();
+      case UNKNOWN -> new Outcome.Unknown();
+      case KIND_NOT_SET -> throw new IllegalArgumentException("outcome without a kind");
+    };
+  }
+}
--- a/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
@@ -39,6 +39,7 @@
     switch (message) {
       case PeerMessage.Distribution m -> to.setDistribution(DistributionCodec.toProto(m.message()));
       case PeerMessage.Directory m -> to.setDirectory(DirectoryCodec.toProto(m.message()));
+      case PeerMessage.Idempotency m -> to.setIdempotency(IdempotencyCodec.toProto(m.message()));
     }
   }
 
@@ -51,6 +52,8 @@
               new PeerMessage.Distribution(DistributionCodec.fromProto(from.getDistribution())));
       case DIRECTORY ->
           message(new PeerMessage.Directory(DirectoryCodec.fromProto(from.getDirectory())));
+      case IDEMPOTENCY ->
+          message(new PeerMessage.Idempotency(IdempotencyCodec.fromProto(from.getIdempotency())));
       case KIND_NOT_SET -> throw new WireFormatException("frame without a kind");
     };
   }
