Move versions by paired evidence, recorded steps and a guard at each gateway

A ticket could name a version move, and nothing carried it out. The leader now decides steps from pairs of one request at each version that ended at about the same time at the same gateway; the steps are commands of the replicated state, and final states are recorded once. A gateway gives the new version no more than the recorded share of the tokens that it has itself answered, stops by its own evidence, and stops too when control has been silent for 1.5 s, so that a version which was taken back gets nothing within 2 s also across a cut.

--- a/core/src/main/java/org/cuminwell/core/control/Applied.java
+++ b/core/src/main/java/org/cuminwell/core/control/Applied.java
@@ -12,4 +12,7 @@
 
   /** Answers a {@link Command.ChangeClaim}. */
   record ClaimAnswered(ClaimId id, ClaimAnswer answer) implements Applied {}
+
+  /** Answers a {@link Command.AdvanceRollout}: whether the step was recorded. */
+  record RolloutAdvanced(boolean recorded) implements Applied {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/Command.java
+++ b/core/src/main/java/org/cuminwell/core/control/Command.java
@@ -1,6 +1,7 @@
 package org.cuminwell.core.control;
 
 import org.cuminwell.core.idempotency.ClaimChange;
+import org.cuminwell.core.rollout.RolloutAdvance;
 import org.cuminwell.core.ticket.Ticket;
 
 /**
@@ -16,4 +17,7 @@
 
   /** Asks to change the claim on a key. */
   record ChangeClaim(ClaimChange change) implements Command {}
+
+  /** Asks to record the next step of a version move. */
+  record AdvanceRollout(RolloutAdvance advance) implements Command {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.control;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
@@ -16,6 +17,9 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.rollout.RolloutAdvance;
+import org.cuminwell.core.rollout.RolloutController;
+import org.cuminwell.core.rollout.RolloutMessage;
 import org.cuminwell.core.ticket.Ticket;
 import org.cuminwell.core.ticket.TicketAnswer;
 
@@ -26,10 +30,16 @@
  */
 public final class Control {
 
+  /** How often gateways are told the steps of open version moves, which renews their shares. */
+  private static final Duration MOVES_PERIOD = Duration.ofMillis(500);
+
   private final HostId self;
   private final ReplicatedState state = new ReplicatedState();
+  private final RolloutController moveController = new RolloutController();
   private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
 
+  private Instant movesToldAt = Instant.EPOCH;
+
   /** Makes the state of the control host with the given name. */
   public Control(HostId self) {
     this.self = self;
@@ -43,7 +53,7 @@
       case ControlEvent.PeerConnected e -> greet(e.peer(), actions);
       case ControlEvent.PeerLost e -> lose(e.peer(), actions);
       case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
-      case ControlEvent.Ticked e -> {}
+      case ControlEvent.Ticked e -> moveVersions(now, actions);
     }
     return actions;
   }
@@ -72,6 +82,8 @@
       case Applied.TicketAnswered applied -> applied.answer();
       case Applied.ClaimAnswered applied ->
           throw new IllegalStateException("a ticket can't answer claim " + applied.id());
+      case Applied.RolloutAdvanced applied ->
+          throw new IllegalStateException("a ticket can't advance a version move");
     };
   }
 
@@ -82,6 +94,7 @@
 
   private void greet(HostId peer, List<ControlAction> actions) {
     actions.add(tell(peer, new IdempotencyMessage.Led(Optional.of(self))));
+    actions.add(movesFor(peer));
   }
 
   private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
@@ -89,6 +102,7 @@
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(peer, m.message(), actions);
       case PeerMessage.Idempotency m -> hear(m.message(), now, actions);
+      case PeerMessage.Rollouts m -> hear(m.message(), now);
     }
   }
 
@@ -135,6 +149,39 @@
     }
   }
 
+  private void hear(RolloutMessage message, Instant now) {
+    switch (message) {
+      case RolloutMessage.Report report -> moveController.hear(report, now);
+      case RolloutMessage.Steps steps -> {}
+    }
+  }
+
+  private void moveVersions(Instant now, List<ControlAction> actions) {
+    boolean changed = false;
+    for (RolloutAdvance advance :
+        moveController.decide(state.configuration().rollouts().values(), state.moves(), now)) {
+      changed |=
+          state.apply(new Command.AdvanceRollout(advance), now)
+                  instanceof Applied.RolloutAdvanced applied
+              && applied.recorded();
+    }
+    boolean due = !now.isBefore(movesToldAt.plus(MOVES_PERIOD));
+    if (changed || (due && state.moves().hasOpen())) {
+      movesToldAt = now;
+      gateways.values().stream()
+          .filter(GatewayView::connected)
+          .forEach(gateway -> actions.add(movesFor(gateway.host().id())));
+    }
+    if (changed) {
+      actions.add(new Show(view()));
+    }
+  }
+
+  private TellPeer movesFor(HostId gateway) {
+    return new TellPeer(
+        gateway, new PeerMessage.Rollouts(new RolloutMessage.Steps(state.moves().all())));
+  }
+
   private void tellDirectory(List<ControlAction> actions) {
     List<HostDescription> hosts = gateways.values().stream().map(GatewayView::host).toList();
     gateways.values().stream()
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
@@ -3,6 +3,9 @@
 import java.time.Instant;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.idempotency.ClaimBook;
+import org.cuminwell.core.model.Rollout;
+import org.cuminwell.core.rollout.RolloutAdvance;
+import org.cuminwell.core.rollout.RolloutBook;
 import org.cuminwell.core.ticket.TicketLedger;
 
 /**
@@ -16,6 +19,7 @@
 
   private final TicketLedger ledger;
   private final ClaimBook claims = new ClaimBook();
+  private final RolloutBook moves = new RolloutBook();
 
   /** Makes the state before any command. */
   public ReplicatedState() {
@@ -37,6 +41,8 @@
       case Command.AcceptTicket c -> new Applied.TicketAnswered(ledger.apply(c.ticket(), at));
       case Command.ChangeClaim c ->
           new Applied.ClaimAnswered(c.change().id(), claims.apply(c.change(), at));
+      case Command.AdvanceRollout c ->
+          new Applied.RolloutAdvanced(isConfigured(c.advance()) && moves.apply(c.advance(), at));
     };
   }
 
@@ -49,4 +55,15 @@
   public Configuration configuration() {
     return ledger.configuration();
   }
+
+  /** Returns the recorded steps of version moves. */
+  public RolloutBook moves() {
+    return moves;
+  }
+
+  /** Returns whether the move is the one that the last ticket asked for. */
+  private boolean isConfigured(RolloutAdvance advance) {
+    Rollout rollout = advance.rollout();
+    return rollout.equals(configuration().rollouts().get(rollout.route()));
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -34,13 +34,17 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.KeyHash;
 import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Rollout;
 import org.cuminwell.core.model.Route;
+import org.cuminwell.core.model.RouteId;
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.Usage;
 import org.cuminwell.core.model.Verdict;
 import org.cuminwell.core.peer.PeerMessage;
 import org.cuminwell.core.residency.Residency;
 import org.cuminwell.core.retry.RetryPolicy;
+import org.cuminwell.core.rollout.RolloutMessage;
+import org.cuminwell.core.rollout.VersionChooser;
 import org.cuminwell.core.routing.Router;
 
 /**
@@ -63,6 +67,7 @@
   private final CustomerLimits limits = new CustomerLimits();
   private final Router router = new Router();
   private final ClaimTracker claims;
+  private final VersionChooser versions = new VersionChooser();
   private final RetryPolicy retryPolicy = RetryPolicy.DEFAULT;
   private final Map<RequestId, RunningCall> calls = new HashMap<>();
   private boolean stopping;
@@ -323,7 +328,8 @@
                     Residency.of(call.customer(), call.route())
                         .allows(entry.announcement().place().region()))
             .toList();
-    Optional<EndpointTable.Entry> choice = router.choose(candidates, call.tried());
+    Optional<EndpointTable.Entry> choice =
+        router.choose(ofOneVersion(call, candidates, now), call.tried());
     if (choice.isEmpty()) {
       limits.settle(call.customer(), call.estimate(), 0, now);
       refuse(
@@ -337,6 +343,7 @@
     var target = choice.get().announcement();
     int attempt = call.begin(target);
     router.sent(target.endpoint());
+    versions.sent(call.id(), call.route().id(), target.version(), call.estimate(), now);
     actions.add(
         new SendToEndpoint(
             call.id(),
@@ -350,6 +357,7 @@
     RunningCall call = calls.get(event.id());
     if (call != null && call.attempts() == event.attempt()) {
       call.answerBegan(now);
+      versions.answerBegan(call.id(), now);
     }
   }
 
@@ -367,6 +375,7 @@
       return;
     }
     call.endpoint().ifPresent(endpoint -> router.ended(endpoint.endpoint()));
+    compareVersion(call, event.end(), now);
     switch (event.end()) {
       case AttemptEnd.Completed end -> finish(call, end.usage(), Optional.empty(), now, actions);
       case AttemptEnd.CallerLeft end -> {
@@ -377,6 +386,57 @@
     }
   }
 
+  private List<EndpointTable.Entry> ofOneVersion(
+      RunningCall call, List<EndpointTable.Entry> candidates, Instant now) {
+    RouteId route = call.route().id();
+    Optional<Rollout> rollout =
+        Optional.ofNullable(configuration.index().configuration().rollouts().get(route));
+    return versions.filter(route, rollout, candidates, call.estimate(), now);
+  }
+
+  private void compareVersion(RunningCall call, AttemptEnd attemptEnd, Instant now) {
+    switch (attemptEnd) {
+      case AttemptEnd.Completed end ->
+          versions.ended(call.id(), VersionChooser.End.ANSWERED, end.usage(), now);
+      case AttemptEnd.CallerLeft end ->
+          versions.ended(call.id(), VersionChooser.End.SAYS_NOTHING, end.used(), now);
+      case AttemptEnd.Failed end ->
+          versions.ended(
+              call.id(),
+              end.failure().code() == ErrorCode.BUSY
+                  ? VersionChooser.End.SAYS_NOTHING
+                  : VersionChooser.End.FAILED,
+              end.used(),
+              now);
+    }
+  }
+
+  /** Counts the new versions' endpoints and reports to control what was seen of them. */
+  private void reportVersions(Instant now, List<GatewayAction> actions) {
+    for (Rollout rollout : configuration.index().configuration().rollouts().values()) {
+      configuration
+          .index()
+          .route(rollout.route())
+          .ifPresent(
+              route ->
+                  versions.count(
+                      route.id(),
+                      (int)
+                          endpoints.serving(route.service().name(), now).stream()
+                              .filter(e -> e.announcement().version().equals(rollout.to()))
+                              .count()));
+    }
+    versions
+        .report(self.id(), now)
+        .ifPresent(
+            report ->
+                claims
+                    .controls()
+                    .forEach(
+                        control ->
+                            actions.add(new TellPeer(control, new PeerMessage.Rollouts(report)))));
+  }
+
   private void attemptFailed(
       RunningCall call, AttemptEnd.Failed end, Instant now, List<GatewayAction> actions) {
     boolean again =
@@ -436,6 +496,7 @@
   private void tick(Instant now, List<GatewayAction> actions) {
     endpoints.expire(now);
     claimed(claims.tick(now), now, actions);
+    reportVersions(now, actions);
   }
 
   private void listModels(GatewayEvent.ModelsAsked event, List<GatewayAction> actions) {
@@ -483,6 +544,7 @@
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(m.message());
       case PeerMessage.Idempotency m -> claimed(claims.hear(peer, m.message(), now), now, actions);
+      case PeerMessage.Rollouts m -> hear(m.message(), now);
     }
   }
 
@@ -496,6 +558,13 @@
     }
   }
 
+  private void hear(RolloutMessage message, Instant now) {
+    switch (message) {
+      case RolloutMessage.Steps steps -> versions.hear(steps.moves(), now);
+      case RolloutMessage.Report report -> {}
+    }
+  }
+
   private void hear(DirectoryMessage message) {
     switch (message) {
       case DirectoryMessage.Here here -> directory.learn(List.of(here.host()));
--- a/core/src/main/java/org/cuminwell/core/idempotency/ClaimTracker.java
+++ b/core/src/main/java/org/cuminwell/core/idempotency/ClaimTracker.java
@@ -156,6 +156,11 @@
     return steps;
   }
 
+  /** Returns the control hosts that can be reached. */
+  public List<HostId> controls() {
+    return List.copyOf(controls);
+  }
+
   /** Returns whether every outcome and release has been acknowledged. */
   public boolean isSettled() {
     return waiting.isEmpty() && held.isEmpty() && unsettled.isEmpty();
--- a/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.idempotency.IdempotencyMessage;
+import org.cuminwell.core.rollout.RolloutMessage;
 
 /** Is one message between two processes of the system, by subject. Immutable and thread safe. */
 public sealed interface PeerMessage {
@@ -15,4 +16,7 @@
 
   /** Concerns calls that must not run twice. */
   record Idempotency(IdempotencyMessage message) implements PeerMessage {}
+
+  /** Concerns version moves. */
+  record Rollouts(RolloutMessage message) implements PeerMessage {}
 }
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/rollout/RolloutController.java
@@ -0,0 +1,185 @@
+package org.cuminwell.core.rollout;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.Rollout;
+import org.cuminwell.core.model.RouteId;
+
+/**
+ * Decides the next step of each version move at the leader.
+ *
+ * <p>Invariants: a share is raised only with enough pairs of the present step and no doubt in them;
+ * a fault that shows takes the version back whatever the deadline. All it knows comes again from
+ * gateways within seconds, so a new leader starts with nothing. Not thread safe: one thread owns
+ * it.
+ */
+public final class RolloutController {
+
+  /** How many pairs a step needs before the share is raised. */
+  public static final long MIN_PAIRS = 100;
+
+  /** The shortest time that a step takes. */
+  public static final Duration MIN_STEP = Duration.ofSeconds(5);
+
+  /** How long a gateway's word on endpoints counts. */
+  private static final Duration REPORT_LIFE = Duration.ofSeconds(10);
+
+  private static final double RAISE_FACTOR = 2;
+  private static final double HALF = 0.5;
+  private static final double LAST_SHARE = 0.8;
+
+  private final Map<RouteId, Map<HostId, Seen>> reports = new HashMap<>();
+
+  /** Is the last report of one gateway, and what its earlier lives saw in the same step. */
+  private record Seen(
+      long incarnation,
+      RolloutMessage.RouteReport report,
+      VersionEvidence earlierLives,
+      Instant heardAt) {
+
+    VersionEvidence total() {
+      return earlierLives.plus(report.seen());
+    }
+  }
+
+  /** Takes in what a gateway saw. */
+  public void hear(RolloutMessage.Report message, Instant now) {
+    for (RolloutMessage.RouteReport report : message.routes()) {
+      reports
+          .computeIfAbsent(report.route(), _ -> new HashMap<>())
+          .merge(
+              message.gateway(),
+              new Seen(message.incarnation(), report, VersionEvidence.NONE, now),
+              RolloutController::later);
+    }
+  }
+
+  /** Returns the steps that should be recorded now. */
+  public List<RolloutAdvance> decide(
+      Collection<Rollout> configured, RolloutBook book, Instant now) {
+    List<RolloutAdvance> steps = new ArrayList<>();
+    for (Rollout rollout : configured) {
+      Optional<RolloutProgress> last = book.find(rollout);
+      if (last.isEmpty()) {
+        steps.add(new RolloutAdvance(rollout, 1, new RolloutState.Starting()));
+      } else {
+        next(last.get(), now)
+            .ifPresent(
+                state -> steps.add(new RolloutAdvance(rollout, last.get().step() + 1, state)));
+      }
+    }
+    return steps;
+  }
+
+  /** Returns in words what an open move waits for. */
+  public String waitsFor(RolloutProgress move, Instant now) {
+    long pairs = evidence(move).failures().total();
+    if (newEndpoints(move, now) == 0) {
+      return "no endpoint of version " + move.rollout().to() + " has announced itself";
+    }
+    if (pairs < MIN_PAIRS) {
+      return "too little traffic: " + pairs + " of " + MIN_PAIRS + " pairs";
+    }
+    return FaultCheck.isDoubtful(evidence(move), move.rollout().bounds())
+        ? "the evidence leans against version " + move.rollout().to()
+        : "the time of the step";
+  }
+
+  private Optional<RolloutState> next(RolloutProgress move, Instant now) {
+    if (move.state().isFinal()) {
+      return Optional.empty();
+    }
+    VersionEvidence seen = evidence(move);
+    Optional<String> fault = FaultCheck.fault(seen, move.rollout().bounds());
+    if (fault.isPresent()) {
+      return Optional.of(new RolloutState.TakenBack(fault.get()));
+    }
+    if (mayRaise(move, seen, now)) {
+      return Optional.of(raised(move));
+    }
+    boolean late = !now.isBefore(move.rollout().deadline());
+    return late && !(move.state() instanceof RolloutState.Stuck)
+        ? Optional.of(new RolloutState.Stuck(move.state().share(), waitsFor(move, now)))
+        : Optional.empty();
+  }
+
+  private boolean mayRaise(RolloutProgress move, VersionEvidence seen, Instant now) {
+    if (newEndpoints(move, now) == 0) {
+      return false;
+    }
+    if (move.state().share() == 0) {
+      return true;
+    }
+    return seen.failures().total() >= MIN_PAIRS
+        && !FaultCheck.isDoubtful(seen, move.rollout().bounds())
+        && !now.isBefore(move.at().plus(stepTime(move)));
+  }
+
+  /** Returns how long the step takes, so that the move is over well before its deadline. */
+  private static Duration stepTime(RolloutProgress move) {
+    int left = 1;
+    for (double share = move.state().share(); share < LAST_SHARE; share = nextShare(share)) {
+      left++;
+    }
+    Duration time = Duration.between(move.at(), move.rollout().deadline()).dividedBy(2L * left);
+    return time.compareTo(MIN_STEP) > 0 ? time : MIN_STEP;
+  }
+
+  private static RolloutState raised(RolloutProgress move) {
+    double share = move.state().share();
+    if (share == 0) {
+      return new RolloutState.Canary(move.rollout().bounds().firstShare());
+    }
+    return share >= LAST_SHARE
+        ? new RolloutState.Done()
+        : new RolloutState.Ramping(nextShare(share));
+  }
+
+  private static double nextShare(double share) {
+    return share < HALF ? Math.min(HALF, share * RAISE_FACTOR) : LAST_SHARE;
+  }
+
+  private VersionEvidence evidence(RolloutProgress move) {
+    return seen(move).stream()
+        .filter(seen -> seen.report().step() == move.step())
+        .map(Seen::total)
+        .reduce(VersionEvidence.NONE, VersionEvidence::plus);
+  }
+
+  private int newEndpoints(RolloutProgress move, Instant now) {
+    return seen(move).stream()
+        .filter(seen -> now.isBefore(seen.heardAt().plus(REPORT_LIFE)))
+        .mapToInt(seen -> seen.report().newEndpoints())
+        .max()
+        .orElse(0);
+  }
+
+  private Collection<Seen> seen(RolloutProgress move) {
+    return reports.getOrDefault(move.rollout().route(), Map.of()).values();
+  }
+
+  private static Seen later(Seen old, Seen news) {
+    if (news.incarnation() < old.incarnation() || news.report().step() < old.report().step()) {
+      return old;
+    }
+    if (news.report().step() > old.report().step()) {
+      return news;
+    }
+    if (news.incarnation() > old.incarnation()) {
+      return new Seen(news.incarnation(), news.report(), old.total(), news.heardAt());
+    }
+    boolean grown =
+        news.report().seen().newRequests() + news.report().seen().oldRequests()
+            >= old.report().seen().newRequests() + old.report().seen().oldRequests();
+    return grown
+        ? new Seen(news.incarnation(), news.report(), old.earlierLives(), news.heardAt())
+        : old;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/rollout/VersionChooser.java
@@ -0,0 +1,173 @@
+package org.cuminwell.core.rollout;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.cuminwell.core.membership.EndpointTable.Entry;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Rollout;
+import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.model.Usage;
+import org.cuminwell.core.model.VersionId;
+
+/**
+ * Chooses the version that a request goes to, and watches how the versions do.
+ *
+ * <p>A move that is configured but of which no step is known counts as starting, so its new version
+ * gets nothing. Not thread safe: one thread owns it.
+ */
+public final class VersionChooser {
+
+  private static final Duration REPORT_PERIOD = Duration.ofSeconds(1);
+
+  private final Map<RouteId, LocalGuard> guards = new HashMap<>();
+  private final Map<RequestId, Sent> sent = new HashMap<>();
+  private final TreeMap<RouteId, Integer> newEndpoints = new TreeMap<>();
+  private Instant reportedAt = Instant.MIN;
+  private long incarnation;
+
+  private record Sent(
+      RouteId route, VersionId version, long tokens, Instant sentAt, Optional<Instant> firstAt) {}
+
+  /** Takes in the recorded steps. */
+  public void hear(List<RolloutProgress> news, Instant now) {
+    for (RolloutProgress move : news) {
+      LocalGuard guard = guards.get(move.rollout().route());
+      if (guard == null || !guard.rollout().equals(move.rollout())) {
+        guards.put(move.rollout().route(), new LocalGuard(move, now));
+      } else {
+        guard.hear(move, now);
+      }
+    }
+  }
+
+  /** Notes how many endpoints of the new version serve the route. */
+  public void count(RouteId route, int endpoints) {
+    newEndpoints.put(route, endpoints);
+  }
+
+  /**
+   * Returns the candidates of the one version that the request may go to.
+   *
+   * @param configured the move that the configuration names for the route
+   * @param tokens the estimate of the request
+   */
+  public List<Entry> filter(
+      RouteId route,
+      Optional<Rollout> configured,
+      List<Entry> candidates,
+      long tokens,
+      Instant now) {
+    if (configured.isEmpty()) {
+      return candidates;
+    }
+    Rollout rollout = configured.get();
+    List<Entry> newer = ofVersion(candidates, rollout.to(), true);
+    List<Entry> others = ofVersion(candidates, rollout.to(), false);
+    LocalGuard guard = guards.get(route);
+    if (guard == null || !guard.rollout().equals(rollout)) {
+      return others;
+    }
+    if (guard.progress().state() instanceof RolloutState.Done) {
+      return newer;
+    }
+    return !newer.isEmpty() && guard.admitsNew(tokens, now) ? newer : others;
+  }
+
+  /** Says how an attempt ended, as far as it tells of the version. */
+  public enum End {
+    /** The whole answer came. */
+    ANSWERED,
+    /** The endpoint gave no whole answer. */
+    FAILED,
+    /** The end says nothing of the version, as when the caller left. */
+    SAYS_NOTHING
+  }
+
+  /** Notes that an attempt of the request goes to the version. */
+  public void sent(RequestId request, RouteId route, VersionId version, long tokens, Instant now) {
+    LocalGuard guard = guards.get(route);
+    if (guard != null) {
+      guard.sent(version, tokens);
+      sent.put(request, new Sent(route, version, tokens, now, Optional.empty()));
+    }
+  }
+
+  /** Notes that the first part of the answer has come. */
+  public void answerBegan(RequestId request, Instant now) {
+    sent.computeIfPresent(
+        request,
+        (_, s) -> new Sent(s.route(), s.version(), s.tokens(), s.sentAt(), Optional.of(now)));
+  }
+
+  /** Notes how the attempt of the request ended. */
+  public void ended(RequestId request, End end, Usage used, Instant now) {
+    Sent attempt = sent.remove(request);
+    LocalGuard guard = attempt == null ? null : guards.get(attempt.route());
+    if (attempt == null || guard == null) {
+      return;
+    }
+    guard.settle(attempt.version(), attempt.tokens(), used.total(), now);
+    switch (end) {
+      case ANSWERED -> guard.compare(attempt.version(), answered(attempt, used, now), now);
+      case FAILED ->
+          guard.compare(
+              attempt.version(), new RequestResult(true, Optional.empty(), Optional.empty()), now);
+      case SAYS_NOTHING -> {}
+    }
+  }
+
+  private static RequestResult answered(Sent attempt, Usage used, Instant now) {
+    long tokens = used.completionTokens();
+    if (tokens == 0) {
+      return new RequestResult(
+          false, Optional.of(Duration.between(attempt.sentAt(), now)), Optional.empty());
+    }
+    Instant from = attempt.firstAt().orElse(attempt.sentAt());
+    return new RequestResult(
+        false,
+        attempt.firstAt().map(first -> Duration.between(attempt.sentAt(), first)),
+        Optional.of(Duration.between(from, now).dividedBy(tokens)));
+  }
+
+  /** Returns a report for control when one is due. */
+  public Optional<RolloutMessage.Report> report(HostId self, Instant now) {
+    if (guards.isEmpty() || now.isBefore(nextReport())) {
+      return Optional.empty();
+    }
+    if (incarnation == 0) {
+      incarnation = now.toEpochMilli();
+    }
+    reportedAt = now;
+    List<RolloutMessage.RouteReport> routes =
+        guards.values().stream()
+            .filter(guard -> !guard.progress().state().isFinal())
+            .map(
+                guard ->
+                    new RolloutMessage.RouteReport(
+                        guard.rollout().route(),
+                        guard.progress().step(),
+                        guard.seen(),
+                        newEndpoints.getOrDefault(guard.rollout().route(), 0),
+                        guard.isCut()))
+            .toList();
+    return routes.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new RolloutMessage.Report(self, incarnation, routes));
+  }
+
+  private Instant nextReport() {
+    return reportedAt.equals(Instant.MIN) ? reportedAt : reportedAt.plus(REPORT_PERIOD);
+  }
+
+  private static List<Entry> ofVersion(List<Entry> entries, VersionId version, boolean equal) {
+    return entries.stream()
+        .filter(entry -> entry.announcement().version().equals(version) == equal)
+        .toList();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/rollout/VersionEvidence.java
@@ -0,0 +1,35 @@
+package org.cuminwell.core.rollout;
+
+/**
+ * Sums up what one gateway, or all of them, saw of both versions during one step.
+ *
+ * <p>Counts only grow during a step, so a later sum replaces an earlier one. Immutable and thread
+ * safe.
+ *
+ * @param failures pairs compared by failure
+ * @param firstTokens pairs compared by a slow first token
+ * @param tokenGaps pairs compared by slow tokens
+ * @param newRequests how many attempts at the new version have ended
+ * @param oldRequests how many attempts at the old version have ended
+ */
+public record VersionEvidence(
+    PairCounts failures,
+    PairCounts firstTokens,
+    PairCounts tokenGaps,
+    long newRequests,
+    long oldRequests) {
+
+  /** Nothing seen. */
+  public static final VersionEvidence NONE =
+      new VersionEvidence(PairCounts.NONE, PairCounts.NONE, PairCounts.NONE, 0, 0);
+
+  /** Returns the sums of both. */
+  public VersionEvidence plus(VersionEvidence other) {
+    return new VersionEvidence(
+        failures.plus(other.failures),
+        firstTokens.plus(other.firstTokens),
+        tokenGaps.plus(other.tokenGaps),
+        newRequests + other.newRequests,
+        oldRequests + other.oldRequests);
+  }
+}
--- a/wire/src/main/java/org/cuminwell/wire/ConfigurationCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/ConfigurationCodec.java
@@ -162,7 +162,7 @@
     return new Region(new RegionId(from.getId()), set(from.getDataCentreList(), DataCentreId::new));
   }
 
-  private static org.cuminwell.wire.generated.Rollout toProto(Rollout from) {
+  static org.cuminwell.wire.generated.Rollout toProto(Rollout from) {
     return org.cuminwell.wire.generated.Rollout.newBuilder()
         .setRoute(from.route().value())
         .setFromVersion(from.from().value())
@@ -174,7 +174,7 @@
         .build();
   }
 
-  private static Rollout fromProto(org.cuminwell.wire.generated.Rollout from) {
+  static Rollout fromProto(org.cuminwell.wire.generated.Rollout from) {
     return new Rollout(
         new RouteId(from.getRoute()),
         new VersionId(from.getFromVersion()),
--- a/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
@@ -39,6 +39,7 @@
     switch (message) {
       case PeerMessage.Distribution m -> to.setDistribution(DistributionCodec.toProto(m.message()));
       case PeerMessage.Directory m -> to.setDirectory(DirectoryCodec.toProto(m.message()));
+      case PeerMessage.Rollouts m -> to.setRollout(RolloutCodec.toProto(m.message()));
       case PeerMessage.Idempotency m -> to.setIdempotency(IdempotencyCodec.toProto(m.message()));
     }
   }
@@ -52,6 +53,7 @@
               new PeerMessage.Distribution(DistributionCodec.fromProto(from.getDistribution())));
       case DIRECTORY ->
           message(new PeerMessage.Directory(DirectoryCodec.fromProto(from.getDirectory())));
+      case ROLLOUT -> message(new PeerMessage.Rollouts(RolloutCodec.fromProto(from.getRollout())));
       case IDEMPOTENCY ->
           message(new PeerMessage.Idempotency(IdempotencyCodec.fromProto(from.getIdempotency())));
       case KIND_NOT_SET -> throw new WireFormatException("frame without a kind");
