--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
@@ -13,23 +13,13 @@
  *
  * <p>Invariant: the state is a function of the commands applied and their times alone, so that
  * replicas that have applied the same prefix of the log are equal. Nothing may change it but {@link
- * #apply}. Not thread safe: one thread owns it.
+ * #apply} and {@link #restore}. Not thread safe: one thread owns it.
  */
 public final class ReplicatedState {
 
-  private final TicketLedger ledger;
-  private final ClaimBook claims = new ClaimBook();
-  private final RolloutBook moves = new RolloutBook();
-
-  /** Makes the state before any command. */
-  public ReplicatedState() {
-    this(new TicketLedger());
-  }
-
-  /** Makes the state with the given tickets. */
-  ReplicatedState(TicketLedger ledger) {
-    this.ledger = ledger;
-  }
+  private TicketLedger ledger = new TicketLedger();
+  private ClaimBook claims = new ClaimBook();
+  private RolloutBook moves = new RolloutBook();
 
   /**
    * Applies the next command of the log.
@@ -46,6 +36,18 @@
     };
   }
 
+  /** Returns the whole state. */
+  public StateSnapshot snapshot() {
+    return new StateSnapshot(ledger.configuration(), ledger.all(), claims.snapshot(), moves.all());
+  }
+
+  /** Replaces the whole state by a later one. */
+  public void restore(StateSnapshot snapshot) {
+    ledger = TicketLedger.of(snapshot.configuration(), snapshot.tickets());
+    claims = new ClaimBook(snapshot.claims());
+    moves = new RolloutBook(snapshot.moves());
+  }
+
   /** Returns the tickets accepted so far. */
   public TicketLedger ledger() {
     return ledger;
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -26,7 +26,8 @@
 import org.cuminwell.core.idempotency.ClaimTracker;
 import org.cuminwell.core.idempotency.IdempotentCall;
 import org.cuminwell.core.idempotency.Outcome;
-import org.cuminwell.core.limit.CustomerLimits;
+import org.cuminwell.core.limit.Floors;
+import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.membership.EndpointTable;
 import org.cuminwell.core.model.Customer;
 import org.cuminwell.core.model.ErrorCode;
@@ -34,9 +35,7 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.KeyHash;
 import org.cuminwell.core.model.RequestId;
-import org.cuminwell.core.model.Rollout;
 import org.cuminwell.core.model.Route;
-import org.cuminwell.core.model.RouteId;
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.Usage;
 import org.cuminwell.core.model.Verdict;
@@ -44,8 +43,8 @@
 import org.cuminwell.core.residency.Residency;
 import org.cuminwell.core.retry.RetryPolicy;
 import org.cuminwell.core.rollout.RolloutMessage;
-import org.cuminwell.core.rollout.VersionChooser;
 import org.cuminwell.core.routing.Router;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides what a gateway does with each event.
@@ -64,18 +63,30 @@
   private final ConfigurationHolder configuration = new ConfigurationHolder();
   private final HostDirectory directory = new HostDirectory();
   private final EndpointTable endpoints = new EndpointTable();
-  private final CustomerLimits limits = new CustomerLimits();
+  private final int floorSlots;
+  private final StartQueue starts = new StartQueue();
   private final Router router = new Router();
   private final ClaimTracker claims;
-  private final VersionChooser versions = new VersionChooser();
+  private final VersionMoves versions = new VersionMoves();
   private final RetryPolicy retryPolicy = RetryPolicy.DEFAULT;
   private final Map<RequestId, RunningCall> calls = new HashMap<>();
+  private @Nullable ShareHolder limits;
   private boolean stopping;
 
   /** Makes the state of the gateway that {@code self} describes. */
   public Gateway(HostDescription self) {
+    this(self, Floors.DEFAULT_SLOTS);
+  }
+
+  /**
+   * Makes the state of the gateway that {@code self} describes.
+   *
+   * @param floorSlots how many entry hosts its data centre may have
+   */
+  public Gateway(HostDescription self, int floorSlots) {
     this.self = self;
     claims = new ClaimTracker(self.id());
+    this.floorSlots = floorSlots;
     directory.learn(List.of(self));
   }
 
@@ -85,9 +96,12 @@
     switch (event) {
       case GatewayEvent.CallOpened e -> open(e.head(), now, actions);
       case GatewayEvent.CallRead e -> admit(e.body(), now, actions);
-      case GatewayEvent.CallDropped e -> calls.remove(e.id());
+      case GatewayEvent.CallDropped e -> drop(e.id(), now);
       case GatewayEvent.AnswerBegan e -> answerBegan(e, now);
-      case GatewayEvent.AttemptEnded e -> attemptEnded(e, now, actions);
+      case GatewayEvent.AttemptEnded e -> {
+        attemptEnded(e, now, actions);
+        startWaiting(now, actions);
+      }
       case GatewayEvent.AnswerKept e -> keep(e);
       case GatewayEvent.ModelsAsked e -> listModels(e, actions);
       case GatewayEvent.EntryHostsAsked e -> listEntryHosts(e, actions);
@@ -111,6 +125,16 @@
     return configuration.isReady() && !stopping;
   }
 
+  private void tick(Instant now, List<GatewayAction> actions) {
+    endpoints.expire(now);
+    claimed(claims.tick(now), now, actions);
+    startWaiting(now, actions);
+    reportShares(now, actions);
+    versions
+        .report(self.id(), configuration.index(), endpoints, now)
+        .ifPresent(report -> tellControls(report, actions));
+  }
+
   private void open(CallHead head, Instant now, List<GatewayAction> actions) {
     Optional<Failure> refusal = refusalOfHead(head);
     if (refusal.isPresent()) {
@@ -230,26 +254,43 @@
       refuse(call, wrongRegion(residency), now, actions);
       return;
     }
-    Optional<Duration> wait = limits.admit(call.customer(), estimate, now);
-    if (wait.isPresent()) {
-      refuse(
-          call,
-          Failure.notRunRetryAfter(
-              ErrorCode.RATE_LIMITED, "the token limit is reached; wait and retry", wait.get()),
-          now,
-          actions);
+    Optional<Failure> refusal =
+        LimitRefusal.of(limits(now).admit(call.customer(), estimate, now), estimate);
+    if (refusal.isPresent()) {
+      refuse(call, refusal.get(), now, actions);
       return;
     }
-    begin(call, body, now, actions);
+    call.idempotent(
+        switch (body) {
+          case CallBody.Completion c -> Optional.empty();
+          case CallBody.Plain p -> p.idempotent();
+        });
+    switch (starts.arrive(call, capacity(now), now)) {
+      case StartQueue.Decision.Start d -> begin(call, now, actions);
+      case StartQueue.Decision.Wait d -> {}
+      case StartQueue.Decision.Refuse d -> refuseCharged(call, d.failure(), now, actions);
+    }
+  }
+
+  /** Starts what waits and has room now, and refuses what has waited too long. */
+  private void startWaiting(Instant now, List<GatewayAction> actions) {
+    for (RequestId id : starts.expire(now)) {
+      RunningCall call = calls.get(id);
+      if (call != null) {
+        refuseCharged(call, StartQueue.tooLong(), now, actions);
+      }
+    }
+    for (RequestId id : starts.next(capacity(now), now)) {
+      RunningCall call = calls.get(id);
+      if (call != null) {
+        begin(call, now, actions);
+      }
+    }
   }
 
   /** Sends the call, or claims its key first where it must not run twice. */
-  private void begin(RunningCall call, CallBody body, Instant now, List<GatewayAction> actions) {
-    Optional<IdempotentCall> claim =
-        switch (body) {
-          case CallBody.Completion c -> Optional.empty();
-          case CallBody.Plain p -> p.idempotent().filter(_ -> !call.isIdempotent());
-        };
+  private void begin(RunningCall call, Instant now, List<GatewayAction> actions) {
+    Optional<IdempotentCall> claim = call.idempotent().filter(_ -> !call.isIdempotent());
     if (claim.isEmpty()) {
       attempt(call, now, actions);
       return;
@@ -269,8 +310,7 @@
         case ClaimStep.Refuse s -> {
           RunningCall call = calls.get(s.request());
           if (call != null) {
-            limits.settle(call.customer(), call.estimate(), 0, now);
-            refuse(call, s.failure(), now, actions);
+            refuseCharged(call, s.failure(), now, actions);
           }
         }
       }
@@ -284,8 +324,7 @@
     } else if (now.isBefore(call.deadline())) {
       attempt(call, now, actions);
     } else {
-      limits.settle(call.customer(), call.estimate(), 0, now);
-      refuse(
+      refuseCharged(
           call,
           Failure.notRun(ErrorCode.DEADLINE_EXCEEDED, "the claim took too long; try again"),
           now,
@@ -296,12 +335,45 @@
   private void replay(ClaimStep.Replay step, Instant now, List<GatewayAction> actions) {
     RunningCall call = calls.remove(step.request());
     if (call != null) {
-      limits.settle(call.customer(), call.estimate(), 0, now);
+      starts.ended(call.id());
+      limits(now).settle(call.customer(), call.estimate(), 0, now);
       actions.add(new GatewayAction.Replay(call.id(), step.answer()));
       actions.add(new Count(call.id(), call.record(now, Usage.NONE, Optional.empty())));
     }
   }
 
+  private StartQueue.Capacity capacity(Instant now) {
+    return new ReachableCapacity(endpoints, directory, self, now);
+  }
+
+  /** Ends a request that was charged and never sent. */
+  private void refuseCharged(
+      RunningCall call, Failure failure, Instant now, List<GatewayAction> actions) {
+    limits(now).settle(call.customer(), call.estimate(), 0, now);
+    refuse(call, failure, now, actions);
+  }
+
+  private void drop(RequestId id, Instant now) {
+    RunningCall call = calls.remove(id);
+    if (call != null && starts.ended(id)) {
+      limits(now).settle(call.customer(), call.estimate(), 0, now);
+    }
+  }
+
+  private ShareHolder limits(Instant now) {
+    if (limits == null) {
+      limits = new ShareHolder(self.place(), floorSlots, now);
+    }
+    limits.configure(configuration.index().configuration(), now);
+    return limits;
+  }
+
+  private void reportShares(Instant now, List<GatewayAction> actions) {
+    limits(now)
+        .tick(now)
+        .ifPresent(m -> actions.add(new TellPeer(m.to(), new PeerMessage.Limits(m.message()))));
+  }
+
   private Optional<Route> routeOf(CallHead.Target target, CallBody body) {
     return switch (body) {
       case CallBody.Completion c -> {
@@ -329,10 +401,9 @@
                         .allows(entry.announcement().place().region()))
             .toList();
     Optional<EndpointTable.Entry> choice =
-        router.choose(ofOneVersion(call, candidates, now), call.tried());
+        router.choose(versions.choose(call, configuration.index(), candidates, now), call.tried());
     if (choice.isEmpty()) {
-      limits.settle(call.customer(), call.estimate(), 0, now);
-      refuse(
+      refuseCharged(
           call,
           Failure.notRunRetryAfter(
               ErrorCode.NO_ENDPOINT, "no endpoint can take the request; try again", RETRY_SOON),
@@ -343,7 +414,7 @@
     var target = choice.get().announcement();
     int attempt = call.begin(target);
     router.sent(target.endpoint());
-    versions.sent(call.id(), call.route().id(), target.version(), call.estimate(), now);
+    versions.sent(call, target.version(), now);
     actions.add(
         new SendToEndpoint(
             call.id(),
@@ -375,7 +446,7 @@
       return;
     }
     call.endpoint().ifPresent(endpoint -> router.ended(endpoint.endpoint()));
-    compareVersion(call, event.end(), now);
+    versions.ended(call.id(), event.end(), now);
     switch (event.end()) {
       case AttemptEnd.Completed end -> finish(call, end.usage(), Optional.empty(), now, actions);
       case AttemptEnd.CallerLeft end -> {
@@ -386,55 +457,10 @@
     }
   }
 
-  private List<EndpointTable.Entry> ofOneVersion(
-      RunningCall call, List<EndpointTable.Entry> candidates, Instant now) {
-    RouteId route = call.route().id();
-    Optional<Rollout> rollout =
-        Optional.ofNullable(configuration.index().configuration().rollouts().get(route));
-    return versions.filter(route, rollout, candidates, call.estimate(), now);
-  }
-
-  private void compareVersion(RunningCall call, AttemptEnd attemptEnd, Instant now) {
-    switch (attemptEnd) {
-      case AttemptEnd.Completed end ->
-          versions.ended(call.id(), VersionChooser.End.ANSWERED, end.usage(), now);
-      case AttemptEnd.CallerLeft end ->
-          versions.ended(call.id(), VersionChooser.End.SAYS_NOTHING, end.used(), now);
-      case AttemptEnd.Failed end ->
-          versions.ended(
-              call.id(),
-              end.failure().code() == ErrorCode.BUSY
-                  ? VersionChooser.End.SAYS_NOTHING
-                  : VersionChooser.End.FAILED,
-              end.used(),
-              now);
-    }
-  }
-
-  /** Counts the new versions' endpoints and reports to control what was seen of them. */
-  private void reportVersions(Instant now, List<GatewayAction> actions) {
-    for (Rollout rollout : configuration.index().configuration().rollouts().values()) {
-      configuration
-          .index()
-          .route(rollout.route())
-          .ifPresent(
-              route ->
-                  versions.count(
-                      route.id(),
-                      (int)
-                          endpoints.serving(route.service().name(), now).stream()
-                              .filter(e -> e.announcement().version().equals(rollout.to()))
-                              .count()));
+  private void tellControls(RolloutMessage message, List<GatewayAction> actions) {
+    for (HostId control : claims.controls()) {
+      actions.add(new TellPeer(control, new PeerMessage.Rollouts(message)));
     }
-    versions
-        .report(self.id(), now)
-        .ifPresent(
-            report ->
-                claims
-                    .controls()
-                    .forEach(
-                        control ->
-                            actions.add(new TellPeer(control, new PeerMessage.Rollouts(report)))));
   }
 
   private void attemptFailed(
@@ -464,12 +490,13 @@
       Instant now,
       List<GatewayAction> actions) {
     calls.remove(call.id());
+    starts.ended(call.id());
     long used =
         switch (call.route().service()) {
           case Service.Model m -> usage.total();
           case Service.Plain p -> PLAIN_CALL_TOKENS;
         };
-    limits.settle(call.customer(), call.estimate(), used, now);
+    limits(now).settle(call.customer(), call.estimate(), used, now);
     claimed(settleClaim(call, failure, now), now, actions);
     actions.add(new Count(call.id(), call.record(now, usage, failure)));
   }
@@ -488,17 +515,12 @@
   /** Ends a request that certainly has not run. */
   private void refuse(RunningCall call, Failure failure, Instant now, List<GatewayAction> actions) {
     calls.remove(call.id());
+    starts.ended(call.id());
     claimed(claims.notRun(call.id(), now), now, actions);
     actions.add(new Refuse(call.id(), failure));
     actions.add(new Count(call.id(), call.record(now, Usage.NONE, Optional.of(failure))));
   }
 
-  private void tick(Instant now, List<GatewayAction> actions) {
-    endpoints.expire(now);
-    claimed(claims.tick(now), now, actions);
-    reportVersions(now, actions);
-  }
-
   private void listModels(GatewayEvent.ModelsAsked event, List<GatewayAction> actions) {
     if (event.key().flatMap(configuration.index()::customerByKey).isEmpty()) {
       actions.add(new Refuse(event.id(), keyFailure(event.key())));
@@ -545,6 +567,7 @@
       case PeerMessage.Directory m -> hear(m.message());
       case PeerMessage.Idempotency m -> claimed(claims.hear(peer, m.message(), now), now, actions);
       case PeerMessage.Rollouts m -> hear(m.message(), now);
+      case PeerMessage.Limits m -> limits(now).hear(peer, m.message(), now);
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.cuminwell.core.idempotency.IdempotentCall;
 import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.model.Customer;
@@ -31,6 +32,7 @@
   private @Nullable Route route;
   private @Nullable Announcement endpoint;
   private @Nullable Instant firstByteAt;
+  private Optional<IdempotentCall> idempotent = Optional.empty();
   private @Nullable Outcome kept;
   private long estimate;
   private int attempts;
@@ -104,6 +106,15 @@
     return firstByteAt != null;
   }
 
+  /** Notes the caller's Idempotency-Key. */
+  void idempotent(Optional<IdempotentCall> call) {
+    idempotent = call;
+  }
+
+  Optional<IdempotentCall> idempotent() {
+    return idempotent;
+  }
+
   /** Keeps the answer of the attempt that is under way, for resends. */
   void keep(Outcome outcome) {
     kept = outcome;
--- a/core/src/main/java/org/cuminwell/core/idempotency/ClaimBook.java
+++ b/core/src/main/java/org/cuminwell/core/idempotency/ClaimBook.java
@@ -56,14 +56,36 @@
       Duration runLimit,
       Optional<Outcome> outcome) {}
 
+  /** Remembers when a claim was released. Immutable and thread safe. */
+  public record Released(ClaimId id, Instant at) {}
+
+  /**
+   * Holds all of a book. Immutable and thread safe.
+   *
+   * @param entries the claims, oldest first
+   * @param releases the releases, oldest first
+   * @param clock the latest time that the log has given
+   */
+  public record Snapshot(List<Entry> entries, List<Released> releases, Instant clock) {
+
+    /** Holds nothing. */
+    public static final Snapshot EMPTY = new Snapshot(List.of(), List.of(), Instant.EPOCH);
+
+    /** Copies the lists. */
+    public Snapshot {
+      entries = List.copyOf(entries);
+      releases = List.copyOf(releases);
+    }
+  }
+
   /** Makes a book without claims. */
   public ClaimBook() {}
 
-  /** Makes a book of what another one held, in the same order. */
-  public ClaimBook(List<Entry> entries, Map<ClaimId, Instant> released, Instant clock) {
-    entries.forEach(this::add);
-    this.released.putAll(released);
-    this.clock = clock;
+  /** Makes a book of what another one held. */
+  public ClaimBook(Snapshot snapshot) {
+    snapshot.entries().forEach(this::add);
+    snapshot.releases().forEach(release -> released.put(release.id(), release.at()));
+    clock = snapshot.clock();
   }
 
   /**
@@ -81,19 +103,12 @@
     };
   }
 
-  /** Returns all claims, oldest first. */
-  public List<Entry> entries() {
-    return List.copyOf(entries.values());
-  }
-
-  /** Returns the remembered releases, oldest first. */
-  public Map<ClaimId, Instant> releases() {
-    return new LinkedHashMap<>(released);
-  }
-
-  /** Returns the latest time that the log has given. */
-  public Instant clock() {
-    return clock;
+  /** Returns all that the book holds. */
+  public Snapshot snapshot() {
+    return new Snapshot(
+        List.copyOf(entries.values()),
+        released.entrySet().stream().map(r -> new Released(r.getKey(), r.getValue())).toList(),
+        clock);
   }
 
   private ClaimAnswer claim(ClaimChange.Claim claim) {
--- a/core/src/main/java/org/cuminwell/core/idempotency/ClaimTracker.java
+++ b/core/src/main/java/org/cuminwell/core/idempotency/ClaimTracker.java
@@ -91,7 +91,7 @@
     List<ClaimStep> steps = new ArrayList<>();
     var claim =
         new ClaimChange.Claim(
-            key, new ClaimId(self, request), fingerprint, runLimit.plus(ASK_TIMEOUT));
+            key, new ClaimId(self, request), fingerprint, wholeMillis(runLimit.plus(ASK_TIMEOUT)));
     Waiting asked = new Waiting(claim, now);
     waiting.put(request, asked);
     tell(asked, now, steps);
@@ -296,6 +296,10 @@
         : 0;
   }
 
+  private static Duration wholeMillis(Duration time) {
+    return Duration.ofMillis(time.toMillis());
+  }
+
   private static Failure noQuorum() {
     return Failure.notRunRetryAfter(
         ErrorCode.NO_QUORUM,
--- a/core/src/main/java/org/cuminwell/core/idempotency/Fingerprint.java
+++ b/core/src/main/java/org/cuminwell/core/idempotency/Fingerprint.java
@@ -1,6 +1,5 @@
 package org.cuminwell.core.idempotency;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -38,7 +37,7 @@
 
   /** Adds a part with its length, so that no two lists of parts give the same input. */
   private static void add(MessageDigest digest, byte[] part) {
-    digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(part.length).flip());
+    digest.update((part.length + ":").getBytes(StandardCharsets.US_ASCII));
     digest.update(part);
   }
 
--- a/core/src/main/java/org/cuminwell/core/model/ErrorCode.java
+++ b/core/src/main/java/org/cuminwell/core/model/ErrorCode.java
@@ -19,6 +19,7 @@
   NOT_READY("not_ready", 503),
   OUTCOME_UNKNOWN("outcome_unknown", 409),
   RATE_LIMITED("rate_limited", 429),
+  SHARE_SHORT("share_short", 429),
   STOPPING("stopping", 503),
   SUSPENDED("request_suspended", 422),
   UNKNOWN_PATH("unknown_path", 404),
--- a/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.idempotency.IdempotencyMessage;
+import org.cuminwell.core.limit.LimitMessage;
 import org.cuminwell.core.rollout.RolloutMessage;
 
 /** Is one message between two processes of the system, by subject. Immutable and thread safe. */
@@ -19,4 +20,7 @@
 
   /** Concerns version moves. */
   record Rollouts(RolloutMessage message) implements PeerMessage {}
+
+  /** Concerns shares of customers' limits. */
+  record Limits(LimitMessage message) implements PeerMessage {}
 }
--- a/core/src/test/java/org/cuminwell/core/idempotency/ClaimBookTest.java
+++ b/core/src/test/java/org/cuminwell/core/idempotency/ClaimBookTest.java
@@ -60,7 +60,7 @@
     }
 
     assertThat(last).isEqualTo(expected);
-    assertThat(rebuilt(book).entries()).isEqualTo(book.entries());
+    assertThat(new ClaimBook(book.snapshot()).snapshot()).isEqualTo(book.snapshot());
   }
 
   @Test
@@ -75,7 +75,7 @@
     assertThat(label(book.apply(claim("other", "over", "x", "thies"), START))).isEqualTo("granted");
     Instant later = START.plus(ClaimBook.RETENTION).plusSeconds(1);
     assertThat(label(book.apply(claim("later", "over", "x", "touba"), later))).isEqualTo("granted");
-    assertThat(book.entries()).hasSize(1);
+    assertThat(book.snapshot().entries()).hasSize(1);
   }
 
   @Test
@@ -126,10 +126,6 @@
         RUN_LIMIT);
   }
 
-  private static ClaimBook rebuilt(ClaimBook book) {
-    return new ClaimBook(book.entries(), book.releases(), book.clock());
-  }
-
   private static String label(ClaimAnswer answer) {
     return switch (answer) {
       case ClaimAnswer.Granted _ -> "granted";
--- a/wire/src/main/java/org/cuminwell/wire/IdempotencyCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/IdempotencyCodec.java
@@ -2,9 +2,11 @@
 
 import com.google.protobuf.ByteString;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import org.cuminwell.core.idempotency.AnswerBytes;
 import org.cuminwell.core.idempotency.ClaimAnswer;
+import org.cuminwell.core.idempotency.ClaimBook;
 import org.cuminwell.core.idempotency.ClaimChange;
 import org.cuminwell.core.idempotency.ClaimId;
 import org.cuminwell.core.idempotency.ClaimKey;
@@ -17,6 +19,7 @@
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.RouteId;
 import org.cuminwell.wire.generated.ClaimAnswer.Empty;
+import org.cuminwell.wire.generated.ClaimBookSnapshot;
 import org.cuminwell.wire.generated.ClaimOutcome;
 
 /**
@@ -25,6 +28,8 @@
  */
 final class IdempotencyCodec {
 
+  private static final long NANOS_PER_SECOND = 1_000_000_000;
+
   private IdempotencyCodec() {}
 
   static org.cuminwell.wire.generated.IdempotencyMessage toProto(IdempotencyMessage from) {
@@ -91,6 +96,60 @@
     };
   }
 
+  static ClaimBookSnapshot toProto(ClaimBook.Snapshot from) {
+    var to = ClaimBookSnapshot.newBuilder().setClockNanos(nanos(from.clock()));
+    from.entries().forEach(entry -> to.addEntry(toProto(entry)));
+    from.releases()
+        .forEach(r -> to.addReleasedBuilder().setId(toProto(r.id())).setAtNanos(nanos(r.at())));
+    return to.build();
+  }
+
+  static ClaimBook.Snapshot fromProto(ClaimBookSnapshot from) {
+    return new ClaimBook.Snapshot(
+        from.getEntryList().stream().map(IdempotencyCodec::fromProto).toList(),
+        from.getReleasedList().stream()
+            .map(r -> new ClaimBook.Released(fromProto(r.getId()), instant(r.getAtNanos())))
+            .toList(),
+        instant(from.getClockNanos()));
+  }
+
+  /** Returns the time without loss, since replicas must not differ by rounding. */
+  static long nanos(Instant at) {
+    return Math.addExact(
+        Math.multiplyExact(at.getEpochSecond(), NANOS_PER_SECOND), (long) at.getNano());
+  }
+
+  static Instant instant(long nanos) {
+    return Instant.ofEpochSecond(0, nanos);
+  }
+
+  private static ClaimBookSnapshot.Entry toProto(ClaimBook.Entry from) {
+    var to =
+        ClaimBookSnapshot.Entry.newBuilder()
+            .setCustomer(from.key().customer().value())
+            .setRoute(from.key().route().value())
+            .setKey(from.key().key().value())
+            .setHolder(toProto(from.holder()))
+            .setFingerprint(from.fingerprint().hex())
+            .setClaimedAtNanos(nanos(from.claimedAt()))
+            .setRunLimitMillis(from.runLimit().toMillis());
+    from.outcome().ifPresent(outcome -> to.setOutcome(toProto(outcome)));
+    return to.build();
+  }
+
+  private static ClaimBook.Entry fromProto(ClaimBookSnapshot.Entry from) {
+    return new ClaimBook.Entry(
+        new ClaimKey(
+            new CustomerId(from.getCustomer()),
+            new RouteId(from.getRoute()),
+            new IdempotencyKey(from.getKey())),
+        fromProto(from.getHolder()),
+        new Fingerprint(from.getFingerprint()),
+        instant(from.getClaimedAtNanos()),
+        Duration.ofMillis(from.getRunLimitMillis()),
+        from.hasOutcome() ? Optional.of(fromProto(from.getOutcome())) : Optional.empty());
+  }
+
   private static org.cuminwell.wire.generated.ClaimId toProto(ClaimId from) {
     return org.cuminwell.wire.generated.ClaimId.newBuilder()
         .setGateway(from.gateway().value())
--- a/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
@@ -41,6 +41,7 @@
       case PeerMessage.Directory m -> to.setDirectory(DirectoryCodec.toProto(m.message()));
       case PeerMessage.Rollouts m -> to.setRollout(RolloutCodec.toProto(m.message()));
       case PeerMessage.Idempotency m -> to.setIdempotency(IdempotencyCodec.toProto(m.message()));
+      case PeerMessage.Limits m -> to.setLimit(LimitCodec.toProto(m.message()));
     }
   }
 
@@ -56,6 +57,7 @@
       case ROLLOUT -> message(new PeerMessage.Rollouts(RolloutCodec.fromProto(from.getRollout())));
       case IDEMPOTENCY ->
           message(new PeerMessage.Idempotency(IdempotencyCodec.fromProto(from.getIdempotency())));
+      case LIMIT -> message(new PeerMessage.Limits(LimitCodec.fromProto(from.getLimit())));
       case KIND_NOT_SET -> throw new WireFormatException("frame without a kind");
     };
   }
--- a/wire/src/main/java/org/cuminwell/wire/RolloutCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/RolloutCodec.java
@@ -1,6 +1,5 @@
 package org.cuminwell.wire;
 
-import java.time.Instant;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RouteId;
 import org.cuminwell.core.rollout.PairCounts;
@@ -67,14 +66,14 @@
   static org.cuminwell.wire.generated.RolloutProgress toProto(RolloutProgress from) {
     return org.cuminwell.wire.generated.RolloutProgress.newBuilder()
         .setLast(toProto(new RolloutAdvance(from.rollout(), from.step(), from.state())))
-        .setAtMillis(from.at().toEpochMilli())
+        .setAtNanos(IdempotencyCodec.nanos(from.at()))
         .build();
   }
 
   static RolloutProgress fromProto(org.cuminwell.wire.generated.RolloutProgress from) {
     RolloutAdvance last = fromProto(from.getLast());
     return new RolloutProgress(
-        last.rollout(), last.step(), last.state(), Instant.ofEpochMilli(from.getAtMillis()));
+        last.rollout(), last.step(), last.state(), IdempotencyCodec.instant(from.getAtNanos()));
   }
 
   private static org.cuminwell.wire.generated.RolloutState toProto(RolloutState from) {
