--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.limit.Floors;
 import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
@@ -48,6 +49,13 @@
 
   @ParametersDelegate private final TlsFlags tls = new TlsFlags();
 
+  @Parameter(
+      names = "--floor-slots",
+      description =
+          "the most entry hosts that this data centre may have; the same on each of them. The part"
+              + " of limits that needs no control host is split over them")
+  private int floorSlots = Floors.DEFAULT_SLOTS;
+
   @Parameter(
       names = "--stop-timeout-s",
       description = "how long running requests may take after SIGTERM, in seconds")
@@ -73,9 +81,13 @@
             Settings.checked("--peer", peer, HostAddress::parse),
             0,
             false);
+    if (floorSlots < 1) {
+      throw new SettingException("--floor-slots", "must be 1 or more");
+    }
     if (stopTimeoutSeconds < 0) {
       throw new SettingException("--stop-timeout-s", "must be 0 or more");
     }
-    return new GatewaySettings(self, Settings.addresses("--control", control), tls.files());
+    return new GatewaySettings(
+        self, floorSlots, Settings.addresses("--control", control), tls.files());
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.Show;
@@ -14,8 +15,6 @@
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.idempotency.IdempotencyMessage;
-import org.cuminwell.core.limit.ShareGranter;
-import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.peer.PeerMessage;
@@ -39,8 +38,8 @@
   private final ReplicatedState state = new ReplicatedState();
   private final RolloutController moveController = new RolloutController();
   private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
-  private final ShareGranter shares = new ShareGranter();
-  private long startedAt;
+  private final ShareDuty shares = new ShareDuty();
+  private OptionalLong firstTerm = OptionalLong.empty();
 
   private Instant movesToldAt = Instant.EPOCH;
 
@@ -52,7 +51,7 @@
   /** Returns what to do about the event, in order. */
   public List<ControlAction> handle(ControlEvent event, Instant now) {
     List<ControlAction> actions = new ArrayList<>();
-    grantShares(now, actions);
+    shares.step(term(now), state.configuration(), now, actions);
     switch (event) {
       case ControlEvent.TicketSubmitted e -> submit(e, now, actions);
       case ControlEvent.PeerConnected e -> greet(e.peer(), actions);
@@ -92,30 +91,12 @@
     };
   }
 
-  /** Grants shares while this host leads, in terms that only grow. */
-  private void grantShares(Instant now, List<ControlAction> actions) {
-    shares.configure(state.configuration());
-    if (isLeader()) {
-      tell(shares.lead(term(now), now), actions);
-    } else {
-      shares.follow();
+  /** Returns the term in which this host leads; while nothing is replicated, since its start. */
+  private OptionalLong term(Instant now) {
+    if (firstTerm.isEmpty()) {
+      firstTerm = OptionalLong.of(now.toEpochMilli());
     }
-    tell(shares.tick(now), actions);
-  }
-
-  private static void tell(List<ShareHolder.Addressed> messages, List<ControlAction> actions) {
-    messages.forEach(m -> actions.add(new TellPeer(m.to(), new PeerMessage.Limits(m.message()))));
-  }
-
-  private static boolean isLeader() {
-    return true;
-  }
-
-  private long term(Instant now) {
-    if (startedAt == 0) {
-      startedAt = now.toEpochMilli();
-    }
-    return startedAt;
+    return firstTerm;
   }
 
   private void lose(HostId peer, List<ControlAction> actions) {
@@ -135,7 +116,7 @@
       case PeerMessage.Directory m -> hear(peer, m.message(), actions);
       case PeerMessage.Idempotency m -> hear(m.message(), now, actions);
       case PeerMessage.Rollouts m -> hear(m.message(), now);
-      case PeerMessage.Limits m -> tell(shares.hear(peer, m.message(), now), actions);
+      case PeerMessage.Limits m -> shares.hear(peer, m.message(), now, actions);
     }
   }
 
@@ -159,7 +140,7 @@
         GatewayView old = gateways.get(peer);
         Revision held = old == null ? Revision.ZERO : old.held();
         gateways.put(peer, new GatewayView(here.host(), held, true));
-        tell(shares.connected(peer), actions);
+        shares.connected(peer, actions);
         tellDirectory(actions);
         actions.add(new Show(view()));
       }
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -26,6 +26,7 @@
 import org.cuminwell.core.idempotency.ClaimTracker;
 import org.cuminwell.core.idempotency.IdempotentCall;
 import org.cuminwell.core.idempotency.Outcome;
+import org.cuminwell.core.limit.Admission;
 import org.cuminwell.core.limit.Floors;
 import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.membership.EndpointTable;
@@ -64,6 +65,7 @@
   private final HostDirectory directory = new HostDirectory();
   private final EndpointTable endpoints = new EndpointTable();
   private final int floorSlots;
+  private final AwaitedShares awaited = new AwaitedShares();
   private final StartQueue starts = new StartQueue();
   private final Router router = new Router();
   private final ClaimTracker claims;
@@ -112,7 +114,10 @@
       case GatewayEvent.PeerLost e -> claims.lost(e.peer());
       case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
       case GatewayEvent.Ticked e -> tick(now, actions);
-      case GatewayEvent.StopAsked e -> stopping = true;
+      case GatewayEvent.StopAsked e -> {
+        stopping = true;
+        limits(now).leave();
+      }
     }
     if (stopping && calls.isEmpty() && claims.isSettled()) {
       actions.add(new Stopped());
@@ -128,6 +133,7 @@
   private void tick(Instant now, List<GatewayAction> actions) {
     endpoints.expire(now);
     claimed(claims.tick(now), now, actions);
+    retryAwaited(now, actions);
     startWaiting(now, actions);
     reportShares(now, actions);
     versions
@@ -249,22 +255,36 @@
     }
     long estimate = estimate(body);
     call.resolve(route.get(), estimate);
+    call.idempotent(
+        switch (body) {
+          case CallBody.Completion c -> Optional.empty();
+          case CallBody.Plain p -> p.idempotent();
+        });
     Residency residency = Residency.of(call.customer(), route.get());
     if (!residency.allows(self.place().region())) {
       refuse(call, wrongRegion(residency), now, actions);
       return;
     }
-    Optional<Failure> refusal =
-        LimitRefusal.of(limits(now).admit(call.customer(), estimate, now), estimate);
+    Admission admission = limits(now).admit(call.customer(), estimate, now);
+    if (admission instanceof Admission.ShareShort && awaited.offer(call, now)) {
+      reportShares(now, actions);
+      return;
+    }
+    Optional<Failure> refusal = LimitRefusal.of(admission, estimate);
     if (refusal.isPresent()) {
       refuse(call, refusal.get(), now, actions);
       return;
     }
-    call.idempotent(
-        switch (body) {
-          case CallBody.Completion c -> Optional.empty();
-          case CallBody.Plain p -> p.idempotent();
-        });
+    start(call, now, actions);
+  }
+
+  private void retryAwaited(Instant now, List<GatewayAction> actions) {
+    AwaitedShares.Result result = awaited.retry(limits(now), now);
+    result.refused().forEach(refused -> refuse(refused.call(), refused.failure(), now, actions));
+    result.admitted().forEach(call -> start(call, now, actions));
+  }
+
+  private void start(RunningCall call, Instant now, List<GatewayAction> actions) {
     switch (starts.arrive(call, capacity(now), now)) {
       case StartQueue.Decision.Start d -> begin(call, now, actions);
       case StartQueue.Decision.Wait d -> {}
@@ -355,6 +375,7 @@
 
   private void drop(RequestId id, Instant now) {
     RunningCall call = calls.remove(id);
+    awaited.remove(id);
     if (call != null && starts.ended(id)) {
       limits(now).settle(call.customer(), call.estimate(), 0, now);
     }
@@ -567,7 +588,10 @@
       case PeerMessage.Directory m -> hear(m.message());
       case PeerMessage.Idempotency m -> claimed(claims.hear(peer, m.message(), now), now, actions);
       case PeerMessage.Rollouts m -> hear(m.message(), now);
-      case PeerMessage.Limits m -> limits(now).hear(peer, m.message(), now);
+      case PeerMessage.Limits m -> {
+        limits(now).hear(peer, m.message(), now);
+        retryAwaited(now, actions);
+      }
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/limit/HeldLimit.java
+++ b/core/src/main/java/org/cuminwell/core/limit/HeldLimit.java
@@ -31,6 +31,7 @@
   private boolean overRate;
   private Demand reported;
   private long changedAt;
+  private Instant askedAt = Instant.EPOCH;
 
   /** Makes a limit whose floor has filled an empty bucket since {@code heldSince}. */
   HeldLimit(Customer customer, double floorPart, Instant heldSince, Instant now) {
@@ -53,9 +54,13 @@
     return overRate;
   }
 
-  boolean tryTake(long tokens, Instant now) {
+  /** Counts a request as demand. */
+  void ask(long tokens) {
     meter.add((double) tokens);
     meter.sized((double) tokens);
+  }
+
+  boolean tryTake(long tokens, Instant now) {
     if (bucket.tryTake(tokens, now)) {
       return true;
     }
@@ -107,10 +112,13 @@
   void measure(long nextSequence, Instant now) {
     meter.roll(now);
     Demand present = demand();
-    if (differs(present)) {
+    boolean wants =
+        present.missingTokens() > 0 && !now.isBefore(askedAt.plus(ShareLease.ASK_AGAIN));
+    if (wants || differs(present)) {
       reported = present;
       changedAt = nextSequence;
       missing = 0;
+      askedAt = wants ? now : askedAt;
     }
   }
 
@@ -141,8 +149,7 @@
   }
 
   private boolean differs(Demand present) {
-    return present.missingTokens() > 0
-        || present.returnedTokens() != reported.returnedTokens()
+    return present.returnedTokens() != reported.returnedTokens()
         || isFar(present.tokensPerSecond(), reported.tokensPerSecond())
         || present.largestTokens() > reported.largestTokens()
         || (present.largestTokens() == 0 && reported.largestTokens() > 0);
