Merge the agreement of the control hosts; bring claims and moves into its log

Claims go to whichever control host a gateway reaches, and their answers come back once the entry is committed. Only the leader with a live lease decides and tells the steps of version moves, since each telling renews shares: a host that was cut off would renew a share that had been taken back.

By hand with three control hosts as processes: with two killed a keyed call is refused as not run; after their restart the earlier call is still answered from the log, and the service counts one run a key.

--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -1,10 +1,8 @@
 package org.cuminwell.core.control;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
@@ -14,15 +12,10 @@
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.distribution.DistributionMessage;
-import org.cuminwell.core.idempotency.IdempotencyMessage;
 import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.peer.PeerMessage;
-import org.cuminwell.core.rollout.RolloutAdvance;
-import org.cuminwell.core.rollout.RolloutController;
-import org.cuminwell.core.rollout.RolloutMessage;
-import org.cuminwell.core.ticket.Ticket;
-import org.cuminwell.core.ticket.TicketAnswer;
 
 /**
  * Decides what a control host does with each event.
@@ -31,49 +24,70 @@
  */
 public final class Control {
 
-  /** How often gateways are told the steps of open version moves, which renews their shares. */
-  private static final Duration MOVES_PERIOD = Duration.ofMillis(500);
-
   private final HostId self;
-  private final ReplicatedState state = new ReplicatedState();
-  private final RolloutController moveController = new RolloutController();
+  private final Agreement agreement;
+  private final ReplicatedState state;
   private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
+  private Revision shown = Revision.ZERO;
   private final ShareDuty shares = new ShareDuty();
-  private OptionalLong firstTerm = OptionalLong.empty();
-
-  private Instant movesToldAt = Instant.EPOCH;
+  private final Submissions submissions;
+  private final ClaimDuty claims;
+  private final MoveDuty moves;
 
-  /** Makes the state of the control host with the given name. */
-  public Control(HostId self) {
+  /** Makes the state of a control host that takes part in the agreement. */
+  public Control(HostId self, Agreement agreement) {
     this.self = self;
+    this.agreement = agreement;
+    this.state = agreement.state();
+    this.submissions = new Submissions(self, agreement);
+    this.claims = new ClaimDuty(submissions);
+    this.moves = new MoveDuty(submissions, state);
   }
 
   /** Returns what to do about the event, in order. */
   public List<ControlAction> handle(ControlEvent event, Instant now) {
     List<ControlAction> actions = new ArrayList<>();
-    shares.step(term(now), state.configuration(), now, actions);
+    shares.step(fencingNumber(now), state.configuration(), now, actions);
     switch (event) {
-      case ControlEvent.TicketSubmitted e -> submit(e, now, actions);
-      case ControlEvent.PeerConnected e -> greet(e.peer(), actions);
+      case ControlEvent.TicketSubmitted e ->
+          perform(agreement.submit(e.id(), new Command.AcceptTicket(e.ticket()), now), actions);
+      case ControlEvent.JournalSynced e -> perform(agreement.persisted(e.sequence(), now), actions);
+      case ControlEvent.PeerConnected e -> greet(e.peer(), now, actions);
       case ControlEvent.PeerLost e -> lose(e.peer(), actions);
       case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
-      case ControlEvent.Ticked e -> moveVersions(now, actions);
+      case ControlEvent.Ticked e -> {
+        perform(agreement.tick(now), actions);
+        moves.step(leads(now), connectedGateways(), now, actions);
+      }
     }
+    perform(submissions.drain(), actions);
     return actions;
   }
 
+  /**
+   * Returns the number that orders to endpoints must carry, if this host may give any; it grows
+   * with each new leader.
+   */
+  public OptionalLong fencingNumber(Instant now) {
+    return agreement.fencingNumber(now);
+  }
+
+  /** Returns how this host stands in the agreement. */
+  public AgreementStatus agreement(Instant now) {
+    return agreement.status(now);
+  }
+
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
         self, state.configuration(), state.ledger().all(), List.copyOf(gateways.values()));
   }
 
-  private void submit(
-      ControlEvent.TicketSubmitted event, Instant now, List<ControlAction> actions) {
-    Revision before = state.configuration().revision();
-    TicketAnswer answer = answer(event.ticket(), now);
-    actions.add(new AnswerTicket(event.id(), answer));
+  private void perform(List<AgreementAction> decided, List<ControlAction> actions) {
+    Revision before = shown;
+    decided.forEach(action -> perform(action, actions));
     if (state.configuration().revision().isAfter(before)) {
+      shown = state.configuration().revision();
       gateways.values().stream()
           .filter(GatewayView::connected)
           .forEach(gateway -> actions.add(configurationFor(gateway.host().id())));
@@ -81,22 +95,52 @@
     }
   }
 
-  private TicketAnswer answer(Ticket ticket, Instant now) {
-    return switch (state.apply(new Command.AcceptTicket(ticket), now)) {
-      case Applied.TicketAnswered applied -> applied.answer();
-      case Applied.ClaimAnswered applied ->
-          throw new IllegalStateException("a ticket can't answer claim " + applied.id());
-      case Applied.RolloutAdvanced applied ->
-          throw new IllegalStateException("a ticket can't advance a version move");
-    };
+  private void perform(AgreementAction action, List<ControlAction> actions) {
+    switch (action) {
+      case AgreementAction.Tell a ->
+          actions.add(new TellPeer(a.to(), new PeerMessage.Consensus(a.message())));
+      case AgreementAction.Write a -> actions.add(new ControlAction.WriteJournal(a.write()));
+      case AgreementAction.Answer a -> answer(a.id(), a.outcome(), actions);
+      case AgreementAction.StateChanged a -> {}
+    }
   }
 
-  /** Returns the term in which this host leads; while nothing is replicated, since its start. */
-  private OptionalLong term(Instant now) {
-    if (firstTerm.isEmpty()) {
-      firstTerm = OptionalLong.of(now.toEpochMilli());
+  private void answer(RequestId id, CommandOutcome outcome, List<ControlAction> actions) {
+    switch (outcome) {
+      case CommandOutcome.Done done -> {
+        switch (done.result()) {
+          case Applied.TicketAnswered applied ->
+              actions.add(new AnswerTicket(id, applied.answer()));
+          case Applied.ClaimAnswered applied ->
+              claims.answered(id, applied.id(), applied.answer(), actions);
+          case Applied.RolloutAdvanced applied -> {
+            moves.answered(id);
+            actions.add(new Show(view()));
+          }
+        }
+      }
+      case CommandOutcome.Failed failed -> {
+        if (!claims.failed(id) && !moves.answered(id)) {
+          actions.add(new ControlAction.FailTicket(id, failed.failure()));
+        }
+      }
     }
-    return firstTerm;
+  }
+
+  private boolean leads(Instant now) {
+    return fencingNumber(now).isPresent();
+  }
+
+  private List<HostId> connectedGateways() {
+    return gateways.values().stream()
+        .filter(GatewayView::connected)
+        .map(gateway -> gateway.host().id())
+        .toList();
+  }
+
+  private void greet(HostId peer, Instant now, List<ControlAction> actions) {
+    claims.greet(peer, now, actions);
+    moves.greet(peer, leads(now), actions);
   }
 
   private void lose(HostId peer, List<ControlAction> actions) {
@@ -105,18 +149,14 @@
     actions.add(new Show(view()));
   }
 
-  private void greet(HostId peer, List<ControlAction> actions) {
-    actions.add(tell(peer, new IdempotencyMessage.Led(Optional.of(self))));
-    actions.add(movesFor(peer));
-  }
-
   private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
     switch (message) {
       case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
       case PeerMessage.Directory m -> hear(peer, m.message(), actions);
-      case PeerMessage.Idempotency m -> hear(m.message(), now, actions);
-      case PeerMessage.Rollouts m -> hear(m.message(), now);
+      case PeerMessage.Consensus m -> perform(agreement.hear(peer, m.message(), now), actions);
       case PeerMessage.Limits m -> shares.hear(peer, m.message(), now, actions);
+      case PeerMessage.Idempotency m -> claims.hear(m.message(), now);
+      case PeerMessage.Rollouts m -> moves.hear(m.message(), now);
     }
   }
 
@@ -148,55 +188,6 @@
     }
   }
 
-  private void hear(IdempotencyMessage message, Instant now, List<ControlAction> actions) {
-    switch (message) {
-      case IdempotencyMessage.Asked asked -> {
-        if (state.apply(new Command.ChangeClaim(asked.change()), now)
-            instanceof Applied.ClaimAnswered applied) {
-          actions.add(
-              tell(
-                  applied.id().gateway(),
-                  new IdempotencyMessage.Answered(applied.id(), applied.answer())));
-        }
-      }
-      case IdempotencyMessage.Answered answered -> {}
-      case IdempotencyMessage.Led led -> {}
-    }
-  }
-
-  private void hear(RolloutMessage message, Instant now) {
-    switch (message) {
-      case RolloutMessage.Report report -> moveController.hear(report, now);
-      case RolloutMessage.Steps steps -> {}
-    }
-  }
-
-  private void moveVersions(Instant now, List<ControlAction> actions) {
-    boolean changed = false;
-    for (RolloutAdvance advance :
-        moveController.decide(state.configuration().rollouts().values(), state.moves(), now)) {
-      changed |=
-          state.apply(new Command.AdvanceRollout(advance), now)
-                  instanceof Applied.RolloutAdvanced applied
-              && applied.recorded();
-    }
-    boolean due = !now.isBefore(movesToldAt.plus(MOVES_PERIOD));
-    if (changed || (due && state.moves().hasOpen())) {
-      movesToldAt = now;
-      gateways.values().stream()
-          .filter(GatewayView::connected)
-          .forEach(gateway -> actions.add(movesFor(gateway.host().id())));
-    }
-    if (changed) {
-      actions.add(new Show(view()));
-    }
-  }
-
-  private TellPeer movesFor(HostId gateway) {
-    return new TellPeer(
-        gateway, new PeerMessage.Rollouts(new RolloutMessage.Steps(state.moves().all())));
-  }
-
   private void tellDirectory(List<ControlAction> actions) {
     List<HostDescription> hosts = gateways.values().stream().map(GatewayView::host).toList();
     gateways.values().stream()
@@ -209,10 +200,6 @@
                         new PeerMessage.Directory(new DirectoryMessage.Hosts(hosts)))));
   }
 
-  private static TellPeer tell(HostId peer, IdempotencyMessage message) {
-    return new TellPeer(peer, new PeerMessage.Idempotency(message));
-  }
-
   private TellPeer configurationFor(HostId gateway) {
     return new TellPeer(
         gateway, new PeerMessage.Distribution(new DistributionMessage.Full(state.configuration())));
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -592,6 +592,7 @@
         limits(now).hear(peer, m.message(), now);
         retryAwaited(now, actions);
       }
+      case PeerMessage.Consensus m -> {}
     }
   }
 
