--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -3,9 +3,11 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.limit.Floors;
 import org.cuminwell.core.model.DataCentreId;
@@ -56,6 +58,14 @@
               + " of limits that needs no control host is split over them")
   private int floorSlots = Floors.DEFAULT_SLOTS;
 
+  @Parameter(
+      names = "--neighbour",
+      description = "peer HOST:PORT of gateways of this data centre, for a start while cut off")
+  private List<String> neighbour = new ArrayList<>();
+
+  @Parameter(names = "--data", description = "folder that keeps the last configuration on disk")
+  private String data = "";
+
   @Parameter(
       names = "--stop-timeout-s",
       description = "how long running requests may take after SIGTERM, in seconds")
@@ -88,6 +98,11 @@
       throw new SettingException("--stop-timeout-s", "must be 0 or more");
     }
     return new GatewaySettings(
-        self, floorSlots, Settings.addresses("--control", control), tls.files());
+        self,
+        floorSlots,
+        Settings.addresses("--control", control),
+        Settings.addresses("--neighbour", neighbour),
+        data.isEmpty() ? Optional.empty() : Optional.of(Settings.checked("--data", data, Path::of)),
+        tls.files());
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -3,19 +3,21 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.TreeMap;
+import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.Show;
 import org.cuminwell.core.control.ControlAction.TellPeer;
-import org.cuminwell.core.control.ControlView.GatewayView;
 import org.cuminwell.core.directory.DirectoryMessage;
-import org.cuminwell.core.directory.HostDescription;
-import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.distribution.GatewayContact;
+import org.cuminwell.core.distribution.Publisher;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.peer.Outgoing;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.ticket.TicketAnswer.Accepted;
 
 /**
  * Decides what a control host does with each event.
@@ -27,12 +29,13 @@
   private final HostId self;
   private final Agreement agreement;
   private final ReplicatedState state;
-  private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
   private Revision shown = Revision.ZERO;
+  private final Publisher publisher = new Publisher();
   private final ShareDuty shares = new ShareDuty();
   private final Submissions submissions;
   private final ClaimDuty claims;
   private final MoveDuty moves;
+  private boolean changed;
 
   /** Makes the state of a control host that takes part in the agreement. */
   public Control(HostId self, Agreement agreement) {
@@ -53,10 +56,11 @@
           perform(agreement.submit(e.id(), new Command.AcceptTicket(e.ticket()), now), actions);
       case ControlEvent.JournalSynced e -> perform(agreement.persisted(e.sequence(), now), actions);
       case ControlEvent.PeerConnected e -> greet(e.peer(), now, actions);
-      case ControlEvent.PeerLost e -> lose(e.peer(), actions);
+      case ControlEvent.PeerLost e -> lose(e.peer(), now);
       case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
       case ControlEvent.Ticked e -> {
         perform(agreement.tick(now), actions);
+        tick(now, actions);
         moves.step(leads(now), connectedGateways(), now, actions);
       }
     }
@@ -80,7 +84,7 @@
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
-        self, state.configuration(), state.ledger().all(), List.copyOf(gateways.values()));
+        self, state.configuration(), state.ledger().all(), List.copyOf(publisher.gateways()));
   }
 
   private void perform(List<AgreementAction> decided, List<ControlAction> actions) {
@@ -88,13 +92,25 @@
     decided.forEach(action -> perform(action, actions));
     if (state.configuration().revision().isAfter(before)) {
       shown = state.configuration().revision();
-      gateways.values().stream()
-          .filter(GatewayView::connected)
-          .forEach(gateway -> actions.add(configurationFor(gateway.host().id())));
+      publish(before);
       actions.add(new Show(view()));
     }
   }
 
+  /** Publishes the present configuration, by the last change alone where that leads to it. */
+  private void publish(Revision before) {
+    Configuration configuration = state.configuration();
+    Optional<Accepted> last =
+        state.ledger().all().stream()
+            .filter(ticket -> ticket.revision().equals(configuration.revision()))
+            .findFirst();
+    if (last.isPresent() && configuration.revision().equals(before.next())) {
+      publisher.publish(configuration, last.get().ticket().change());
+    } else {
+      publisher.publish(configuration);
+    }
+  }
+
   private void perform(AgreementAction action, List<ControlAction> actions) {
     switch (action) {
       case AgreementAction.Tell a ->
@@ -132,76 +148,55 @@
   }
 
   private List<HostId> connectedGateways() {
-    return gateways.values().stream()
-        .filter(GatewayView::connected)
+    return publisher.gateways().stream()
+        .filter(GatewayContact::connected)
         .map(gateway -> gateway.host().id())
         .toList();
   }
 
   private void greet(HostId peer, Instant now, List<ControlAction> actions) {
+    tell(publisher.connected(peer), actions);
     claims.greet(peer, now, actions);
     moves.greet(peer, leads(now), actions);
   }
 
-  private void lose(HostId peer, List<ControlAction> actions) {
+  private void lose(HostId peer, Instant now) {
     shares.lost(peer);
-    gateways.computeIfPresent(peer, (id, old) -> new GatewayView(old.host(), old.held(), false));
-    actions.add(new Show(view()));
+    publisher.lost(peer, now);
+    changed = true;
   }
 
   private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
     switch (message) {
-      case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
-      case PeerMessage.Directory m -> hear(peer, m.message(), actions);
       case PeerMessage.Consensus m -> perform(agreement.hear(peer, m.message(), now), actions);
-      case PeerMessage.Limits m -> shares.hear(peer, m.message(), now, actions);
       case PeerMessage.Idempotency m -> claims.hear(m.message(), now);
       case PeerMessage.Rollouts m -> moves.hear(m.message(), now);
-    }
-  }
-
-  private void hear(HostId peer, DistributionMessage message, List<ControlAction> actions) {
-    switch (message) {
-      case DistributionMessage.Held held -> {
-        gateways.computeIfPresent(
-            peer, (id, old) -> new GatewayView(old.host(), held.revision(), true));
-        if (state.configuration().revision().isAfter(held.revision())) {
-          actions.add(configurationFor(peer));
+      case PeerMessage.Distribution m -> {
+        tell(publisher.hear(peer, m.message(), now), actions);
+        changed = true;
+      }
+      case PeerMessage.Limits m -> shares.hear(peer, m.message(), now, actions);
+      case PeerMessage.Directory m -> {
+        if (m.message() instanceof DirectoryMessage.Here) {
+          shares.connected(peer, actions);
         }
-        actions.add(new Show(view()));
+        tell(publisher.hear(peer, m.message(), now), actions);
+        changed = true;
       }
-      case DistributionMessage.Full full -> {}
+      case PeerMessage.Membership m -> {}
     }
   }
 
-  private void hear(HostId peer, DirectoryMessage message, List<ControlAction> actions) {
-    switch (message) {
-      case DirectoryMessage.Here here -> {
-        GatewayView old = gateways.get(peer);
-        Revision held = old == null ? Revision.ZERO : old.held();
-        gateways.put(peer, new GatewayView(here.host(), held, true));
-        shares.connected(peer, actions);
-        tellDirectory(actions);
-        actions.add(new Show(view()));
-      }
-      case DirectoryMessage.Hosts hosts -> {}
+  /** Sends what is due, and shows operators what has changed since the last tick. */
+  private void tick(Instant now, List<ControlAction> actions) {
+    tell(publisher.tick(now), actions);
+    if (changed) {
+      changed = false;
+      actions.add(new Show(view()));
     }
   }
 
-  private void tellDirectory(List<ControlAction> actions) {
-    List<HostDescription> hosts = gateways.values().stream().map(GatewayView::host).toList();
-    gateways.values().stream()
-        .filter(GatewayView::connected)
-        .forEach(
-            gateway ->
-                actions.add(
-                    new TellPeer(
-                        gateway.host().id(),
-                        new PeerMessage.Directory(new DirectoryMessage.Hosts(hosts)))));
-  }
-
-  private TellPeer configurationFor(HostId gateway) {
-    return new TellPeer(
-        gateway, new PeerMessage.Distribution(new DistributionMessage.Full(state.configuration())));
+  private static void tell(List<Outgoing> messages, List<ControlAction> actions) {
+    messages.forEach(out -> actions.add(new TellPeer(out.peer(), out.message())));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.idempotency.IdempotencyMessage;
 import org.cuminwell.core.limit.LimitMessage;
+import org.cuminwell.core.membership.MembershipMessage;
 import org.cuminwell.core.rollout.RolloutMessage;
 
 /** Is one message between two processes of the system, by subject. Immutable and thread safe. */
@@ -27,4 +28,7 @@
 
   /** Concerns shares of customers' limits. */
   record Limits(LimitMessage message) implements PeerMessage {}
+
+  /** Concerns the endpoints of a data centre. */
+  record Membership(MembershipMessage message) implements PeerMessage {}
 }
--- a/core/src/main/java/org/cuminwell/core/rollout/LocalGuard.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/LocalGuard.java
@@ -22,9 +22,12 @@
    */
   static final Duration GRANT_LEASE = Duration.ofMillis(1_500);
 
-  /** How many of the largest recent requests may be saved up. */
+  /** How many of the largest recent requests may be saved up beside what the last one earned. */
   private static final double MAX_CREDIT_REQUESTS = 2;
 
+  /** The greatest share by which requests at the old version earn; at 1 there are none. */
+  private static final double MAX_EARNING_SHARE = 0.99;
+
   /** What is left of the largest recent estimate with each further request. */
   private static final double LARGEST_DECAY = 0.99;
 
@@ -104,15 +107,13 @@
     }
   }
 
-  /** Settles a request that has ended. */
+  /** Settles a request that has ended, whether it used less or more than its estimate. */
   void settle(VersionId version, long estimate, long used, Instant now) {
-    if (isNew(version)) {
-      creditTokens += Math.max(0, estimate - used);
-    } else {
-      double share = Math.min(share(now), 0.99);
-      creditTokens += used * share / (1 - share);
-    }
-    creditTokens = Math.min(creditTokens, MAX_CREDIT_REQUESTS * largestTokens);
+    largestTokens = Math.max(largestTokens, (double) used);
+    double share = Math.min(share(now), MAX_EARNING_SHARE);
+    double earned = share / (1 - share);
+    creditTokens += isNew(version) ? estimate - used : used * earned;
+    creditTokens = Math.min(creditTokens, (MAX_CREDIT_REQUESTS + earned) * largestTokens);
   }
 
   /** Takes the result of a request as evidence. */
