Merge claims on idempotency keys and version moves

Claims and steps of version moves are commands of the replicated log; they change no configuration, so nothing is published for them, and they are not sent again to a new leader by the agreement itself: their duties repeat them.

--- a/core/src/main/java/org/cuminwell/core/control/Agreement.java
+++ b/core/src/main/java/org/cuminwell/core/control/Agreement.java
@@ -144,6 +144,7 @@
     return switch (command) {
       case Command.AcceptTicket c ->
           state.ledger().known(c.ticket()).map(Applied.TicketAnswered::new);
+      case Command.ChangeClaim _, Command.AdvanceRollout _ -> Optional.empty();
     };
   }
 
@@ -223,6 +224,7 @@
     Optional<ConfigurationChange> change =
         switch (command) {
           case Command.AcceptTicket c -> Optional.of(c.ticket().change());
+          case Command.ChangeClaim _, Command.AdvanceRollout _ -> Optional.empty();
         };
     actions.add(new AgreementAction.StateChanged(state.configuration(), change));
   }
--- a/core/src/main/java/org/cuminwell/core/control/Command.java
+++ b/core/src/main/java/org/cuminwell/core/control/Command.java
@@ -1,5 +1,7 @@
 package org.cuminwell.core.control;
 
+import org.cuminwell.core.idempotency.ClaimChange;
+import org.cuminwell.core.rollout.RolloutAdvance;
 import org.cuminwell.core.ticket.Ticket;
 
 /**
@@ -13,13 +15,20 @@
   /** Asks to put a ticket in force under its number. */
   record AcceptTicket(Ticket ticket) implements Command {}
 
+  /** Asks to change the claim on a key. */
+  record ChangeClaim(ClaimChange change) implements Command {}
+
+  /** Asks to record the next step of a version move. */
+  record AdvanceRollout(RolloutAdvance advance) implements Command {}
+
   /**
    * Returns whether applying the command twice gives the same state and result as once, so that it
    * may be sent to a new leader while its fate with the old one is unknown.
    */
   default boolean isIdempotent() {
     return switch (this) {
-      case AcceptTicket c -> true;
+      case AcceptTicket _ -> true;
+      case ChangeClaim _, AdvanceRollout _ -> false;
     };
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -8,6 +8,7 @@
 import org.cuminwell.core.control.ControlAction.Show;
 import org.cuminwell.core.control.ControlAction.TellPeer;
 import org.cuminwell.core.directory.DirectoryMessage;
+import org.cuminwell.core.distribution.GatewayContact;
 import org.cuminwell.core.distribution.Publisher;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
@@ -24,8 +25,11 @@
   private final HostId self;
   private final Agreement agreement;
   private final ReplicatedState state;
-  private final ShareDuty shares = new ShareDuty();
   private final Publisher publisher = new Publisher();
+  private final ShareDuty shares = new ShareDuty();
+  private final Submissions submissions;
+  private final ClaimDuty claims;
+  private final MoveDuty moves;
   private boolean changed;
 
   /** Makes the state of a control host that takes part in the agreement. */
@@ -34,6 +38,9 @@
     this.agreement = agreement;
     this.state = agreement.state();
     publisher.publish(state.configuration());
+    this.submissions = new Submissions(self, agreement);
+    this.claims = new ClaimDuty(submissions);
+    this.moves = new MoveDuty(submissions, state);
   }
 
   /** Returns what to do about the event, in order. */
@@ -44,11 +51,15 @@
       case ControlEvent.TicketSubmitted e ->
           perform(agreement.submit(e.id(), new Command.AcceptTicket(e.ticket()), now), actions);
       case ControlEvent.JournalSynced e -> perform(agreement.persisted(e.sequence(), now), actions);
-      case ControlEvent.PeerConnected e -> tell(publisher.connected(e.peer()), actions);
+      case ControlEvent.PeerConnected e -> greet(e.peer(), now, actions);
       case ControlEvent.PeerLost e -> lose(e.peer(), now);
       case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
-      case ControlEvent.Ticked e -> tick(now, actions);
+      case ControlEvent.Ticked e -> {
+        tick(now, actions);
+        moves.step(leads(now), connectedGateways(), now, actions);
+      }
     }
+    perform(submissions.drain(), actions);
     return actions;
   }
 
@@ -97,13 +108,39 @@
         switch (done.result()) {
           case Applied.TicketAnswered applied ->
               actions.add(new AnswerTicket(id, applied.answer()));
+          case Applied.ClaimAnswered applied ->
+              claims.answered(id, applied.id(), applied.answer(), actions);
+          case Applied.RolloutAdvanced applied -> {
+            moves.answered(id);
+            actions.add(new Show(view()));
+          }
         }
       }
-      case CommandOutcome.Failed failed ->
+      case CommandOutcome.Failed failed -> {
+        if (!claims.failed(id) && !moves.answered(id)) {
           actions.add(new ControlAction.FailTicket(id, failed.failure()));
+        }
+      }
     }
   }
 
+  private boolean leads(Instant now) {
+    return fencingNumber(now).isPresent();
+  }
+
+  private List<HostId> connectedGateways() {
+    return publisher.gateways().stream()
+        .filter(GatewayContact::connected)
+        .map(gateway -> gateway.host().id())
+        .toList();
+  }
+
+  private void greet(HostId peer, Instant now, List<ControlAction> actions) {
+    tell(publisher.connected(peer), actions);
+    claims.greet(peer, now, actions);
+    moves.greet(peer, leads(now), actions);
+  }
+
   private void lose(HostId peer, Instant now) {
     shares.lost(peer);
     publisher.lost(peer, now);
@@ -112,6 +149,8 @@
 
   private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
     switch (message) {
+      case PeerMessage.Idempotency m -> claims.hear(m.message(), now);
+      case PeerMessage.Rollouts m -> moves.hear(m.message(), now);
       case PeerMessage.Distribution m -> {
         tell(publisher.hear(peer, m.message(), now), actions);
         changed = true;
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/control/MoveDuty.java
@@ -0,0 +1,94 @@
+package org.cuminwell.core.control;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cuminwell.core.control.ControlAction.TellPeer;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.rollout.RolloutAdvance;
+import org.cuminwell.core.rollout.RolloutController;
+import org.cuminwell.core.rollout.RolloutMessage;
+import org.cuminwell.core.rollout.RolloutProgress;
+
+/**
+ * Carries out version moves while this control host leads, and tells gateways the recorded steps.
+ *
+ * <p>Only the leader tells steps, since each telling renews the shares of gateways: a host that was
+ * cut off must not renew a share that has been taken back. Not thread safe: the thread of its
+ * {@link Control} owns it.
+ */
+final class MoveDuty {
+
+  /** How often gateways are told the steps of open moves, which renews their shares. */
+  private static final Duration PERIOD = Duration.ofMillis(500);
+
+  private final RolloutController controller = new RolloutController();
+  private final Submissions submissions;
+  private final ReplicatedState state;
+  private final Map<RequestId, RolloutAdvance> open = new HashMap<>();
+  private List<RolloutProgress> told = List.of();
+  private Instant toldAt = Instant.EPOCH;
+
+  MoveDuty(Submissions submissions, ReplicatedState state) {
+    this.submissions = submissions;
+    this.state = state;
+  }
+
+  void hear(RolloutMessage message, Instant now) {
+    switch (message) {
+      case RolloutMessage.Report report -> controller.hear(report, now);
+      case RolloutMessage.Steps steps -> {}
+    }
+  }
+
+  /** Does what is due; {@code gateways} are those in contact. */
+  void step(boolean leads, Collection<HostId> gateways, Instant now, List<ControlAction> actions) {
+    if (!leads) {
+      told = List.of();
+      return;
+    }
+    for (RolloutAdvance advance :
+        controller.decide(state.configuration().rollouts().values(), state.moves(), now)) {
+      if (!isOpen(advance)) {
+        RequestId id = submissions.nextId(now);
+        open.put(id, advance);
+        submissions.submit(id, new Command.AdvanceRollout(advance), now);
+      }
+    }
+    List<RolloutProgress> moves = state.moves().all();
+    boolean due = state.moves().hasOpen() && !now.isBefore(toldAt.plus(PERIOD));
+    if (due || !moves.equals(told)) {
+      told = moves;
+      toldAt = now;
+      gateways.forEach(gateway -> actions.add(steps(gateway)));
+    }
+  }
+
+  /** Tells a gateway that has just come what it must know. */
+  void greet(HostId gateway, boolean leads, List<ControlAction> actions) {
+    if (leads) {
+      actions.add(steps(gateway));
+    }
+  }
+
+  /** Notes that a submission has its answer, and returns whether it was one of this duty. */
+  boolean answered(RequestId id) {
+    return open.remove(id) != null;
+  }
+
+  private boolean isOpen(RolloutAdvance advance) {
+    return open.values().stream()
+        .anyMatch(
+            other -> other.rollout().equals(advance.rollout()) && other.step() == advance.step());
+  }
+
+  private TellPeer steps(HostId gateway) {
+    return new TellPeer(
+        gateway, new PeerMessage.Rollouts(new RolloutMessage.Steps(state.moves().all())));
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -21,6 +21,11 @@
 import org.cuminwell.core.gateway.GatewayAction.SendToEndpoint;
 import org.cuminwell.core.gateway.GatewayAction.Stopped;
 import org.cuminwell.core.gateway.GatewayAction.TellPeer;
+import org.cuminwell.core.idempotency.ClaimKey;
+import org.cuminwell.core.idempotency.ClaimStep;
+import org.cuminwell.core.idempotency.ClaimTracker;
+import org.cuminwell.core.idempotency.IdempotentCall;
+import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.limit.Admission;
 import org.cuminwell.core.limit.Floors;
 import org.cuminwell.core.limit.ShareHolder;
@@ -35,9 +40,11 @@
 import org.cuminwell.core.model.Route;
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.Usage;
+import org.cuminwell.core.model.Verdict;
 import org.cuminwell.core.peer.PeerMessage;
 import org.cuminwell.core.residency.Residency;
 import org.cuminwell.core.retry.RetryPolicy;
+import org.cuminwell.core.rollout.RolloutMessage;
 import org.cuminwell.core.routing.Router;
 import org.jspecify.annotations.Nullable;
 
@@ -63,6 +70,8 @@
   private final StartQueue starts = new StartQueue();
   private final GatewayPeers peers;
   private final Router router = new Router();
+  private final ClaimTracker claims;
+  private final VersionMoves versions = new VersionMoves();
   private final RetryPolicy retryPolicy = RetryPolicy.DEFAULT;
   private final Map<RequestId, RunningCall> calls = new HashMap<>();
   private @Nullable ShareHolder limits;
@@ -80,6 +89,7 @@
    */
   public Gateway(HostDescription self, int floorSlots) {
     this.self = self;
+    claims = new ClaimTracker(self.id());
     this.floorSlots = floorSlots;
     peers = new GatewayPeers(self, configuration, directory, endpoints);
   }
@@ -102,18 +112,22 @@
         attemptEnded(e, now, actions);
         startWaiting(now, actions);
       }
+      case GatewayEvent.AnswerKept e -> keep(e);
       case GatewayEvent.ModelsAsked e -> listModels(e, actions);
       case GatewayEvent.EntryHostsAsked e -> listEntryHosts(e, actions);
       case GatewayEvent.EndpointAnnounced e -> peers.announced(e.announcement(), now);
       case GatewayEvent.EndpointReported e -> peers.reported(e.report());
       case GatewayEvent.EndpointLeft e -> peers.leaving(e.endpoint(), e.incarnation(), now);
       case GatewayEvent.PeerConnected e -> peers.connected(e.peer(), actions);
-      case GatewayEvent.PeerLost e -> peers.lost(e.peer());
+      case GatewayEvent.PeerLost e -> {
+        peers.lost(e.peer());
+        claims.lost(e.peer());
+      }
       case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
       case GatewayEvent.Ticked e -> tick(now, actions);
       case GatewayEvent.StopAsked e -> stop(now, actions);
     }
-    if (stopping && calls.isEmpty()) {
+    if (stopping && calls.isEmpty() && claims.isSettled()) {
       actions.add(new Stopped());
     }
     return actions;
@@ -127,9 +141,13 @@
   private void tick(Instant now, List<GatewayAction> actions) {
     endpoints.expire(now);
     peers.tick(now, actions);
+    claimed(claims.tick(now), now, actions);
     retryAwaited(now, actions);
     startWaiting(now, actions);
     reportShares(now, actions);
+    versions
+        .report(self.id(), configuration.index(), endpoints, now)
+        .ifPresent(report -> tellControls(report, actions));
   }
 
   private void open(CallHead head, Instant now, List<GatewayAction> actions) {
@@ -246,6 +264,11 @@
     }
     long estimate = estimate(body);
     call.resolve(route.get(), estimate);
+    call.idempotent(
+        switch (body) {
+          case CallBody.Completion c -> Optional.empty();
+          case CallBody.Plain p -> p.idempotent();
+        });
     Residency residency = Residency.of(call.customer(), route.get());
     if (!residency.allows(self.place().region())) {
       refuse(call, wrongRegion(residency), now, actions);
@@ -272,7 +295,7 @@
 
   private void start(RunningCall call, Instant now, List<GatewayAction> actions) {
     switch (starts.arrive(call, capacity(now), now)) {
-      case StartQueue.Decision.Start d -> attempt(call, now, actions);
+      case StartQueue.Decision.Start d -> begin(call, now, actions);
       case StartQueue.Decision.Wait d -> {}
       case StartQueue.Decision.Refuse d -> refuseCharged(call, d.failure(), now, actions);
     }
@@ -289,11 +312,65 @@
     for (RequestId id : starts.next(capacity(now), now)) {
       RunningCall call = calls.get(id);
       if (call != null) {
-        attempt(call, now, actions);
+        begin(call, now, actions);
+      }
+    }
+  }
+
+  /** Sends the call, or claims its key first where it must not run twice. */
+  private void begin(RunningCall call, Instant now, List<GatewayAction> actions) {
+    Optional<IdempotentCall> claim = call.idempotent().filter(_ -> !call.isIdempotent());
+    if (claim.isEmpty()) {
+      attempt(call, now, actions);
+      return;
+    }
+    ClaimKey key = new ClaimKey(call.customer().id(), call.route().id(), claim.get().key());
+    Duration runLimit = Duration.between(now, call.deadline());
+    claimed(claims.ask(call.id(), key, claim.get().fingerprint(), runLimit, now), now, actions);
+  }
+
+  private void claimed(List<ClaimStep> steps, Instant now, List<GatewayAction> actions) {
+    for (ClaimStep step : steps) {
+      switch (step) {
+        case ClaimStep.Tell s ->
+            actions.add(new TellPeer(s.control(), new PeerMessage.Idempotency(s.message())));
+        case ClaimStep.Proceed s -> proceed(s.request(), now, actions);
+        case ClaimStep.Replay s -> replay(s, now, actions);
+        case ClaimStep.Refuse s -> {
+          RunningCall call = calls.get(s.request());
+          if (call != null) {
+            refuseCharged(call, s.failure(), now, actions);
+          }
+        }
       }
     }
   }
 
+  private void proceed(RequestId id, Instant now, List<GatewayAction> actions) {
+    RunningCall call = calls.get(id);
+    if (call == null) {
+      claimed(claims.notRun(id, now), now, actions);
+    } else if (now.isBefore(call.deadline())) {
+      attempt(call, now, actions);
+    } else {
+      refuseCharged(
+          call,
+          Failure.notRun(ErrorCode.DEADLINE_EXCEEDED, "the claim took too long; try again"),
+          now,
+          actions);
+    }
+  }
+
+  private void replay(ClaimStep.Replay step, Instant now, List<GatewayAction> actions) {
+    RunningCall call = calls.remove(step.request());
+    if (call != null) {
+      starts.ended(call.id());
+      limits(now).settle(call.customer(), call.estimate(), 0, now);
+      actions.add(new GatewayAction.Replay(call.id(), step.answer()));
+      actions.add(new Count(call.id(), call.record(now, Usage.NONE, Optional.empty())));
+    }
+  }
+
   private StartQueue.Capacity capacity(Instant now) {
     return new ReachableCapacity(endpoints, directory, self, now);
   }
@@ -353,7 +430,8 @@
                     Residency.of(call.customer(), call.route())
                         .allows(entry.announcement().place().region()))
             .toList();
-    Optional<EndpointTable.Entry> choice = router.choose(candidates, call.tried());
+    Optional<EndpointTable.Entry> choice =
+        router.choose(versions.choose(call, configuration.index(), candidates, now), call.tried());
     if (choice.isEmpty()) {
       refuseCharged(
           call,
@@ -366,6 +444,7 @@
     var target = choice.get().announcement();
     int attempt = call.begin(target);
     router.sent(target.endpoint());
+    versions.sent(call, target.version(), now);
     actions.add(
         new SendToEndpoint(
             call.id(),
@@ -379,6 +458,14 @@
     RunningCall call = calls.get(event.id());
     if (call != null && call.attempts() == event.attempt()) {
       call.answerBegan(now);
+      versions.answerBegan(call.id(), now);
+    }
+  }
+
+  private void keep(GatewayEvent.AnswerKept event) {
+    RunningCall call = calls.get(event.id());
+    if (call != null && call.attempts() == event.attempt()) {
+      call.keep(event.outcome());
     }
   }
 
@@ -389,13 +476,23 @@
       return;
     }
     call.endpoint().ifPresent(endpoint -> router.ended(endpoint.endpoint()));
+    versions.ended(call.id(), event.end(), now);
     switch (event.end()) {
       case AttemptEnd.Completed end -> finish(call, end.usage(), Optional.empty(), now, actions);
-      case AttemptEnd.CallerLeft end -> finish(call, end.used(), Optional.empty(), now, actions);
+      case AttemptEnd.CallerLeft end -> {
+        claimed(claims.ended(call.id(), new Outcome.Unknown(), now), now, actions);
+        finish(call, end.used(), Optional.empty(), now, actions);
+      }
       case AttemptEnd.Failed end -> attemptFailed(call, end, now, actions);
     }
   }
 
+  private void tellControls(RolloutMessage message, List<GatewayAction> actions) {
+    for (HostId control : claims.controls()) {
+      actions.add(new TellPeer(control, new PeerMessage.Rollouts(message)));
+    }
+  }
+
   private void attemptFailed(
       RunningCall call, AttemptEnd.Failed end, Instant now, List<GatewayAction> actions) {
     boolean again =
@@ -430,13 +527,27 @@
           case Service.Plain p -> PLAIN_CALL_TOKENS;
         };
     limits(now).settle(call.customer(), call.estimate(), used, now);
+    claimed(settleClaim(call, failure, now), now, actions);
+    versions.ended(call.id(), new AttemptEnd.CallerLeft(usage), now);
     actions.add(new Count(call.id(), call.record(now, usage, failure)));
   }
 
-  /** Ends a request that was never sent. */
+  private List<ClaimStep> settleClaim(RunningCall call, Optional<Failure> failure, Instant now) {
+    if (failure.isEmpty()) {
+      return claims.ended(call.id(), call.completed(), now);
+    }
+    return switch (failure.get().verdict()) {
+      case Verdict.NotRun v -> claims.notRun(call.id(), now);
+      case Verdict.MayHaveRun v -> claims.ended(call.id(), new Outcome.Unknown(), now);
+      case Verdict.Ran v -> claims.ended(call.id(), new Outcome.AnswerLost(), now);
+    };
+  }
+
+  /** Ends a request that certainly has not run. */
   private void refuse(RunningCall call, Failure failure, Instant now, List<GatewayAction> actions) {
     calls.remove(call.id());
     starts.ended(call.id());
+    claimed(claims.notRun(call.id(), now), now, actions);
     actions.add(new Refuse(call.id(), failure));
     actions.add(new Count(call.id(), call.record(now, Usage.NONE, Optional.of(failure))));
   }
@@ -486,6 +597,8 @@
         }
       }
       case PeerMessage.Directory m -> peers.hear(peer, m.message(), actions);
+      case PeerMessage.Idempotency m -> claimed(claims.hear(peer, m.message(), now), now, actions);
+      case PeerMessage.Rollouts m -> hear(m.message(), now);
       case PeerMessage.Limits m -> {
         limits(now).hear(peer, m.message(), now);
         retryAwaited(now, actions);
@@ -528,4 +641,11 @@
       finish(call, Usage.NONE, Optional.of(failure), now, actions);
     }
   }
+
+  private void hear(RolloutMessage message, Instant now) {
+    switch (message) {
+      case RolloutMessage.Steps steps -> versions.hear(steps.moves(), now);
+      case RolloutMessage.Report report -> {}
+    }
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
+++ b/core/src/main/java/org/cuminwell/core/peer/PeerMessage.java
@@ -3,8 +3,10 @@
 import org.cuminwell.core.control.AgreementMessage;
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.idempotency.IdempotencyMessage;
 import org.cuminwell.core.limit.LimitMessage;
 import org.cuminwell.core.membership.MembershipMessage;
+import org.cuminwell.core.rollout.RolloutMessage;
 
 /** Is one message between two processes of the system, by subject. Immutable and thread safe. */
 public sealed interface PeerMessage {
@@ -15,6 +17,12 @@
   /** Concerns the entry hosts. */
   record Directory(DirectoryMessage message) implements PeerMessage {}
 
+  /** Concerns calls that must not run twice. */
+  record Idempotency(IdempotencyMessage message) implements PeerMessage {}
+
+  /** Concerns version moves. */
+  record Rollouts(RolloutMessage message) implements PeerMessage {}
+
   /** Concerns the agreement of the control hosts. */
   record Consensus(AgreementMessage message) implements PeerMessage {}
 
--- a/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/PeerFrameCodec.java
@@ -39,6 +39,8 @@
     switch (message) {
       case PeerMessage.Distribution m -> to.setDistribution(DistributionCodec.toProto(m.message()));
       case PeerMessage.Directory m -> to.setDirectory(DirectoryCodec.toProto(m.message()));
+      case PeerMessage.Rollouts m -> to.setRollout(RolloutCodec.toProto(m.message()));
+      case PeerMessage.Idempotency m -> to.setIdempotency(IdempotencyCodec.toProto(m.message()));
       case PeerMessage.Consensus m -> to.setConsensus(ConsensusCodec.toProto(m.message()));
       case PeerMessage.Limits m -> to.setLimit(LimitCodec.toProto(m.message()));
       case PeerMessage.Membership m -> to.setMembership(MembershipCodec.toProto(m.message()));
@@ -54,6 +56,9 @@
               new PeerMessage.Distribution(DistributionCodec.fromProto(from.getDistribution())));
       case DIRECTORY ->
           message(new PeerMessage.Directory(DirectoryCodec.fromProto(from.getDirectory())));
+      case ROLLOUT -> message(new PeerMessage.Rollouts(RolloutCodec.fromProto(from.getRollout())));
+      case IDEMPOTENCY ->
+          message(new PeerMessage.Idempotency(IdempotencyCodec.fromProto(from.getIdempotency())));
       case CONSENSUS ->
           message(new PeerMessage.Consensus(ConsensusCodec.fromProto(from.getConsensus())));
       case LIMIT -> message(new PeerMessage.Limits(LimitCodec.fromProto(from.getLimit())));
--- a/wire/src/main/java/org/cuminwell/wire/StateCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/StateCodec.java
@@ -21,6 +21,8 @@
     var to = org.cuminwell.wire.generated.Command.newBuilder();
     switch (from) {
       case Command.AcceptTicket c -> to.setAcceptTicket(toProto(c.ticket()));
+      case Command.ChangeClaim c -> to.setChangeClaim(IdempotencyCodec.toProto(c.change()));
+      case Command.AdvanceRollout c -> to.setAdvanceRollout(RolloutCodec.toProto(c.advance()));
     }
     return to.build();
   }
@@ -28,6 +30,10 @@
   static Command fromProto(org.cuminwell.wire.generated.Command from) {
     return switch (from.getKindCase()) {
       case ACCEPT_TICKET -> new Command.AcceptTicket(fromProto(from.getAcceptTicket()));
+      case CHANGE_CLAIM ->
+          new Command.ChangeClaim(IdempotencyCodec.fromProto(from.getChangeClaim()));
+      case ADVANCE_ROLLOUT ->
+          new Command.AdvanceRollout(RolloutCodec.fromProto(from.getAdvanceRollout()));
       case KIND_NOT_SET -> throw new IllegalArgumentException("command without a kind");
     };
   }
@@ -36,13 +42,17 @@
     var to = org.cuminwell.wire.generated.StateSnapshot.newBuilder();
     to.setConfiguration(ConfigurationCodec.toProto(from.configuration()));
     from.tickets().forEach(ticket -> to.addTicket(toProto(ticket)));
+    to.setClaims(IdempotencyCodec.toProto(from.claims()));
+    from.moves().forEach(move -> to.addMove(RolloutCodec.toProto(move)));
     return to.build();
   }
 
   static StateSnapshot fromProto(org.cuminwell.wire.generated.StateSnapshot from) {
     return new StateSnapshot(
         ConfigurationCodec.fromProto(from.getConfiguration()),
-        from.getTicketList().stream().map(StateCodec::fromProto).toList());
+        from.getTicketList().stream().map(StateCodec::fromProto).toList(),
+        IdempotencyCodec.fromProto(from.getClaims()),
+        from.getMoveList().stream().map(RolloutCodec::fromProto).toList());
   }
 
   private static org.cuminwell.wire.generated.Ticket toProto(Ticket from) {
