--- a/core/src/main/java/org/cuminwell/core/directory/HostDescription.java
+++ b/core/src/main/java/org/cuminwell/core/directory/HostDescription.java
@@ -20,4 +20,10 @@
     HostAddress inner,
     HostAddress peer,
     double load,
-    boolean stopping) {}
+    boolean stopping) {
+
+  /** Returns the same host after it has begun a graceful shutdown. */
+  public HostDescription asStopping() {
+    return new HostDescription(id, place, callers, inner, peer, load, true);
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/gateway/CallBody.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/CallBody.java
@@ -13,9 +13,15 @@
    *
    * @param promptTokens the estimated length of the prompt, in tokens
    * @param maxCompletionTokens the most that the answer may take, in tokens
+   * @param prefixHash a hash of the model and the first part of the prompt, to find warm caches by
    */
   record Completion(
-      RequestId id, String model, boolean stream, long promptTokens, long maxCompletionTokens)
+      RequestId id,
+      String model,
+      boolean stream,
+      long promptTokens,
+      long maxCompletionTokens,
+      long prefixHash)
       implements CallBody {}
 
   /**
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -7,6 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
 import org.cuminwell.core.config.ConfigurationIndex;
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
@@ -15,6 +18,7 @@
 import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.gateway.GatewayAction.AnswerEntryHosts;
 import org.cuminwell.core.gateway.GatewayAction.AnswerModels;
+import org.cuminwell.core.gateway.GatewayAction.CloseListener;
 import org.cuminwell.core.gateway.GatewayAction.Count;
 import org.cuminwell.core.gateway.GatewayAction.ReadBody;
 import org.cuminwell.core.gateway.GatewayAction.Refuse;
@@ -32,10 +36,9 @@
 import org.cuminwell.core.model.Route;
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.Usage;
+import org.cuminwell.core.model.Verdict;
 import org.cuminwell.core.peer.PeerMessage;
 import org.cuminwell.core.residency.Residency;
-import org.cuminwell.core.retry.RetryPolicy;
-import org.cuminwell.core.routing.Router;
 
 /**
  * Decides what a gateway does with each event.
@@ -48,21 +51,27 @@
   /** The tokens that a plain call is charged, since it generates none. */
   static final long PLAIN_CALL_TOKENS = 1;
 
+  private static final Failure DROPPED =
+      Failure.mayHaveRun(ErrorCode.CALL_DROPPED, "the caller went away or sent a bad body");
+
   private static final Duration RETRY_SOON = Duration.ofSeconds(1);
 
-  private final HostDescription self;
   private final ConfigurationHolder configuration = new ConfigurationHolder();
   private final HostDirectory directory = new HostDirectory();
   private final EndpointTable endpoints = new EndpointTable();
   private final CustomerLimits limits = new CustomerLimits();
-  private final Router router = new Router();
-  private final RetryPolicy retryPolicy = RetryPolicy.DEFAULT;
+  private final Attempts attempts;
   private final Map<RequestId, RunningCall> calls = new HashMap<>();
-  private boolean stopping;
+  private final Set<HostId> peers = new TreeSet<>();
+  private final GracefulStop stop = new GracefulStop();
+  private HostDescription self;
 
-  /** Makes the state of the gateway that {@code self} describes. */
-  public Gateway(HostDescription self) {
+  /**
+   * Makes the state of the gateway that {@code self} describes; routing draws by {@code random}.
+   */
+  public Gateway(HostDescription self, SplittableRandom random) {
     this.self = self;
+    this.attempts = new Attempts(self.place(), random);
     directory.learn(List.of(self));
   }
 
@@ -72,7 +81,7 @@
     switch (event) {
       case GatewayEvent.CallOpened e -> open(e.head(), now, actions);
       case GatewayEvent.CallRead e -> admit(e.body(), now, actions);
-      case GatewayEvent.CallDropped e -> calls.remove(e.id());
+      case GatewayEvent.CallDropped e -> dropped(e.id(), now, actions);
       case GatewayEvent.AnswerBegan e -> answerBegan(e, now);
       case GatewayEvent.AttemptEnded e -> attemptEnded(e, now, actions);
       case GatewayEvent.ModelsAsked e -> listModels(e, actions);
@@ -81,24 +90,53 @@
       case GatewayEvent.EndpointReported e -> endpoints.report(e.report());
       case GatewayEvent.EndpointLeft e -> endpoints.leave(e.endpoint(), e.incarnation());
       case GatewayEvent.PeerConnected e -> greet(e.peer(), actions);
-      case GatewayEvent.PeerLost e -> {}
+      case GatewayEvent.PeerLost e -> peers.remove(e.peer());
       case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), actions);
-      case GatewayEvent.Ticked e -> endpoints.expire(now);
-      case GatewayEvent.StopAsked e -> stopping = true;
-    }
-    if (stopping && calls.isEmpty()) {
-      actions.add(new Stopped());
+      case GatewayEvent.Ticked e -> tick(now, actions);
+      case GatewayEvent.StopAsked e -> stop(now, actions);
     }
     return actions;
   }
 
   /** Returns whether requests can be answered. */
   public boolean isReady() {
-    return configuration.isReady() && !stopping;
+    return configuration.isReady() && !stop.isAsked();
+  }
+
+  private void stop(Instant now, List<GatewayAction> actions) {
+    if (!stop.ask(now)) {
+      return;
+    }
+    self = self.asStopping();
+    directory.learn(List.of(self));
+    peers.forEach(peer -> actions.add(tell(peer, new DirectoryMessage.Here(self))));
+  }
+
+  private void tick(Instant now, List<GatewayAction> actions) {
+    endpoints.expire(now);
+    attempts.tick(now);
+    if (stop.refuses(now)) {
+      actions.add(new CloseListener());
+    }
+    if (stop.isDone(calls.isEmpty(), now)) {
+      actions.add(new Stopped());
+    }
+  }
+
+  /** Forgets a request that was never sent; the end of one that was sent is reported as such. */
+  private void dropped(RequestId id, Instant now, List<GatewayAction> actions) {
+    RunningCall call = calls.get(id);
+    if (call == null || call.isAttempting()) {
+      return;
+    }
+    limits.settle(call.customer(), call.estimate(), 0, now);
+    calls.remove(id);
+    Failure left = DROPPED.withVerdict(Verdict.notRun());
+    actions.add(new Count(id, call.record(now, Usage.NONE, Optional.of(left))));
   }
 
   private void open(CallHead head, Instant now, List<GatewayAction> actions) {
-    Optional<Failure> refusal = refusalOfHead(head);
+    Optional<Failure> refusal = refusalOfHead(head, now);
     if (refusal.isPresent()) {
       actions.add(new Refuse(head.id(), refusal.get()));
       return;
@@ -108,8 +146,8 @@
     actions.add(new ReadBody(head.id()));
   }
 
-  private Optional<Failure> refusalOfHead(CallHead head) {
-    if (stopping) {
+  private Optional<Failure> refusalOfHead(CallHead head, Instant now) {
+    if (stop.refuses(now)) {
       return Optional.of(
           Failure.notRunRetryAfter(
               ErrorCode.STOPPING, "this host is stopping; use another entry host", RETRY_SOON));
@@ -211,6 +249,9 @@
     }
     long estimate = estimate(body);
     call.resolve(route.get(), estimate);
+    if (body instanceof CallBody.Completion completion) {
+      call.describe(completion);
+    }
     Residency residency = Residency.of(call.customer(), route.get());
     if (!residency.allows(self.place().region())) {
       refuse(call, wrongRegion(residency), now, actions);
@@ -248,34 +289,17 @@
   }
 
   private void attempt(RunningCall call, Instant now, List<GatewayAction> actions) {
-    List<EndpointTable.Entry> candidates =
-        endpoints.serving(call.route().service().name(), now).stream()
-            .filter(
-                entry ->
-                    Residency.of(call.customer(), call.route())
-                        .allows(entry.announcement().place().region()))
-            .toList();
-    Optional<EndpointTable.Entry> choice = router.choose(candidates, call.tried());
-    if (choice.isEmpty()) {
-      limits.settle(call.customer(), call.estimate(), 0, now);
-      refuse(
-          call,
-          Failure.notRunRetryAfter(
-              ErrorCode.NO_ENDPOINT, "no endpoint can take the request; try again", RETRY_SOON),
-          now,
-          actions);
+    var serving = endpoints.serving(call.route().service().name(), now);
+    Optional<SendToEndpoint> attempt = attempts.begin(call, serving, now);
+    if (attempt.isPresent()) {
+      actions.add(attempt.get());
       return;
     }
-    var target = choice.get().announcement();
-    int attempt = call.begin(target);
-    router.sent(target.endpoint());
-    actions.add(
-        new SendToEndpoint(
-            call.id(),
-            attempt,
-            target.endpoint(),
-            target.address(),
-            Duration.between(now, call.deadline())));
+    limits.settle(call.customer(), call.estimate(), 0, now);
+    Failure none =
+        Failure.notRunRetryAfter(
+            ErrorCode.NO_ENDPOINT, "no endpoint can take the request; try again", RETRY_SOON);
+    refuse(call, call.withVerdictOfAll(none), now, actions);
   }
 
   private void answerBegan(GatewayEvent.AnswerBegan event, Instant now) {
@@ -291,32 +315,26 @@
     if (call == null || call.attempts() != event.attempt()) {
       return;
     }
-    call.endpoint().ifPresent(endpoint -> router.ended(endpoint.endpoint()));
+    attempts.ended(call, event.end(), now);
     switch (event.end()) {
       case AttemptEnd.Completed end -> finish(call, end.usage(), Optional.empty(), now, actions);
-      case AttemptEnd.CallerLeft end -> finish(call, end.used(), Optional.empty(), now, actions);
+      case AttemptEnd.CallerLeft end ->
+          finish(call, end.used(), Optional.of(DROPPED), now, actions);
       case AttemptEnd.Failed end -> attemptFailed(call, end, now, actions);
     }
   }
 
   private void attemptFailed(
       RunningCall call, AttemptEnd.Failed end, Instant now, List<GatewayAction> actions) {
-    boolean again =
-        retryPolicy.allows(
-            call.attempts(),
-            end.failure().verdict(),
-            call.isIdempotent(),
-            call.hasAnswerBegun(),
-            call.deadline(),
-            now);
-    if (again) {
+    Failure failure = call.withVerdictOfAll(end.failure());
+    if (attempts.tryAgain(call, end.failure(), now)) {
       attempt(call, now, actions);
       return;
     }
     if (!call.hasAnswerBegun()) {
-      actions.add(new Refuse(call.id(), end.failure()));
+      actions.add(new Refuse(call.id(), failure));
     }
-    finish(call, end.used(), Optional.of(end.failure()), now, actions);
+    finish(call, end.used(), Optional.of(failure), now, actions);
   }
 
   private void finish(
@@ -378,6 +396,7 @@
   }
 
   private void greet(HostId peer, List<GatewayAction> actions) {
+    peers.add(peer);
     actions.add(tell(peer, new DirectoryMessage.Here(self)));
     actions.add(tell(peer, new DistributionMessage.Held(configuration.revision())));
   }
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
@@ -19,9 +19,19 @@
   /** Answers a request with a failure. */
   record Refuse(RequestId id, Failure failure) implements GatewayAction {}
 
-  /** Sends a request to an endpoint. */
+  /**
+   * Sends a request to an endpoint.
+   *
+   * @param timeout the time left for the request
+   * @param firstByteWithin how long the attempt may show no byte of an answer
+   */
   record SendToEndpoint(
-      RequestId id, int attempt, EndpointId endpoint, HostAddress address, Duration timeout)
+      RequestId id,
+      int attempt,
+      EndpointId endpoint,
+      HostAddress address,
+      Duration timeout,
+      Duration firstByteWithin)
       implements GatewayAction {}
 
   /** Answers with the names of the models. */
@@ -46,6 +56,9 @@
   /** Counts a request that has ended. */
   record Count(RequestId id, CallRecord call) implements GatewayAction {}
 
+  /** Takes no new connections any more; those that are open go on. */
+  record CloseListener() implements GatewayAction {}
+
   /** Says that all running requests have ended after a stop was asked for. */
   record Stopped() implements GatewayAction {}
 }
--- a/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.model.Customer;
@@ -13,6 +14,8 @@
 import org.cuminwell.core.model.Route;
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.Usage;
+import org.cuminwell.core.model.Verdict;
+import org.cuminwell.core.routing.RouteQuery;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,6 +25,9 @@
  */
 final class RunningCall {
 
+  /** A slow pace of generation. */
+  private static final Duration TIME_PER_TOKEN = Duration.ofMillis(100);
+
   private final CallHead head;
   private final Instant openedAt;
   private final Customer customer;
@@ -29,7 +35,11 @@
   private @Nullable Route route;
   private @Nullable Announcement endpoint;
   private @Nullable Instant firstByteAt;
+  private @Nullable Instant sentAt;
+  private OptionalLong prefix = OptionalLong.empty();
+  private Verdict verdict = Verdict.notRun();
   private long estimate;
+  private Duration untilFirstByte = Duration.ZERO;
   private int attempts;
 
   RunningCall(CallHead head, Customer customer, Instant openedAt) {
@@ -71,22 +81,56 @@
     return openedAt.plus(route().timeout());
   }
 
-  Set<EndpointId> tried() {
-    return tried;
-  }
-
   int attempts() {
     return attempts;
   }
 
+  /** Notes what the body of a completion says. */
+  void describe(CallBody.Completion body) {
+    prefix = OptionalLong.of(body.prefixHash());
+    untilFirstByte =
+        body.stream() ? Duration.ZERO : TIME_PER_TOKEN.multipliedBy(body.maxCompletionTokens());
+  }
+
+  /** Returns how long the endpoint may work before the first byte of its answer. */
+  Duration untilFirstByte() {
+    return untilFirstByte;
+  }
+
+  RouteQuery query() {
+    return new RouteQuery(prefix, tried);
+  }
+
   /** Notes that the next attempt goes to the endpoint, and returns the number of the attempt. */
-  int begin(Announcement target) {
+  int begin(Announcement target, Instant now) {
     endpoint = target;
+    sentAt = now;
     tried.add(target.endpoint());
     attempts++;
     return attempts;
   }
 
+  /** Notes that the running attempt has ended, and returns how long it took. */
+  Duration attemptTook(Instant now) {
+    Duration took = sentAt == null ? Duration.ZERO : Duration.between(sentAt, now);
+    sentAt = null;
+    return took;
+  }
+
+  /**
+   * Returns the failure with the verdict on all attempts so far: if an earlier one may have run, so
+   * may the request.
+   */
+  Failure withVerdictOfAll(Failure failure) {
+    verdict = verdict.or(failure.verdict());
+    return failure.withVerdict(verdict);
+  }
+
+  /** Returns whether an attempt is running, whose end will be reported. */
+  boolean isAttempting() {
+    return sentAt != null;
+  }
+
   Optional<Announcement> endpoint() {
     return Optional.ofNullable(endpoint);
   }
@@ -101,6 +145,13 @@
     return firstByteAt != null;
   }
 
+  boolean isCompletion() {
+    return switch (head.target()) {
+      case CallHead.Target.Completion c -> true;
+      case CallHead.Target.Plain p -> false;
+    };
+  }
+
   /** Returns whether running the request twice does no harm. */
   boolean isIdempotent() {
     return switch (head.target()) {
--- a/core/src/main/java/org/cuminwell/core/model/ErrorCode.java
+++ b/core/src/main/java/org/cuminwell/core/model/ErrorCode.java
@@ -5,6 +5,7 @@
   BAD_REQUEST("bad_request", 400),
   BODY_TOO_LARGE("body_too_large", 413),
   BUSY("busy", 503),
+  CALL_DROPPED("call_dropped", 499),
   DEADLINE_EXCEEDED("deadline_exceeded", 504),
   ENDPOINT_FAILED("endpoint_failed", 502),
   HOP_MARK_REFUSED("hop_mark_refused", 400),
--- a/core/src/main/java/org/cuminwell/core/model/Failure.java
+++ b/core/src/main/java/org/cuminwell/core/model/Failure.java
@@ -33,4 +33,14 @@
   public static Failure ran(ErrorCode code, String message) {
     return new Failure(code, message, Verdict.ran(), Optional.empty());
   }
+
+  /** Returns the same failure with another verdict. */
+  public Failure withVerdict(Verdict other) {
+    return new Failure(code, message, other, retryAfter);
+  }
+
+  /** Returns the same failure with a time after which the caller should try again. */
+  public Failure withRetryAfter(Duration wait) {
+    return new Failure(code, message, verdict, Optional.of(wait));
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/model/Verdict.java
+++ b/core/src/main/java/org/cuminwell/core/model/Verdict.java
@@ -32,6 +32,15 @@
   /** The request has certainly run. */
   record Ran() implements Verdict {}
 
+  /** Returns the verdict on two attempts of one request together. */
+  default Verdict or(Verdict other) {
+    return switch (this) {
+      case NotRun n -> other;
+      case MayHaveRun m -> other instanceof Ran ? other : this;
+      case Ran r -> this;
+    };
+  }
+
   /** Returns the name that callers see. */
   default String label() {
     return switch (this) {
--- a/core/src/main/java/org/cuminwell/core/retry/RetryPolicy.java
+++ b/core/src/main/java/org/cuminwell/core/retry/RetryPolicy.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.retry;
 
+import java.time.Duration;
 import java.time.Instant;
 import org.cuminwell.core.model.Verdict;
 
@@ -16,6 +17,26 @@
   /** The policy that gateways use. */
   public static final RetryPolicy DEFAULT = new RetryPolicy(3);
 
+  private static final Duration BASE_PATIENCE = Duration.ofSeconds(4);
+  private static final int WAIT_FACTOR = 3;
+
+  /**
+   * Returns how long an attempt may show no byte of its answer before it is given up for another.
+   *
+   * <p>A connection that went silent looks like a slow endpoint, so the limit grows with the wait
+   * that is expected there. An attempt that can't be followed by another has until the deadline, so
+   * that slowness alone never fails a request.
+   *
+   * @param another whether another attempt would be allowed if this one may have run
+   * @param expectedWait how long the request is expected to wait for a slot
+   * @param work how long a slow endpoint works before the first byte
+   */
+  public Duration patience(
+      boolean another, Duration expectedWait, Duration work, Duration untilDeadline) {
+    Duration patience = BASE_PATIENCE.plus(expectedWait.multipliedBy(WAIT_FACTOR)).plus(work);
+    return another && patience.compareTo(untilDeadline) < 0 ? patience : untilDeadline;
+  }
+
   /**
    * Returns whether another attempt is allowed.
    *
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/routing/EndpointLoad.java
@@ -0,0 +1,120 @@
+package org.cuminwell.core.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import org.cuminwell.core.membership.EndpointTable.Entry;
+import org.cuminwell.core.membership.LoadReport;
+
+/**
+ * Estimates the work at one endpoint by its last report and what this gateway did since.
+ *
+ * <p>Reports come late, so what was sent up to {@link #REPORT_LAG} before a report came counts as
+ * not yet in it. Without a fresh report only this gateway's own requests count. Invariant: memory
+ * is bounded by the requests of {@link #REPORT_MAX_AGE}. Not thread safe: one thread owns it.
+ */
+final class EndpointLoad {
+
+  /** How much earlier than its arrival a report may have been taken. */
+  static final Duration REPORT_LAG = Duration.ofMillis(150);
+
+  /** How long a report counts. */
+  static final Duration REPORT_MAX_AGE = Duration.ofSeconds(3);
+
+  private static final Duration FAILURE_HALF_LIFE = Duration.ofSeconds(5);
+  private static final double SERVICE_TIME_WEIGHT = 0.1;
+
+  private final ArrayDeque<Step> steps = new ArrayDeque<>();
+  private long incarnation = -1;
+  private long sequence = -1;
+  private int changed;
+  private int reported;
+  private Instant reportedAt = Instant.MIN;
+  private int outstanding;
+  private double failures;
+  private Instant failuresAt = Instant.MIN;
+  private double serviceMillis;
+
+  private record Step(Instant at, int change) {}
+
+  /** Takes in what the membership table knows. */
+  void observe(Entry entry, Instant now) {
+    if (entry.announcement().incarnation() != incarnation) {
+      incarnation = entry.announcement().incarnation();
+      sequence = -1;
+      reportedAt = Instant.MIN;
+      failures = 0;
+      changed = 0;
+      steps.clear();
+    }
+    entry.load().filter(load -> load.reportedSequence() != sequence).ifPresent(l -> take(l, now));
+  }
+
+  void sent(Instant now) {
+    outstanding++;
+    step(now, 1);
+  }
+
+  /** Counts the end of a request after {@code took}; failed ones weigh against the endpoint. */
+  void ended(Duration took, boolean failed, Instant now) {
+    outstanding = Math.max(0, outstanding - 1);
+    step(now, -1);
+    if (failed) {
+      failures = failures(now) + 1;
+      failuresAt = now;
+    } else {
+      double millis = took.toNanos() / 1e6;
+      serviceMillis =
+          serviceMillis == 0
+              ? millis
+              : serviceMillis + SERVICE_TIME_WEIGHT * (millis - serviceMillis);
+    }
+  }
+
+  /** Returns how many requests the endpoint holds, as far as can be told. */
+  int requests(Instant now) {
+    if (reportedAt.equals(Instant.MIN) || now.isAfter(reportedAt.plus(REPORT_MAX_AGE))) {
+      return outstanding;
+    }
+    return Math.max(outstanding, reported + changed);
+  }
+
+  /** Returns the recent failures, halved every five seconds. */
+  double failures(Instant now) {
+    if (failures == 0) {
+      return 0;
+    }
+    double halves =
+        Duration.between(failuresAt, now).toNanos() / (double) FAILURE_HALF_LIFE.toNanos();
+    return failures * Math.pow(0.5, Math.max(0, halves));
+  }
+
+  /** Returns the mean time that a request takes here, in milliseconds, or 0 if none has ended. */
+  double serviceMillis() {
+    return serviceMillis;
+  }
+
+  /** Returns whether nothing would be lost by forgetting the endpoint. */
+  boolean isIdle(Instant now) {
+    return outstanding == 0 && failures(now) < 0.1;
+  }
+
+  private void take(LoadReport load, Instant now) {
+    sequence = load.reportedSequence();
+    reported = load.running() + load.queued();
+    reportedAt = now;
+    forgetBefore(now.minus(REPORT_LAG));
+  }
+
+  private void step(Instant now, int change) {
+    steps.add(new Step(now, change));
+    changed += change;
+    forgetBefore(now.minus(REPORT_MAX_AGE));
+  }
+
+  private void forgetBefore(Instant time) {
+    while (!steps.isEmpty() && steps.element().at().isBefore(time)) {
+      changed -= steps.remove().change();
+    }
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/gateway/AnswerStage.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/AnswerStage.java
@@ -1,6 +1,6 @@
 package org.cuminwell.shell.gateway;
 
-import java.util.function.Consumer;
+import java.time.Duration;
 import org.apache.pekko.stream.Attributes;
 import org.apache.pekko.stream.FlowShape;
 import org.apache.pekko.stream.Inlet;
@@ -9,30 +9,33 @@
 import org.apache.pekko.stream.stage.AbstractOutHandler;
 import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
+import org.apache.pekko.stream.stage.TimerGraphStageLogic;
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.gateway.AttemptEnd;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
-import org.cuminwell.core.model.RequestId;
 import org.cuminwell.shell.http.HttpAnswers;
 
 /**
- * Passes a streamed answer on and reports how it ended, once.
+ * Passes the checked parts of a streamed answer on and reports its begin and its end.
  *
- * <p>An answer that stops before its terminal marker gets an error event in its place, so that it
- * can't be taken for a whole one. Immutable and thread safe; each run has its own state.
+ * <p>A fault before the first part is passed on leaves the stream empty, so that another attempt
+ * can be made. After that an error event takes the place of the rest, so that it can't be taken for
+ * a whole answer. Silence counts only while the caller is ready for more. Immutable and thread
+ * safe; each run has its own state.
  */
 final class AnswerStage extends GraphStage<FlowShape<ByteString, ByteString>> {
 
+  /** After one to two of these without a byte the endpoint counts as silent. */
+  static final Duration SILENCE_PERIOD = Duration.ofSeconds(20);
+
   private final Inlet<ByteString> in = Inlet.create("AnswerStage.in");
   private final Outlet<ByteString> out = Outlet.create("AnswerStage.out");
   private final FlowShape<ByteString, ByteString> shape = FlowShape.of(in, out);
-  private final RequestId id;
-  private final Consumer<AttemptEnd> ended;
+  private final EndpointAttempt attempt;
 
-  AnswerStage(RequestId id, Consumer<AttemptEnd> ended) {
-    this.id = id;
-    this.ended = ended;
+  AnswerStage(EndpointAttempt attempt) {
+    this.attempt = attempt;
   }
 
   @Override
@@ -45,10 +48,11 @@
     return new Logic();
   }
 
-  private final class Logic extends GraphStageLogic {
+  private final class Logic extends TimerGraphStageLogic {
 
     private final AnswerCheck check = new AnswerCheck();
-    private boolean reported;
+    private boolean begun;
+    private boolean heard;
 
     Logic() {
       super(shape);
@@ -57,19 +61,18 @@
           new AbstractInHandler() {
             @Override
             public void onPush() {
-              ByteString bytes = grab(in);
-              check.read(bytes.toArray());
-              push(out, bytes);
+              heard = true;
+              pass(check.read(grab(in).toArrayUnsafe()));
             }
 
             @Override
             public void onUpstreamFinish() {
-              finish("the answer ended before its terminal marker");
+              finish();
             }
 
             @Override
             public void onUpstreamFailure(Throwable error) {
-              finish("the connection to the endpoint broke off");
+              fail("the connection to the endpoint broke off");
             }
           });
       setHandler(
@@ -82,37 +85,83 @@
 
             @Override
             public void onDownstreamFinish(Throwable cause) {
-              report(new AttemptEnd.CallerLeft(check.usage()));
+              attempt.ended(new AttemptEnd.CallerLeft(check.usage()));
               cancelStage(cause);
             }
           });
     }
 
+    @Override
+    public void preStart() {
+      scheduleAtFixedRate("silence", SILENCE_PERIOD, SILENCE_PERIOD);
+    }
+
+    @Override
+    public void onTimer(Object key) {
+      if (begun && !heard && hasBeenPulled(in)) {
+        fail("the endpoint went silent");
+        return;
+      }
+      heard = false;
+    }
+
     @Override
     public void postStop() {
-      report(new AttemptEnd.CallerLeft(check.usage()));
+      attempt.ended(new AttemptEnd.CallerLeft(check.usage()));
     }
 
-    private void finish(String problem) {
-      if (check.isWhole()) {
-        report(new AttemptEnd.Completed(check.usage()));
-        completeStage();
+    private void pass(byte[] cleared) {
+      if (cleared.length > 0) {
+        if (!begin()) {
+          return;
+        }
+        push(out, ByteString.fromArrayUnsafe(cleared));
+      }
+      if (check.fault().isPresent()) {
+        fail(check.fault().get());
+      } else if (cleared.length == 0) {
+        pull(in);
+      }
+    }
+
+    private void finish() {
+      byte[] last = check.end();
+      if (check.fault().isPresent()) {
+        fail(check.fault().get());
         return;
       }
-      Failure failure = Failure.mayHaveRun(ErrorCode.INCOMPLETE_ANSWER, problem);
-      report(new AttemptEnd.Failed(failure, check.usage()));
-      emit(out, errorEvent(failure), this::completeStage);
+      if (begin()) {
+        attempt.ended(new AttemptEnd.Completed(check.usage()));
+        emit(out, ByteString.fromArrayUnsafe(last), this::completeStage);
+      }
     }
 
-    private ByteString errorEvent(Failure failure) {
-      return ByteString.fromString("\n\ndata: " + HttpAnswers.errorBody(id, failure) + "\n\n");
+    /** Returns whether this attempt may answer; if not, it was given up and stops. */
+    private boolean begin() {
+      if (!begun && !attempt.tryAnswer()) {
+        completeStage();
+        return false;
+      }
+      begun = true;
+      return true;
     }
 
-    private void report(AttemptEnd end) {
-      if (!reported) {
-        reported = true;
-        ended.accept(end);
+    private void fail(String problem) {
+      Failure failure = Failure.mayHaveRun(ErrorCode.INCOMPLETE_ANSWER, problem);
+      attempt.ended(new AttemptEnd.Failed(failure, check.usage()));
+      if (!isClosed(in)) {
+        cancel(in);
+      }
+      if (begun) {
+        emit(out, errorEvent(failure), this::completeStage);
+      } else {
+        completeStage();
       }
     }
+
+    private ByteString errorEvent(Failure failure) {
+      return ByteString.fromString(
+          "\n\ndata: " + HttpAnswers.errorBody(attempt.id(), failure) + "\n\n");
+    }
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/CallerFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/CallerFront.java
@@ -7,6 +7,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpMethods;
@@ -26,6 +27,7 @@
 import org.cuminwell.core.model.RouteId;
 import org.cuminwell.shell.http.BodyReader;
 import org.cuminwell.shell.http.HttpAnswers;
+import org.cuminwell.shell.http.HttpConnection;
 import org.cuminwell.shell.http.HttpSystem;
 
 /**
@@ -47,6 +49,7 @@
   private final HttpSystem http;
   private final PendingCalls calls;
   private final EventSink events;
+  private volatile boolean closing;
 
   CallerFront(HttpSystem http, PendingCalls calls, EventSink events) {
     this.http = http;
@@ -54,11 +57,21 @@
     this.events = events;
   }
 
+  /** Returns the handler of a new connection. */
+  HttpConnection connection() {
+    return new CallerConnection(this);
+  }
+
+  /** Tells callers from now on not to use their connections again. */
+  void closeConnections() {
+    closing = true;
+  }
+
   /** Handles one request; the stage never fails. */
-  CompletionStage<HttpResponse> handle(HttpRequest request) {
+  CompletionStage<HttpResponse> handle(HttpRequest request, Consumer<PendingCall> opened) {
     RequestId id = new RequestId(UUID.randomUUID().toString());
     try {
-      return handle(id, request);
+      return handle(id, request, opened).thenApply(this::lastIfClosing);
     } catch (IllegalArgumentException e) {
       return refuse(
           id, request, Failure.notRun(ErrorCode.BAD_REQUEST, String.valueOf(e.getMessage())));
@@ -109,7 +122,8 @@
     call.succeed(HttpAnswers.json(200, root));
   }
 
-  private CompletionStage<HttpResponse> handle(RequestId id, HttpRequest request) {
+  private CompletionStage<HttpResponse> handle(
+      RequestId id, HttpRequest request, Consumer<PendingCall> opened) {
     if (request.getHeader(HOP_HEADER).isPresent()) {
       return refuse(
           id,
@@ -121,14 +135,15 @@
     String path = request.getUri().getPathString();
     if (path.startsWith(PLAIN_PREFIX)) {
       var target = new CallHead.Target.Plain(plainRoute(path), request.method().value());
-      return open(new CallHead(id, target, key), request);
+      return open(new CallHead(id, target, key), request, opened);
     }
     return switch (path) {
       case COMPLETIONS ->
           request.method().equals(HttpMethods.POST)
               ? open(
                   new CallHead(id, new CallHead.Target.Completion(namedRoute(request)), key),
-                  request)
+                  request,
+                  opened)
               : wrongMethod(id, request, "POST");
       case MODELS -> get(id, request, call -> new GatewayEvent.ModelsAsked(id, key));
       case ENTRY_HOSTS ->
@@ -155,8 +170,25 @@
     return submit(call, event.apply(call));
   }
 
-  private CompletionStage<HttpResponse> open(CallHead head, HttpRequest request) {
-    return submit(new PendingCall(head.id(), request), new GatewayEvent.CallOpened(head));
+  private CompletionStage<HttpResponse> open(
+      CallHead head, HttpRequest request, Consumer<PendingCall> opened) {
+    PendingCall call = new PendingCall(head.id(), request);
+    opened.accept(call);
+    return submit(call, new GatewayEvent.CallOpened(head));
+  }
+
+  /** Takes in that the caller of a request has gone. */
+  void callerLeft(PendingCall call) {
+    call.callerLeft();
+    if (calls.contains(call.id())) {
+      events.force(new GatewayEvent.CallDropped(call.id()));
+    }
+  }
+
+  private HttpResponse lastIfClosing(HttpResponse answer) {
+    return closing && answer.getHeader("Connection").isEmpty()
+        ? answer.addHeader(RawHeader.create("Connection", "close"))
+        : answer;
   }
 
   private CompletionStage<HttpResponse> submit(PendingCall call, GatewayEvent event) {
--- a/shell/src/main/java/org/cuminwell/shell/gateway/CompletionBody.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/CompletionBody.java
@@ -15,6 +15,7 @@
 
   private static final long MAX_TOKENS = 1_000_000;
   private static final int BYTES_PER_TOKEN = 4;
+  private static final int PREFIX_CHARACTERS = 1_024;
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private CompletionBody() {}
@@ -38,7 +39,8 @@
         root.path("model").textValue(),
         stream.asBoolean(false),
         promptTokens(root.path("messages")),
-        maxTokens(root));
+        maxTokens(root),
+        prefixHash(root));
   }
 
   private static JsonNode parse(byte[] json) {
@@ -66,6 +68,35 @@
     return max.longValue();
   }
 
+  /** Returns a hash of the model and the first part of the prompt. */
+  private static long prefixHash(JsonNode root) {
+    Hash hash = new Hash();
+    hash.add(root.path("model").textValue());
+    int left = PREFIX_CHARACTERS;
+    for (JsonNode message : root.path("messages")) {
+      if (left <= 0) {
+        break;
+      }
+      String content = message.path("content").toString();
+      String part = content.substring(0, Math.min(left, content.length()));
+      hash.add(message.path("role").asText());
+      hash.add(part);
+      left -= part.length();
+    }
+    return hash.value;
+  }
+
+  /** Is the 64-bit FNV-1a hash, over characters. Not thread safe. */
+  private static final class Hash {
+    private long value = 0xcbf29ce484222325L;
+
+    void add(String text) {
+      for (int i = 0; i < text.length(); i++) {
+        value = (value ^ text.charAt(i)) * 0x100000001b3L;
+      }
+    }
+  }
+
   private static long promptTokens(JsonNode messages) {
     long bytes = 0;
     for (JsonNode message : messages) {
--- a/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
@@ -3,11 +3,13 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.StreamSupport;
+import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.http.javadsl.ConnectHttp;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
@@ -16,7 +18,7 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.MediaTypes;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-import org.apache.pekko.stream.BufferOverflowException;
+import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.stream.StreamTcpException;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
@@ -33,8 +35,9 @@
 /**
  * Carries attempts to endpoints and reports how each ended.
  *
- * <p>Every attempt is reported exactly once. A request whose connection could not be made has not
- * run; after that it may have. Thread safe.
+ * <p>Each attempt has a connection of its own. So a connection that could not be made means that
+ * the request has not run, no answer can cross to another request, and what went silent is closed
+ * with its attempt. Every attempt is reported exactly once. Thread safe.
  */
 final class EndpointClient {
 
@@ -44,162 +47,236 @@
   private static final String COMPLETIONS_PATH = "/v1/chat/completions";
   private static final long MAX_ANSWER_BYTES = 16L * 1024 * 1024;
   private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+  private static final int UNPROCESSABLE = 422;
 
   private final HttpSystem http;
   private final Consumer<GatewayEvent> events;
+  private final ClientConnectionSettings settings;
 
   EndpointClient(HttpSystem http, Consumer<GatewayEvent> events) {
     this.http = http;
     this.events = events;
+    this.settings =
+        ClientConnectionSettings.create(http.actors()).withSocketOptions(List.of(new KeepAlive()));
   }
 
   /** Starts the attempt and returns at once. */
-  void send(PendingCall call, SendToEndpoint attempt) {
-    boolean completion = call.request().getUri().path().equals(COMPLETIONS_PATH);
-    if (completion) {
-      sendCompletion(call, attempt);
-    } else {
-      sendPlain(call, attempt);
+  void send(PendingCall call, SendToEndpoint order) {
+    EndpointAttempt attempt = new EndpointAttempt(order, events);
+    if (!call.tryAttempt(attempt)) {
+      return;
     }
-  }
-
-  private void sendCompletion(PendingCall call, SendToEndpoint attempt) {
-    HttpRequest request =
-        HttpRequest.POST("http://" + attempt.address() + COMPLETIONS_PATH)
-            .addHeader(RawHeader.create(ID_HEADER, call.id().value()))
-            .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, call.body()));
+    boolean completion = call.request().getUri().path().equals(COMPLETIONS_PATH);
+    HttpRequest request = completion ? completionRequest(call) : plainRequest(call, order);
+    Cancellable patience = giveUpLater(attempt);
     var _ =
-        within(http.http().singleRequest(request), attempt.timeout())
+        connect(attempt, request)
             .thenCompose(
                 response ->
-                    call.isStream() && response.status().intValue() == OK
-                        ? passStream(call, attempt, response)
-                        : passWhole(call, attempt, response))
-            .whenComplete((_, error) -> failIfNeeded(attempt, error));
+                    completion
+                        ? passCompletion(call, attempt, response)
+                        : passPlain(call, attempt, response))
+            .whenComplete(
+                (_, error) -> {
+                  patience.cancel();
+                  if (error != null) {
+                    attempt.giveUp(new AttemptEnd.Failed(failureOf(error), Usage.NONE));
+                  }
+                });
+  }
+
+  private CompletionStage<HttpResponse> connect(EndpointAttempt attempt, HttpRequest request) {
+    var address = attempt.order().address();
+    ConnectHttp target = ConnectHttp.toHost("http://" + address.host(), address.port());
+    return Source.single(request)
+        .via(
+            http.http().outgoingConnection(target, Optional.empty(), settings, http.actors().log()))
+        .via(attempt.connection().flow())
+        .runWith(Sink.head(), http.actors());
+  }
+
+  private Cancellable giveUpLater(EndpointAttempt attempt) {
+    Duration patience = attempt.order().firstByteWithin();
+    boolean deadline = patience.equals(attempt.order().timeout());
+    Failure failure =
+        deadline
+            ? Failure.mayHaveRun(ErrorCode.DEADLINE_EXCEEDED, "the endpoint did not answer in time")
+            : Failure.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "the endpoint stayed silent");
+    return http.actors()
+        .scheduler()
+        .scheduleOnce(
+            patience.isNegative() ? Duration.ZERO : patience,
+            () -> attempt.giveUp(new AttemptEnd.Failed(failure, Usage.NONE)),
+            http.actors().dispatcher());
+  }
+
+  private static HttpRequest completionRequest(PendingCall call) {
+    return HttpRequest.POST(COMPLETIONS_PATH)
+        .addHeader(RawHeader.create(ID_HEADER, call.id().value()))
+        .addHeader(RawHeader.create("Connection", "close"))
+        .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, call.body()));
   }
 
-  /** Sends a call over a connection of its own, so that the verdict of a failure is sharp. */
-  private void sendPlain(PendingCall call, SendToEndpoint attempt) {
+  private static HttpRequest plainRequest(PendingCall call, SendToEndpoint order) {
     HttpRequest from = call.request();
-    HttpRequest request =
-        HttpRequest.create(restOfPath(from) + OutgoingHeaders.query(from))
-            .withMethod(from.method())
-            .addHeaders(OutgoingHeaders.headers(from))
-            .addHeader(RawHeader.create("Host", attempt.address().toString()))
-            .addHeader(RawHeader.create(ID_HEADER, call.id().value()))
-            .withEntity(HttpEntities.create(from.entity().getContentType(), call.body()));
-    ConnectHttp target =
-        ConnectHttp.toHost("http://" + attempt.address().host(), attempt.address().port());
-    CompletionStage<HttpResponse> answer =
-        Source.single(request)
-            .via(http.http().outgoingConnection(target))
-            .runWith(Sink.head(), http.actors());
-    var _ =
-        within(answer, attempt.timeout())
-            .thenCompose(response -> passPlain(call, attempt, response))
-            .whenComplete((_, error) -> failIfNeeded(attempt, error));
+    return HttpRequest.create(restOfPath(from) + OutgoingHeaders.query(from))
+        .withMethod(from.method())
+        .addHeaders(OutgoingHeaders.headers(from))
+        .addHeader(RawHeader.create("Host", order.address().toString()))
+        .addHeader(RawHeader.create(ID_HEADER, call.id().value()))
+        .addHeader(RawHeader.create("Connection", "close"))
+        .withEntity(HttpEntities.create(from.entity().getContentType(), call.body()));
   }
 
+  private CompletionStage<Void> passCompletion(
+      PendingCall call, EndpointAttempt attempt, HttpResponse response) {
+    int status = response.status().intValue();
+    if (status == OK && !isAnswerTo(call, response)) {
+      attempt.giveUp(failed(ErrorCode.INCOMPLETE_ANSWER, "the answer is to another request"));
+      return discard(response);
+    }
+    return status == OK && call.isStream()
+        ? passStream(call, attempt, response)
+        : passWhole(call, attempt, response);
+  }
+
+  /** Passes checked parts on as they come; without any, the attempt has been reported as failed. */
   private CompletionStage<Void> passStream(
-      PendingCall call, SendToEndpoint attempt, HttpResponse response) {
+      PendingCall call, EndpointAttempt attempt, HttpResponse response) {
     return response
         .entity()
         .withoutSizeLimit()
         .getDataBytes()
+        .via(attempt.connection().flow())
+        .via(new AnswerStage(attempt))
         .prefixAndTail(1)
         .runWith(Sink.head(), http.actors())
         .thenAccept(
             parts -> {
-              List<ByteString> first = parts.first();
-              events.accept(new GatewayEvent.AnswerBegan(attempt.id(), attempt.attempt()));
-              Source<ByteString, ?> answer =
-                  Source.from(first)
-                      .concat(parts.second())
-                      .via(new AnswerStage(call.id(), end -> ended(attempt, end)));
-              call.succeed(
-                  HttpResponse.create()
-                      .addHeader(RawHeader.create(HttpAnswers.REQUEST_ID_HEADER, call.id().value()))
-                      .withEntity(
-                          HttpEntities.createChunked(
-                              MediaTypes.TEXT_EVENT_STREAM.toContentType(), answer)));
+              if (!parts.first().isEmpty()) {
+                Source<ByteString, ?> answer = Source.from(parts.first()).concat(parts.second());
+                call.succeed(
+                    answer(call)
+                        .withEntity(
+                            HttpEntities.createChunked(
+                                MediaTypes.TEXT_EVENT_STREAM.toContentType(), answer)));
+              }
             });
   }
 
   private CompletionStage<Void> passWhole(
-      PendingCall call, SendToEndpoint attempt, HttpResponse response) {
-    return strict(response, attempt.timeout())
+      PendingCall call, EndpointAttempt attempt, HttpResponse response) {
+    return strict(attempt, response)
         .thenAccept(
             body -> {
-              if (response.status().intValue() != OK) {
-                ended(attempt, endpointFailure(response));
-                return;
-              }
-              try {
-                Usage usage = AnswerCheck.usageOf(body.toArray());
-                call.succeed(
-                    HttpResponse.create()
-                        .addHeader(
-                            RawHeader.create(HttpAnswers.REQUEST_ID_HEADER, call.id().value()))
-                        .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, body)));
-                ended(attempt, new AttemptEnd.Completed(usage));
-              } catch (IOException e) {
-                ended(attempt, incomplete("the endpoint's answer is not whole JSON"));
+              switch (response.status().intValue()) {
+                case OK -> passJson(call, attempt, body);
+                case BAD_REQUEST, UNPROCESSABLE -> passRefusal(call, attempt, response, body);
+                default -> attempt.giveUp(endpointFailure(response));
               }
             });
   }
 
+  private static void passJson(PendingCall call, EndpointAttempt attempt, ByteString body) {
+    try {
+      Usage usage = AnswerCheck.usageOf(body.toArray());
+      if (attempt.tryAnswer()) {
+        call.succeed(
+            answer(call).withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, body)));
+        attempt.ended(new AttemptEnd.Completed(usage));
+      }
+    } catch (IOException e) {
+      attempt.giveUp(
+          failed(ErrorCode.INCOMPLETE_ANSWER, "the endpoint's answer is not a whole completion"));
+    }
+  }
+
+  /** Passes on that the engine finds the request itself at fault; it would do so anywhere. */
+  private static void passRefusal(
+      PendingCall call, EndpointAttempt attempt, HttpResponse response, ByteString body) {
+    if (!isAnswerTo(call, response)) {
+      attempt.giveUp(endpointFailure(response));
+    } else if (attempt.tryAnswer()) {
+      call.succeed(
+          answer(call)
+              .withStatus(response.status())
+              .withEntity(HttpEntities.create(response.entity().getContentType(), body)));
+      attempt.ended(new AttemptEnd.Completed(Usage.NONE));
+    }
+  }
+
   private CompletionStage<Void> passPlain(
-      PendingCall call, SendToEndpoint attempt, HttpResponse response) {
-    return strict(response, attempt.timeout())
+      PendingCall call, EndpointAttempt attempt, HttpResponse response) {
+    if (response.getHeader(ID_HEADER).isPresent() && !isAnswerTo(call, response)) {
+      attempt.giveUp(failed(ErrorCode.INCOMPLETE_ANSWER, "the answer is to another request"));
+      return discard(response);
+    }
+    return strict(attempt, response)
         .thenAccept(
             body -> {
-              List<HttpHeader> headers =
-                  java.util.stream.StreamSupport.stream(response.getHeaders().spliterator(), false)
-                      .filter(header -> !header.is("connection"))
-                      .toList();
-              call.succeed(
-                  HttpResponse.create()
-                      .withStatus(response.status())
-                      .addHeaders(headers)
-                      .addHeader(RawHeader.create(HttpAnswers.REQUEST_ID_HEADER, call.id().value()))
-                      .withEntity(HttpEntities.create(response.entity().getContentType(), body)));
-              ended(attempt, new AttemptEnd.Completed(Usage.NONE));
+              if (attempt.tryAnswer()) {
+                call.succeed(
+                    answer(call)
+                        .withStatus(response.status())
+                        .addHeaders(endToEndHeaders(response))
+                        .withEntity(HttpEntities.create(response.entity().getContentType(), body)));
+                attempt.ended(new AttemptEnd.Completed(Usage.NONE));
+              }
             });
   }
 
-  private CompletionStage<ByteString> strict(HttpResponse response, Duration timeout) {
+  private CompletionStage<ByteString> strict(EndpointAttempt attempt, HttpResponse response) {
     return response
         .entity()
         .withSizeLimit(MAX_ANSWER_BYTES)
-        .toStrict(timeout.toMillis(), http.actors())
-        .thenApply(entity -> entity.getData());
+        .getDataBytes()
+        .via(attempt.connection().flow())
+        .runFold(ByteString.emptyByteString(), ByteString::concat, http.actors());
   }
 
-  private void failIfNeeded(SendToEndpoint attempt, Throwable error) {
-    if (error != null) {
-      ended(attempt, new AttemptEnd.Failed(failureOf(error), Usage.NONE));
-    }
+  private CompletionStage<Void> discard(HttpResponse response) {
+    response.entity().getDataBytes().runWith(Sink.cancelled(), http.actors());
+    return CompletableFuture.completedFuture(null);
+  }
+
+  private static boolean isAnswerTo(PendingCall call, HttpResponse response) {
+    return response
+        .getHeader(ID_HEADER)
+        .filter(header -> header.value().equals(call.id().value()))
+        .isPresent();
   }
 
-  private void ended(SendToEndpoint attempt, AttemptEnd end) {
-    events.accept(new GatewayEvent.AttemptEnded(attempt.id(), attempt.attempt(), end));
+  private static HttpResponse answer(PendingCall call) {
+    return HttpResponse.create()
+        .addHeader(RawHeader.create(HttpAnswers.REQUEST_ID_HEADER, call.id().value()));
   }
 
-  private static <T> CompletableFuture<T> within(CompletionStage<T> stage, Duration timeout) {
-    return stage.toCompletableFuture().orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+  private static List<HttpHeader> endToEndHeaders(HttpResponse response) {
+    return StreamSupport.stream(response.getHeaders().spliterator(), false)
+        .filter(header -> !header.is("connection") && !header.is("keep-alive"))
+        .toList();
   }
 
-  private static AttemptEnd endpointFailure(HttpResponse response) {
-    return new AttemptEnd.Failed(
+  private static AttemptEnd.Failed endpointFailure(HttpResponse response) {
+    Failure failure =
         Failure.mayHaveRun(
             ErrorCode.ENDPOINT_FAILED,
-            "the endpoint answered with status " + response.status().intValue()),
-        Usage.NONE);
+            "the endpoint answered with status " + response.status().intValue());
+    return new AttemptEnd.Failed(
+        retryAfter(response).map(failure::withRetryAfter).orElse(failure), Usage.NONE);
   }
 
-  private static AttemptEnd incomplete(String message) {
-    return new AttemptEnd.Failed(
-        Failure.mayHaveRun(ErrorCode.INCOMPLETE_ANSWER, message), Usage.NONE);
+  private static Optional<Duration> retryAfter(HttpResponse response) {
+    return response
+        .getHeader("Retry-After")
+        .map(HttpHeader::value)
+        .filter(value -> value.matches("[0-9]{1,5}"))
+        .map(value -> Duration.ofSeconds(Long.parseLong(value)));
+  }
+
+  private static AttemptEnd.Failed failed(ErrorCode code, String message) {
+    return new AttemptEnd.Failed(Failure.mayHaveRun(code, message), Usage.NONE);
   }
 
   private static Failure failureOf(Throwable error) {
@@ -207,16 +284,10 @@
     while (cause instanceof CompletionException && cause.getCause() != null) {
       cause = cause.getCause();
     }
-    if (cause instanceof BufferOverflowException) {
-      return Failure.notRun(ErrorCode.BUSY, "too many requests wait for the endpoint");
-    }
     if (cause instanceof StreamTcpException
         && String.valueOf(cause.getMessage()).contains("Connect(")) {
       return Failure.notRun(ErrorCode.ENDPOINT_FAILED, "the endpoint takes no connection");
     }
-    if (cause instanceof java.util.concurrent.TimeoutException) {
-      return Failure.mayHaveRun(ErrorCode.DEADLINE_EXCEEDED, "the endpoint did not answer in time");
-    }
     return Failure.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "the connection to the endpoint broke");
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -1,9 +1,11 @@
 package org.cuminwell.shell.gateway;
 
 import java.time.Duration;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.apache.pekko.http.javadsl.ServerBinding;
 import org.cuminwell.core.gateway.AttemptEnd;
 import org.cuminwell.core.gateway.Gateway;
 import org.cuminwell.core.gateway.GatewayAction;
@@ -23,6 +25,7 @@
 import org.cuminwell.shell.metrics.Telemetry;
 import org.cuminwell.shell.peer.PeerListener;
 import org.cuminwell.shell.peer.PeerNode;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Runs a gateway: network threads put events into one ring, the decide thread turns them into
@@ -51,9 +54,10 @@
   private final Duty<GatewayAction> dispatch;
   private final TimerDuty timer;
   private volatile boolean ready;
+  private volatile @Nullable ServerBinding listener;
 
   private GatewayProcess(GatewaySettings settings) {
-    gateway = new Gateway(settings.self());
+    gateway = new Gateway(settings.self(), new SplittableRandom());
     http = HttpSystem.start("gateway");
     peers = new PeerNode(settings.self().id(), listener());
     callers = new CallerFront(http, calls, events);
@@ -72,7 +76,8 @@
     GatewayProcess process = new GatewayProcess(settings);
     OpsPages pages = new OpsPages(() -> process.ready, process.telemetry);
     InnerFront inner = new InnerFront(process.http, process.events, pages);
-    process.http.serve(settings.self().callers(), process.callers::handle);
+    process.listener =
+        process.http.serveConnections(settings.self().callers(), process.callers::connection);
     process.http.serve(settings.self().inner(), inner::handle);
     process.peers.listen(settings.self().peer());
     settings.controls().forEach(process.peers::dial);
@@ -83,6 +88,7 @@
   /** Ends the process gracefully: no new requests, and running ones finish until the timeout. */
   public void stop(Duration timeout) throws InterruptedException {
     LOG.log(System.Logger.Level.INFO, "gateway stopping");
+    callers.closeConnections();
     events.force(new GatewayEvent.StopAsked());
     if (!stopped.await(timeout.toMillis(), TimeUnit.MILLISECONDS)) {
       LOG.log(System.Logger.Level.WARNING, "requests cut by the end of the stop timeout");
@@ -143,10 +149,19 @@
         calls.remove(a.id());
         telemetry.record(a.call());
       }
+      case GatewayAction.CloseListener a -> closeListener();
       case GatewayAction.Stopped a -> stopped.countDown();
     }
   }
 
+  private void closeListener() {
+    ServerBinding open = listener;
+    if (open != null) {
+      listener = null;
+      var _ = open.unbind();
+    }
+  }
+
   private void end(RequestId id, Consumer<PendingCall> step) {
     calls.with(id, step);
     calls.remove(id);
--- a/shell/src/main/java/org/cuminwell/shell/gateway/PendingCall.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/PendingCall.java
@@ -1,12 +1,14 @@
 package org.cuminwell.shell.gateway;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.shell.http.HttpAnswers;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Holds what the decisions don't need of a request: its bytes and the way back to the caller.
@@ -20,6 +22,8 @@
   private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
   private volatile ByteString body = ByteString.emptyByteString();
   private volatile boolean stream;
+  private final AtomicReference<@Nullable EndpointAttempt> attempt = new AtomicReference<>();
+  private volatile boolean left;
 
   PendingCall(RequestId id, HttpRequest request) {
     this.id = id;
@@ -52,6 +56,24 @@
     stream = streamed;
   }
 
+  /** Notes the attempt that is to run, unless the caller has gone; returns whether it may run. */
+  boolean tryAttempt(EndpointAttempt next) {
+    attempt.set(next);
+    if (left) {
+      next.callerLeft();
+    }
+    return !left;
+  }
+
+  /** Takes in that the caller has gone, and ends what runs for it. */
+  void callerLeft() {
+    left = true;
+    EndpointAttempt running = attempt.get();
+    if (running != null) {
+      running.callerLeft();
+    }
+  }
+
   void succeed(HttpResponse response) {
     answer.complete(response);
   }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/PendingCalls.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/PendingCalls.java
@@ -38,6 +38,10 @@
     }
   }
 
+  boolean contains(RequestId id) {
+    return calls.containsKey(id);
+  }
+
   /** Removes the call; further calls for the same id do nothing. */
   void remove(RequestId id) {
     if (calls.remove(id) != null) {
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
@@ -5,11 +5,18 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Function;
+import java.util.function.Supplier;
+import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.IncomingConnection;
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.OverflowStrategy;
+import org.apache.pekko.stream.SystemMaterializer;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Sink;
 import org.cuminwell.core.model.HostAddress;
 
 /**
@@ -33,6 +40,7 @@
           parallelism-factor = 1.0
           parallelism-max = 8
         }
+        stream.materializer.subscription-timeout.timeout = 120 s
         http {
           server {
             server-header = ""
@@ -40,7 +48,7 @@
             idle-timeout = 300 s
             max-connections = 16384
             backlog = 1024
-            pipelining-limit = 1
+            pipelining-limit = 2
             parsing.max-header-count = 64
             parsing.max-header-value-length = 8k
             parsing.max-uri-length = 4k
@@ -93,6 +101,41 @@
     }
   }
 
+  /**
+   * Serves requests at the address, with a handler for each connection that learns of its end.
+   *
+   * <p>One request more than the one being answered is read ahead, since only reading shows that a
+   * caller has gone.
+   *
+   * @throws IllegalStateException if the address can't be used
+   */
+  public ServerBinding serveConnections(HostAddress address, Supplier<HttpConnection> handlers) {
+    try {
+      return http()
+          .newServerAt(address.host(), address.port())
+          .connectionSource()
+          .to(Sink.foreach(connection -> serve(connection, handlers.get())))
+          .run(system)
+          .toCompletableFuture()
+          .join();
+    } catch (CompletionException e) {
+      throw new IllegalStateException("can't listen at HTTP address " + address, e.getCause());
+    }
+  }
+
+  private void serve(IncomingConnection connection, HttpConnection handler) {
+    connection.handleWith(
+        Flow.of(HttpRequest.class)
+            .watchTermination(
+                (_, ended) -> {
+                  var _ = ended.whenComplete((_, _) -> handler.ended());
+                  return NotUsed.getInstance();
+                })
+            .buffer(1, OverflowStrategy.backpressure())
+            .mapAsync(1, handler::handle),
+        SystemMaterializer.get(system).materializer());
+  }
+
   /** Returns the entry point of the HTTP library. */
   public Http http() {
     return Http.get(system);
--- /dev/null
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/FakeEndpoint.java
@@ -0,0 +1,159 @@
+package org.cuminwell.shell.gateway;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Answers each request over a raw socket as a script says, the last script again and again.
+ *
+ * <p>Thread safe.
+ */
+final class FakeEndpoint implements AutoCloseable {
+
+  /** Answers one request in whatever way. */
+  interface Script {
+    void answer(Exchange exchange) throws IOException, InterruptedException;
+  }
+
+  /** Is one request and the connection that it came over. */
+  static final class Exchange {
+    final String head;
+    final String body;
+    final String id;
+    private final FakeEndpoint endpoint;
+    private final Socket socket;
+
+    private Exchange(FakeEndpoint endpoint, Socket socket, String head, String body) {
+      this.endpoint = endpoint;
+      this.socket = socket;
+      this.head = head;
+      this.body = body;
+      this.id = idOf(head);
+    }
+
+    void write(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+      socket.getOutputStream().flush();
+    }
+
+    /** Closes the connection with a reset. */
+    void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+
+    /** Says nothing until the other end closes the connection. */
+    void waitForClose() throws IOException {
+      socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+      endpoint.closed.countDown();
+    }
+
+    /** Waits until a further request has come to the endpoint. */
+    void waitForNext() throws InterruptedException {
+      endpoint.second.await();
+    }
+
+    private static String idOf(String head) {
+      return head.lines()
+          .filter(line -> line.toLowerCase(java.util.Locale.ROOT).startsWith("x-request-id:"))
+          .map(line -> line.substring(line.indexOf(':') + 1).trim())
+          .findFirst()
+          .orElse("");
+    }
+  }
+
+  final List<Exchange> exchanges = new CopyOnWriteArrayList<>();
+  final CountDownLatch closed = new CountDownLatch(1);
+  private final CountDownLatch second = new CountDownLatch(2);
+  private final AtomicInteger count = new AtomicInteger();
+  private final List<Script> scripts;
+  private final ServerSocket server;
+
+  private FakeEndpoint(List<Script> scripts) throws IOException {
+    this.scripts = scripts;
+    this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  }
+
+  /** Starts an endpoint at a free port. */
+  static FakeEndpoint start(List<Script> scripts) throws IOException {
+    FakeEndpoint endpoint = new FakeEndpoint(scripts);
+    Thread.ofVirtual().start(endpoint::accept);
+    return endpoint;
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  /** Refuses connections from now on. */
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        Thread.ofVirtual().start(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // The endpoint has been closed.
+      return;
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      String head = readHead(in);
+      if (head.isEmpty()) {
+        return;
+      }
+      String body = new String(in.readNBytes(lengthOf(head)), StandardCharsets.UTF_8);
+      Exchange exchange = new Exchange(this, socket, head, body);
+      exchanges.add(exchange);
+      second.countDown();
+      int turn = Math.min(count.getAndIncrement(), scripts.size() - 1);
+      scripts.get(turn).answer(exchange);
+    } catch (SocketException e) {
+      closed.countDown();
+    } catch (IOException e) {
+      throw new java.io.UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static String readHead(InputStream in) throws IOException {
+    ByteArrayOutputStream head = new ByteArrayOutputStream();
+    while (!head.toString(StandardCharsets.UTF_8).endsWith("\r\n\r\n")) {
+      int b = in.read();
+      if (b < 0) {
+        return "";
+      }
+      head.write(b);
+    }
+    return head.toString(StandardCharsets.UTF_8);
+  }
+
+  private static int lengthOf(String head) {
+    return head.lines()
+        .filter(line -> line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:"))
+        .map(line -> Integer.parseInt(line.substring(line.indexOf(':') + 1).trim()))
+        .findFirst()
+        .orElse(0);
+  }
+}
