--- a/core/src/main/java/org/cuminwell/core/routing/EndpointLoad.java
+++ b/core/src/main/java/org/cuminwell/core/routing/EndpointLoad.java
@@ -22,11 +22,12 @@
   static final Duration REPORT_MAX_AGE = Duration.ofSeconds(3);
 
   private static final Duration FAILURE_HALF_LIFE = Duration.ofSeconds(5);
+  private static final long UNKNOWN = -1;
   private static final double SERVICE_TIME_WEIGHT = 0.1;
 
   private final ArrayDeque<Step> steps = new ArrayDeque<>();
-  private long incarnation = -1;
-  private long sequence = -1;
+  private long incarnation = UNKNOWN;
+  private long sequence = UNKNOWN;
   private int changed;
   private int reported;
   private Instant reportedAt = Instant.MIN;
@@ -39,17 +40,24 @@
 
   /** Takes in what the membership table knows. */
   void observe(Entry entry, Instant now) {
-    if (entry.announcement().incarnation() != incarnation) {
-      incarnation = entry.announcement().incarnation();
-      sequence = -1;
-      reportedAt = Instant.MIN;
-      failures = 0;
-      changed = 0;
-      steps.clear();
+    long news = entry.announcement().incarnation();
+    if (incarnation != news) {
+      if (incarnation != UNKNOWN) {
+        restarted();
+      }
+      incarnation = news;
     }
     entry.load().filter(load -> load.reportedSequence() != sequence).ifPresent(l -> take(l, now));
   }
 
+  private void restarted() {
+    sequence = UNKNOWN;
+    reportedAt = Instant.MIN;
+    failures = 0;
+    changed = 0;
+    steps.clear();
+  }
+
   void sent(Instant now) {
     outstanding++;
     step(now, 1);
--- /dev/null
+++ b/core/src/test/java/org/cuminwell/core/routing/RouterTest.java
@@ -0,0 +1,229 @@
+package org.cuminwell.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.membership.EndpointTable.Entry;
+import org.cuminwell.core.membership.LoadReport;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.core.model.VersionId;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class RouterTest {
+
+  private static final Instant T0 = Instant.ofEpochSecond(1_000);
+  private static final Duration SECOND = Duration.ofSeconds(1);
+  private static final int DRAWS = 200;
+
+  /** Says what happened before and which endpoints may then be chosen, over many seeds. */
+  record Case(
+      String name, List<Entry> entries, Steps before, RouteQuery query, Set<String> chosen) {
+    @Override
+    public String toString() {
+      return name;
+    }
+  }
+
+  interface Steps {
+    void run(Router router);
+  }
+
+  static Stream<Case> cases() {
+    RouteQuery plain = query(Set.of());
+    return Stream.of(
+        new Case("none", List.of(), r -> {}, plain, Set.of()),
+        new Case("one", List.of(near("a", 0)), r -> {}, plain, Set.of("a")),
+        new Case(
+            "the idle of two", List.of(near("a", 0), near("b", 8)), r -> {}, plain, Set.of("a")),
+        new Case(
+            "never the busiest of three",
+            List.of(near("a", 1), near("b", 3), near("c", 9)),
+            r -> {},
+            plain,
+            Set.of("a", "b")),
+        new Case(
+            "sent since the report counts",
+            List.of(near("a", 0), near("b", 2)),
+            r -> {
+              choose(r, List.of(near("a", 0), near("b", 2)), T0);
+              times(4, () -> r.sent(new EndpointId("a"), plain, T0));
+            },
+            plain,
+            Set.of("b")),
+        new Case(
+            "the tried one is left out",
+            List.of(near("a", 0), near("b", 8)),
+            r -> {},
+            query(Set.of("a")),
+            Set.of("b")),
+        new Case(
+            "the tried one if it is the only one",
+            List.of(near("a", 0)),
+            r -> {},
+            query(Set.of("a")),
+            Set.of("a")),
+        new Case(
+            "a failing one is left out",
+            List.of(near("a", 0), near("b", 8)),
+            r -> fail(r, "a", 3),
+            plain,
+            Set.of("b")),
+        new Case(
+            "not all that fail are left out",
+            List.of(near("a", 0), near("b", 0)),
+            r -> {
+              fail(r, "a", 9);
+              fail(r, "b", 3);
+            },
+            plain,
+            Set.of("b")),
+        new Case(
+            "failures are forgotten",
+            List.of(near("a", 0), near("b", 8)),
+            r -> times(3, () -> r.ended(new EndpointId("a"), SECOND, true, T0.minusSeconds(60))),
+            plain,
+            Set.of("a")),
+        new Case(
+            "this region while it has room",
+            List.of(near("a", 7), far("b", 0)),
+            r -> {},
+            plain,
+            Set.of("a")),
+        new Case(
+            "this region while the wait is short",
+            List.of(near("a", 8), far("b", 0)),
+            r -> {},
+            plain,
+            Set.of("a")),
+        new Case(
+            "another region when the wait here is long",
+            List.of(near("a", 16), far("b", 0)),
+            r -> {},
+            plain,
+            Set.of("b")),
+        new Case(
+            "this region when the wait is as long there",
+            List.of(near("a", 16), far("b", 16)),
+            r -> {},
+            plain,
+            Set.of("a")),
+        new Case(
+            "another region when this one has none",
+            List.of(far("b", 20)),
+            r -> {},
+            plain,
+            Set.of("b")),
+        new Case(
+            "the warm cache",
+            List.of(near("a", 1), near("b", 0), near("c", 0)),
+            r -> r.sent(new EndpointId("a"), warm(), T0.minusSeconds(9)),
+            warm(),
+            Set.of("a")),
+        new Case(
+            "not the warm cache of a busy endpoint",
+            List.of(near("a", 7), near("b", 0)),
+            r -> r.sent(new EndpointId("a"), warm(), T0.minusSeconds(9)),
+            warm(),
+            Set.of("b")));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("cases")
+  void choosesOneOf(Case c) {
+    Set<String> chosen = new java.util.TreeSet<>();
+    for (int seed = 0; seed < DRAWS; seed++) {
+      Router router = new Router(place("coast"), new SplittableRandom(seed));
+      c.before().run(router);
+      router
+          .choose(c.entries(), c.query(), T0)
+          .ifPresent(entry -> chosen.add(entry.announcement().endpoint().value()));
+    }
+    assertThat(chosen).isEqualTo(c.chosen());
+  }
+
+  @org.junit.jupiter.api.Test
+  void gatewaysWithTheSameOldReportDontHerd() {
+    TreeMap<String, Integer> counts = new TreeMap<>();
+    List<Entry> entries = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      entries.add(near("e" + i, i == 0 ? 0 : 1));
+    }
+    for (int gateway = 0; gateway < 64; gateway++) {
+      Router router = new Router(place("coast"), new SplittableRandom(gateway));
+      String id = choose(router, entries, T0).orElseThrow().announcement().endpoint().value();
+      counts.merge(id, 1, Integer::sum);
+    }
+    // The idle endpoint is in a quarter of the draws of two of eight.
+    assertThat(counts.getOrDefault("e0", 0)).isLessThan(64 / 2);
+  }
+
+  private static Optional<Entry> choose(Router router, List<Entry> entries, Instant now) {
+    return router.choose(entries, query(Set.of()), now);
+  }
+
+  private static void fail(Router router, String endpoint, int times) {
+    times(times, () -> router.ended(new EndpointId(endpoint), SECOND, true, T0));
+  }
+
+  private static void times(int count, Runnable step) {
+    for (int i = 0; i < count; i++) {
+      step.run();
+    }
+  }
+
+  private static RouteQuery query(Set<String> tried) {
+    return new RouteQuery(
+        OptionalLong.empty(),
+        tried.stream().map(EndpointId::new).collect(java.util.stream.Collectors.toSet()));
+  }
+
+  private static RouteQuery warm() {
+    return new RouteQuery(OptionalLong.of(7), Set.of());
+  }
+
+  static Entry near(String id, int queued) {
+    return entry(id, "coast", queued, 1, T0);
+  }
+
+  private static Entry far(String id, int queued) {
+    return entry(id, "basin", queued, 1, T0);
+  }
+
+  /** Returns an endpoint with eight slots. */
+  static Entry entry(String id, String region, int requests, long sequence, Instant heardAt) {
+    EndpointId endpoint = new EndpointId(id);
+    Announcement announcement =
+        new Announcement(
+            endpoint,
+            1,
+            place(region),
+            new HostAddress("127.0.0.1", 1),
+            Set.of("m"),
+            new VersionId("v1"),
+            8,
+            Duration.ofDays(1),
+            false);
+    LoadReport load =
+        new LoadReport(endpoint, 1, sequence, Math.min(requests, 8), Math.max(0, requests - 8));
+    return new Entry(announcement, heardAt, false, Optional.of(load));
+  }
+
+  static Place place(String region) {
+    return new Place(new RegionId(region), new DataCentreId(region + "-1"));
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/gateway/AnswerStage.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/AnswerStage.java
@@ -86,6 +86,7 @@
             @Override
             public void onDownstreamFinish(Throwable cause) {
               attempt.ended(new AttemptEnd.CallerLeft(check.usage()));
+              attempt.closeConnection();
               cancelStage(cause);
             }
           });
@@ -149,9 +150,7 @@
     private void fail(String problem) {
       Failure failure = Failure.mayHaveRun(ErrorCode.INCOMPLETE_ANSWER, problem);
       attempt.ended(new AttemptEnd.Failed(failure, check.usage()));
-      if (!isClosed(in)) {
-        cancel(in);
-      }
+      attempt.closeConnection();
       if (begun) {
         emit(out, errorEvent(failure), this::completeStage);
       } else {
--- a/shell/src/main/java/org/cuminwell/shell/gateway/EndpointAttempt.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/EndpointAttempt.java
@@ -67,7 +67,7 @@
   void giveUp(AttemptEnd end) {
     if (state.compareAndSet(State.WAITING, State.ENDED)) {
       report(end);
-      connection.shutdown();
+      closeConnection();
     }
   }
 
@@ -76,6 +76,11 @@
     giveUp(new AttemptEnd.CallerLeft(Usage.NONE));
   }
 
+  /** Closes the connection at once, so that the endpoint stops working for it. */
+  void closeConnection() {
+    connection.abort(new AttemptOverException());
+  }
+
   private void report(AttemptEnd end) {
     events.accept(new GatewayEvent.AttemptEnded(order.id(), order.attempt(), end));
   }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
@@ -92,7 +92,6 @@
     return Source.single(request)
         .via(
             http.http().outgoingConnection(target, Optional.empty(), settings, http.actors().log()))
-        .via(attempt.connection().flow())
         .runWith(Sink.head(), http.actors());
   }
 
@@ -134,7 +133,7 @@
     int status = response.status().intValue();
     if (status == OK && !isAnswerTo(call, response)) {
       attempt.giveUp(failed(ErrorCode.INCOMPLETE_ANSWER, "the answer is to another request"));
-      return discard(response);
+      return CompletableFuture.completedFuture(null);
     }
     return status == OK && call.isStream()
         ? passStream(call, attempt, response)
@@ -148,7 +147,6 @@
         .entity()
         .withoutSizeLimit()
         .getDataBytes()
-        .via(attempt.connection().flow())
         .via(new AnswerStage(attempt))
         .prefixAndTail(1)
         .runWith(Sink.head(), http.actors())
@@ -167,7 +165,7 @@
 
   private CompletionStage<Void> passWhole(
       PendingCall call, EndpointAttempt attempt, HttpResponse response) {
-    return strict(attempt, response)
+    return strict(response)
         .thenAccept(
             body -> {
               switch (response.status().intValue()) {
@@ -210,9 +208,9 @@
       PendingCall call, EndpointAttempt attempt, HttpResponse response) {
     if (response.getHeader(ID_HEADER).isPresent() && !isAnswerTo(call, response)) {
       attempt.giveUp(failed(ErrorCode.INCOMPLETE_ANSWER, "the answer is to another request"));
-      return discard(response);
+      return CompletableFuture.completedFuture(null);
     }
-    return strict(attempt, response)
+    return strict(response)
         .thenAccept(
             body -> {
               if (attempt.tryAnswer()) {
@@ -226,20 +224,14 @@
             });
   }
 
-  private CompletionStage<ByteString> strict(EndpointAttempt attempt, HttpResponse response) {
+  private CompletionStage<ByteString> strict(HttpResponse response) {
     return response
         .entity()
         .withSizeLimit(MAX_ANSWER_BYTES)
         .getDataBytes()
-        .via(attempt.connection().flow())
         .runFold(ByteString.emptyByteString(), ByteString::concat, http.actors());
   }
 
-  private CompletionStage<Void> discard(HttpResponse response) {
-    response.entity().getDataBytes().runWith(Sink.cancelled(), http.actors());
-    return CompletableFuture.completedFuture(null);
-  }
-
   private static boolean isAnswerTo(PendingCall call, HttpResponse response) {
     return response
         .getHeader(ID_HEADER)
--- a/shell/src/main/java/org/cuminwell/shell/http/BodyReader.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/BodyReader.java
@@ -7,6 +7,7 @@
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.scaladsl.model.EntityStreamException;
 import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.util.ByteString;
@@ -41,7 +42,7 @@
   public static Failure failure(Throwable error) {
     Throwable cause =
         error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
-    if (cause instanceof EntityStreamSizeException) {
+    if (isTooLarge(cause)) {
       return Failure.notRun(
           ErrorCode.BODY_TOO_LARGE, "the body must be at most " + MAX_BYTES + " bytes");
     }
@@ -52,4 +53,11 @@
     }
     return Failure.notRun(ErrorCode.BAD_REQUEST, "the body was cut off; send it whole");
   }
+
+  /** The library has two errors for this, for bodies of known and of unknown length. */
+  private static boolean isTooLarge(Throwable cause) {
+    return cause instanceof EntityStreamSizeException
+        || (cause instanceof EntityStreamException e
+            && e.info().summary().equals("Request too large"));
+  }
 }
