--- a/app/src/main/java/org/cuminwell/app/ControlCommand.java
+++ b/app/src/main/java/org/cuminwell/app/ControlCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import java.util.ArrayList;
 import java.util.List;
 import org.cuminwell.core.model.HostAddress;
@@ -11,7 +12,7 @@
 
 /** Runs a control host. */
 @Parameters(commandDescription = "Run a control host that keeps the tickets")
-final class ControlCommand implements Command {
+final class ControlCommand implements ProcessCommand {
 
   @Parameter(names = "--host-id", required = true, description = "name of this host")
   private String hostId = "";
@@ -28,6 +29,8 @@
   @Parameter(names = "--control", description = "peer HOST:PORT of each control host")
   private List<String> control = new ArrayList<>();
 
+  @ParametersDelegate private final TlsFlags tls = new TlsFlags();
+
   @Override
   public int run() throws SettingException, InterruptedException {
     ControlProcess process = ControlProcess.start(settings());
@@ -35,12 +38,13 @@
     return OK;
   }
 
-  /** Returns the checked settings. */
-  ControlSettings settings() throws SettingException {
+  @Override
+  public ControlSettings settings() throws SettingException {
     return new ControlSettings(
         Settings.checked("--host-id", hostId, HostId::new),
         Settings.checked("--http", http, HostAddress::parse),
         Settings.checked("--peer", peer, HostAddress::parse),
-        Settings.addresses("--control", control));
+        Settings.addresses("--control", control),
+        tls.files());
   }
 }
--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -2,10 +2,14 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.limit.Floors;
 import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
@@ -16,7 +20,7 @@
 
 /** Runs an entry host. */
 @Parameters(commandDescription = "Run an entry host that serves callers")
-final class GatewayCommand implements Command {
+final class GatewayCommand implements ProcessCommand {
 
   @Parameter(names = "--host-id", required = true, description = "name of this host")
   private String hostId = "";
@@ -45,6 +49,23 @@
   @Parameter(names = "--control", description = "peer HOST:PORT of each control host")
   private List<String> control = new ArrayList<>();
 
+  @ParametersDelegate private final TlsFlags tls = new TlsFlags();
+
+  @Parameter(
+      names = "--floor-slots",
+      description =
+          "the most entry hosts that this data centre may have; the same on each of them. The part"
+              + " of limits that needs no control host is split over them")
+  private int floorSlots = Floors.DEFAULT_SLOTS;
+
+  @Parameter(
+      names = "--neighbour",
+      description = "peer HOST:PORT of gateways of this data centre, for a start while cut off")
+  private List<String> neighbour = new ArrayList<>();
+
+  @Parameter(names = "--data", description = "folder that keeps the last configuration on disk")
+  private String data = "";
+
   @Parameter(
       names = "--stop-timeout-s",
       description = "how long running requests may take after SIGTERM, in seconds")
@@ -57,8 +78,8 @@
     return OK;
   }
 
-  /** Returns the checked settings. */
-  GatewaySettings settings() throws SettingException {
+  @Override
+  public GatewaySettings settings() throws SettingException {
     HostDescription self =
         new HostDescription(
             Settings.checked("--host-id", hostId, HostId::new),
@@ -70,9 +91,18 @@
             Settings.checked("--peer", peer, HostAddress::parse),
             0,
             false);
+    if (floorSlots < 1) {
+      throw new SettingException("--floor-slots", "must be 1 or more");
+    }
     if (stopTimeoutSeconds < 0) {
       throw new SettingException("--stop-timeout-s", "must be 0 or more");
     }
-    return new GatewaySettings(self, Settings.addresses("--control", control));
+    return new GatewaySettings(
+        self,
+        floorSlots,
+        Settings.addresses("--control", control),
+        Settings.addresses("--neighbour", neighbour),
+        data.isEmpty() ? Optional.empty() : Optional.of(Settings.checked("--data", data, Path::of)),
+        tls.files());
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -3,19 +3,18 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.TreeMap;
+import java.util.OptionalLong;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.Show;
 import org.cuminwell.core.control.ControlAction.TellPeer;
-import org.cuminwell.core.control.ControlView.GatewayView;
 import org.cuminwell.core.directory.DirectoryMessage;
-import org.cuminwell.core.directory.HostDescription;
-import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.distribution.Publisher;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.peer.Outgoing;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.ticket.Ticket;
 import org.cuminwell.core.ticket.TicketAnswer;
-import org.cuminwell.core.ticket.TicketLedger;
 
 /**
  * Decides what a control host does with each event.
@@ -25,8 +24,11 @@
 public final class Control {
 
   private final HostId self;
-  private final TicketLedger ledger = new TicketLedger();
-  private final TreeMap<HostId, GatewayView> gateways = new TreeMap<>();
+  private final ReplicatedState state = new ReplicatedState();
+  private final ShareDuty shares = new ShareDuty();
+  private final Publisher publisher = new Publisher();
+  private boolean changed;
+  private OptionalLong firstTerm = OptionalLong.empty();
 
   /** Makes the state of the control host with the given name. */
   public Control(HostId self) {
@@ -36,12 +38,13 @@
   /** Returns what to do about the event, in order. */
   public List<ControlAction> handle(ControlEvent event, Instant now) {
     List<ControlAction> actions = new ArrayList<>();
+    shares.step(term(now), state.configuration(), now, actions);
     switch (event) {
       case ControlEvent.TicketSubmitted e -> submit(e, now, actions);
-      case ControlEvent.PeerConnected e -> {}
-      case ControlEvent.PeerLost e -> lose(e.peer(), actions);
-      case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), actions);
-      case ControlEvent.Ticked e -> {}
+      case ControlEvent.PeerConnected e -> tell(publisher.connected(e.peer()), actions);
+      case ControlEvent.PeerLost e -> lose(e.peer(), now);
+      case ControlEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
+      case ControlEvent.Ticked e -> tick(now, actions);
     }
     return actions;
   }
@@ -49,76 +52,68 @@
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
-        self, ledger.configuration(), ledger.all(), List.copyOf(gateways.values()));
+        self, state.configuration(), state.ledger().all(), List.copyOf(publisher.gateways()));
   }
 
   private void submit(
       ControlEvent.TicketSubmitted event, Instant now, List<ControlAction> actions) {
-    Revision before = ledger.configuration().revision();
-    TicketAnswer answer = ledger.apply(event.ticket(), now);
+    Revision before = state.configuration().revision();
+    TicketAnswer answer = answer(event.ticket(), now);
     actions.add(new AnswerTicket(event.id(), answer));
-    if (ledger.configuration().revision().isAfter(before)) {
-      gateways.values().stream()
-          .filter(GatewayView::connected)
-          .forEach(gateway -> actions.add(configurationFor(gateway.host().id())));
+    if (state.configuration().revision().isAfter(before)) {
+      publisher.publish(state.configuration(), event.ticket().change());
       actions.add(new Show(view()));
     }
   }
 
-  private void lose(HostId peer, List<ControlAction> actions) {
-    gateways.computeIfPresent(peer, (id, old) -> new GatewayView(old.host(), old.held(), false));
-    actions.add(new Show(view()));
+  private TicketAnswer answer(Ticket ticket, Instant now) {
+    return switch (state.apply(new Command.AcceptTicket(ticket), now)) {
+      case Applied.TicketAnswered applied -> applied.answer();
+    };
   }
 
-  private void hear(HostId peer, PeerMessage message, List<ControlAction> actions) {
-    switch (message) {
-      case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
-      case PeerMessage.Directory m -> hear(peer, m.message(), actions);
+  /** Returns the term in which this host leads; while nothing is replicated, since its start. */
+  private OptionalLong term(Instant now) {
+    if (firstTerm.isEmpty()) {
+      firstTerm = OptionalLong.of(now.toEpochMilli());
     }
+    return firstTerm;
   }
 
-  private void hear(HostId peer, DistributionMessage message, List<ControlAction> actions) {
-    switch (message) {
-      case DistributionMessage.Held held -> {
-        gateways.computeIfPresent(
-            peer, (id, old) -> new GatewayView(old.host(), held.revision(), true));
-        if (ledger.configuration().revision().isAfter(held.revision())) {
-          actions.add(configurationFor(peer));
-        }
-        actions.add(new Show(view()));
-      }
-      case DistributionMessage.Full full -> {}
-    }
+  private void lose(HostId peer, Instant now) {
+    shares.lost(peer);
+    publisher.lost(peer, now);
+    changed = true;
   }
 
-  private void hear(HostId peer, DirectoryMessage message, List<ControlAction> actions) {
+  private void hear(HostId peer, PeerMessage message, Instant now, List<ControlAction> actions) {
     switch (message) {
-      case DirectoryMessage.Here here -> {
-        GatewayView old = gateways.get(peer);
-        Revision held = old == null ? Revision.ZERO : old.held();
-        gateways.put(peer, new GatewayView(here.host(), held, true));
-        tellDirectory(actions);
-        actions.add(new Show(view()));
+      case PeerMessage.Distribution m -> {
+        tell(publisher.hear(peer, m.message(), now), actions);
+        changed = true;
       }
-      case DirectoryMessage.Hosts hosts -> {}
+      case PeerMessage.Limits m -> shares.hear(peer, m.message(), now, actions);
+      case PeerMessage.Directory m -> {
+        if (m.message() instanceof DirectoryMessage.Here) {
+          shares.connected(peer, actions);
+        }
+        tell(publisher.hear(peer, m.message(), now), actions);
+        changed = true;
+      }
+      case PeerMessage.Membership m -> {}
     }
   }
 
-  private void tellDirectory(List<ControlAction> actions) {
-    List<HostDescription> hosts = gateways.values().stream().map(GatewayView::host).toList();
-    gateways.values().stream()
-        .filter(GatewayView::connected)
-        .forEach(
-            gateway ->
-                actions.add(
-                    new TellPeer(
-                        gateway.host().id(),
-                        new PeerMessage.Directory(new DirectoryMessage.Hosts(hosts)))));
+  /** Sends what is due, and shows operators what has changed since the last tick. */
+  private void tick(Instant now, List<ControlAction> actions) {
+    tell(publisher.tick(now), actions);
+    if (changed) {
+      changed = false;
+      actions.add(new Show(view()));
+    }
   }
 
-  private TellPeer configurationFor(HostId gateway) {
-    return new TellPeer(
-        gateway,
-        new PeerMessage.Distribution(new DistributionMessage.Full(ledger.configuration())));
+  private static void tell(List<Outgoing> messages, List<ControlAction> actions) {
+    messages.forEach(out -> actions.add(new TellPeer(out.peer(), out.message())));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/directory/HostDescription.java
+++ b/core/src/main/java/org/cuminwell/core/directory/HostDescription.java
@@ -20,10 +20,4 @@
     HostAddress inner,
     HostAddress peer,
     double load,
-    boolean stopping) {
-
-  /** Returns the same host after it has begun a graceful shutdown. */
-  public HostDescription asStopping() {
-    return new HostDescription(id, place, callers, inner, peer, load, true);
-  }
-}
+    boolean stopping) {}
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -7,17 +7,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.TreeSet;
+import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationIndex;
-import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.directory.HostDirectory;
 import org.cuminwell.core.distribution.ConfigurationHolder;
-import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.gateway.GatewayAction.AnswerEntryHosts;
 import org.cuminwell.core.gateway.GatewayAction.AnswerModels;
+import org.cuminwell.core.gateway.GatewayAction.CancelCall;
 import org.cuminwell.core.gateway.GatewayAction.CloseListener;
 import org.cuminwell.core.gateway.GatewayAction.Count;
 import org.cuminwell.core.gateway.GatewayAction.ReadBody;
@@ -25,7 +23,8 @@
 import org.cuminwell.core.gateway.GatewayAction.SendToEndpoint;
 import org.cuminwell.core.gateway.GatewayAction.Stopped;
 import org.cuminwell.core.gateway.GatewayAction.TellPeer;
-import org.cuminwell.core.limit.CustomerLimits;
+import org.cuminwell.core.limit.Admission;
+import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.membership.EndpointTable;
 import org.cuminwell.core.model.Customer;
 import org.cuminwell.core.model.ErrorCode;
@@ -33,12 +32,14 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.KeyHash;
 import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.model.Route;
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.Usage;
 import org.cuminwell.core.model.Verdict;
 import org.cuminwell.core.peer.PeerMessage;
 import org.cuminwell.core.residency.Residency;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decides what a gateway does with each event.
@@ -56,23 +57,36 @@
 
   private static final Duration RETRY_SOON = Duration.ofSeconds(1);
 
+  private final HostDescription self;
   private final ConfigurationHolder configuration = new ConfigurationHolder();
   private final HostDirectory directory = new HostDirectory();
   private final EndpointTable endpoints = new EndpointTable();
-  private final CustomerLimits limits = new CustomerLimits();
+  private final int floorSlots;
+  private final AwaitedShares awaited = new AwaitedShares();
+  private final StartQueue starts = new StartQueue();
+  private final GatewayPeers peers;
   private final Attempts attempts;
-  private final Map<RequestId, RunningCall> calls = new HashMap<>();
-  private final Set<HostId> peers = new TreeSet<>();
   private final GracefulStop stop = new GracefulStop();
-  private HostDescription self;
+  private final Map<RequestId, RunningCall> calls = new HashMap<>();
+  private @Nullable ShareHolder limits;
 
   /**
-   * Makes the state of the gateway that {@code self} describes; routing draws by {@code random}.
+   * Makes the state of the gateway that {@code self} describes.
+   *
+   * @param floorSlots how many entry hosts its data centre may have
+   * @param random makes the draws of routing
    */
-  public Gateway(HostDescription self, SplittableRandom random) {
+  public Gateway(HostDescription self, int floorSlots, SplittableRandom random) {
     this.self = self;
-    this.attempts = new Attempts(self.place(), random);
-    directory.learn(List.of(self));
+    this.floorSlots = floorSlots;
+    attempts = new Attempts(self.place(), random);
+    peers = new GatewayPeers(self, configuration, directory, endpoints);
+  }
+
+  /** Takes in the configuration that this host's disk kept; call it before the first event. */
+  public void restore(Configuration kept) {
+    configuration.offer(kept);
+    peers.restored();
   }
 
   /** Returns what to do about the event, in order. */
@@ -81,17 +95,20 @@
     switch (event) {
       case GatewayEvent.CallOpened e -> open(e.head(), now, actions);
       case GatewayEvent.CallRead e -> admit(e.body(), now, actions);
-      case GatewayEvent.CallDropped e -> dropped(e.id(), now, actions);
+      case GatewayEvent.CallDropped e -> drop(e.id(), now, actions);
       case GatewayEvent.AnswerBegan e -> answerBegan(e, now);
-      case GatewayEvent.AttemptEnded e -> attemptEnded(e, now, actions);
+      case GatewayEvent.AttemptEnded e -> {
+        attemptEnded(e, now, actions);
+        startWaiting(now, actions);
+      }
       case GatewayEvent.ModelsAsked e -> listModels(e, actions);
       case GatewayEvent.EntryHostsAsked e -> listEntryHosts(e, actions);
-      case GatewayEvent.EndpointAnnounced e -> endpoints.announce(e.announcement(), now);
-      case GatewayEvent.EndpointReported e -> endpoints.report(e.report());
-      case GatewayEvent.EndpointLeft e -> endpoints.leave(e.endpoint(), e.incarnation());
-      case GatewayEvent.PeerConnected e -> greet(e.peer(), actions);
-      case GatewayEvent.PeerLost e -> peers.remove(e.peer());
-      case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), actions);
+      case GatewayEvent.EndpointAnnounced e -> peers.announced(e.announcement(), now);
+      case GatewayEvent.EndpointReported e -> peers.reported(e.report());
+      case GatewayEvent.EndpointLeft e -> peers.leaving(e.endpoint(), e.incarnation(), now);
+      case GatewayEvent.PeerConnected e -> peers.connected(e.peer(), actions);
+      case GatewayEvent.PeerLost e -> peers.lost(e.peer());
+      case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
       case GatewayEvent.Ticked e -> tick(now, actions);
       case GatewayEvent.StopAsked e -> stop(now, actions);
     }
@@ -100,39 +117,30 @@
 
   /** Returns whether requests can be answered. */
   public boolean isReady() {
-    return configuration.isReady() && !stop.isAsked();
-  }
-
-  private void stop(Instant now, List<GatewayAction> actions) {
-    if (!stop.ask(now)) {
-      return;
-    }
-    self = self.asStopping();
-    directory.learn(List.of(self));
-    peers.forEach(peer -> actions.add(tell(peer, new DirectoryMessage.Here(self))));
+    return peers.isServing() && !stop.isAsked();
   }
 
   private void tick(Instant now, List<GatewayAction> actions) {
     endpoints.expire(now);
+    peers.tick(now, actions);
+    retryAwaited(now, actions);
+    startWaiting(now, actions);
+    reportShares(now, actions);
     attempts.tick(now);
-    if (stop.refuses(now)) {
-      actions.add(new CloseListener());
-    }
-    if (stop.isDone(calls.isEmpty(), now)) {
-      actions.add(new Stopped());
-    }
+    tickStop(now, actions);
   }
 
-  /** Forgets a request that was never sent; the end of one that was sent is reported as such. */
-  private void dropped(RequestId id, Instant now, List<GatewayAction> actions) {
-    RunningCall call = calls.get(id);
-    if (call == null || call.isAttempting()) {
+  private void tickStop(Instant now, List<GatewayAction> actions) {
+    if (!stop.refuses(now)) {
       return;
     }
-    limits.settle(call.customer(), call.estimate(), 0, now);
-    calls.remove(id);
-    Failure left = DROPPED.withVerdict(Verdict.notRun());
-    actions.add(new Count(id, call.record(now, Usage.NONE, Optional.of(left))));
+    if (stop.beginsRefusing()) {
+      limits(now).leave();
+      actions.add(new CloseListener());
+    }
+    if (calls.isEmpty()) {
+      actions.add(new Stopped());
+    }
   }
 
   private void open(CallHead head, Instant now, List<GatewayAction> actions) {
@@ -152,7 +160,7 @@
           Failure.notRunRetryAfter(
               ErrorCode.STOPPING, "this host is stopping; use another entry host", RETRY_SOON));
     }
-    if (!configuration.isReady()) {
+    if (!peers.isServing()) {
       return Optional.of(
           Failure.notRunRetryAfter(
               ErrorCode.NOT_READY, "this host has no configuration yet; try again", RETRY_SOON));
@@ -257,17 +265,91 @@
       refuse(call, wrongRegion(residency), now, actions);
       return;
     }
-    Optional<Duration> wait = limits.admit(call.customer(), estimate, now);
-    if (wait.isPresent()) {
-      refuse(
-          call,
-          Failure.notRunRetryAfter(
-              ErrorCode.RATE_LIMITED, "the token limit is reached; wait and retry", wait.get()),
-          now,
-          actions);
+    Admission admission = limits(now).admit(call.customer(), estimate, now);
+    if (admission instanceof Admission.ShareShort && awaited.offer(call, now)) {
+      reportShares(now, actions);
+      return;
+    }
+    Optional<Failure> refusal = LimitRefusal.of(admission, estimate);
+    if (refusal.isPresent()) {
+      refuse(call, refusal.get(), now, actions);
+      return;
+    }
+    start(call, now, actions);
+  }
+
+  private void retryAwaited(Instant now, List<GatewayAction> actions) {
+    AwaitedShares.Result result = awaited.retry(limits(now), now);
+    result.refused().forEach(refused -> refuse(refused.call(), refused.failure(), now, actions));
+    result.admitted().forEach(call -> start(call, now, actions));
+  }
+
+  private void start(RunningCall call, Instant now, List<GatewayAction> actions) {
+    switch (starts.arrive(call, capacity(now), now)) {
+      case StartQueue.Decision.Start d -> attempt(call, now, actions);
+      case StartQueue.Decision.Wait d -> {}
+      case StartQueue.Decision.Refuse d -> refuseCharged(call, d.failure(), now, actions);
+    }
+  }
+
+  /** Starts what waits and has room now, and refuses what has waited too long. */
+  private void startWaiting(Instant now, List<GatewayAction> actions) {
+    for (RequestId id : starts.expire(now)) {
+      RunningCall call = calls.get(id);
+      if (call != null) {
+        refuseCharged(call, StartQueue.tooLong(), now, actions);
+      }
+    }
+    for (RequestId id : starts.next(capacity(now), now)) {
+      RunningCall call = calls.get(id);
+      if (call != null) {
+        attempt(call, now, actions);
+      }
+    }
+  }
+
+  private StartQueue.Capacity capacity(Instant now) {
+    return new ReachableCapacity(endpoints, directory, self, now);
+  }
+
+  /** Ends a request that was charged and never sent. */
+  private void refuseCharged(
+      RunningCall call, Failure failure, Instant now, List<GatewayAction> actions) {
+    limits(now).settle(call.customer(), call.estimate(), 0, now);
+    refuse(call, failure, now, actions);
+  }
+
+  /** Forgets a request that was not sent; the end of one that was sent is reported as such. */
+  private void drop(RequestId id, Instant now, List<GatewayAction> actions) {
+    RunningCall call = calls.get(id);
+    if (call == null || call.isAttempting()) {
       return;
     }
-    attempt(call, now, actions);
+    forget(call, now);
+    Failure dropped = DROPPED.withVerdict(Verdict.notRun());
+    actions.add(new Count(id, call.record(now, Usage.NONE, Optional.of(dropped))));
+  }
+
+  private void forget(RunningCall call, Instant now) {
+    calls.remove(call.id());
+    awaited.remove(call.id());
+    if (starts.ended(call.id())) {
+      limits(now).settle(call.customer(), call.estimate(), 0, now);
+    }
+  }
+
+  private ShareHolder limits(Instant now) {
+    if (limits == null) {
+      limits = new ShareHolder(self.place(), floorSlots, now);
+    }
+    limits.configure(configuration.index().configuration(), now);
+    return limits;
+  }
+
+  private void reportShares(Instant now, List<GatewayAction> actions) {
+    limits(now)
+        .tick(now)
+        .ifPresent(m -> actions.add(new TellPeer(m.to(), new PeerMessage.Limits(m.message()))));
   }
 
   private Optional<Route> routeOf(CallHead.Target target, CallBody body) {
@@ -295,11 +377,10 @@
       actions.add(attempt.get());
       return;
     }
-    limits.settle(call.customer(), call.estimate(), 0, now);
     Failure none =
         Failure.notRunRetryAfter(
             ErrorCode.NO_ENDPOINT, "no endpoint can take the request; try again", RETRY_SOON);
-    refuse(call, call.withVerdictOfAll(none), now, actions);
+    refuseCharged(call, call.withVerdictOfAll(none), now, actions);
   }
 
   private void answerBegan(GatewayEvent.AnswerBegan event, Instant now) {
@@ -344,18 +425,20 @@
       Instant now,
       List<GatewayAction> actions) {
     calls.remove(call.id());
+    starts.ended(call.id());
     long used =
         switch (call.route().service()) {
           case Service.Model m -> usage.total();
           case Service.Plain p -> PLAIN_CALL_TOKENS;
         };
-    limits.settle(call.customer(), call.estimate(), used, now);
+    limits(now).settle(call.customer(), call.estimate(), used, now);
     actions.add(new Count(call.id(), call.record(now, usage, failure)));
   }
 
   /** Ends a request that was never sent. */
   private void refuse(RunningCall call, Failure failure, Instant now, List<GatewayAction> actions) {
     calls.remove(call.id());
+    starts.ended(call.id());
     actions.add(new Refuse(call.id(), failure));
     actions.add(new Count(call.id(), call.record(now, Usage.NONE, Optional.of(failure))));
   }
@@ -395,41 +478,55 @@
     actions.add(new AnswerEntryHosts(event.id(), directory.entryHosts(residency, self.place())));
   }
 
-  private void greet(HostId peer, List<GatewayAction> actions) {
-    peers.add(peer);
-    actions.add(tell(peer, new DirectoryMessage.Here(self)));
-    actions.add(tell(peer, new DistributionMessage.Held(configuration.revision())));
-  }
-
-  private void hear(HostId peer, PeerMessage message, List<GatewayAction> actions) {
+  private void hear(HostId peer, PeerMessage message, Instant now, List<GatewayAction> actions) {
     switch (message) {
-      case PeerMessage.Distribution m -> hear(peer, m.message(), actions);
-      case PeerMessage.Directory m -> hear(m.message());
-    }
-  }
-
-  private void hear(HostId peer, DistributionMessage message, List<GatewayAction> actions) {
-    switch (message) {
-      case DistributionMessage.Full full -> {
-        configuration.offer(full.configuration());
-        actions.add(tell(peer, new DistributionMessage.Held(configuration.revision())));
+      case PeerMessage.Distribution m -> {
+        Revision before = configuration.revision();
+        peers.hear(peer, m.message(), now, actions);
+        if (configuration.revision().isAfter(before)) {
+          endWithdrawn(now, actions);
+        }
       }
-      case DistributionMessage.Held held -> {}
+      case PeerMessage.Directory m -> peers.hear(peer, m.message(), actions);
+      case PeerMessage.Limits m -> {
+        limits(now).hear(peer, m.message(), now);
+        retryAwaited(now, actions);
+      }
+      case PeerMessage.Membership m -> peers.hear(peer, m.message(), now, actions);
     }
   }
 
-  private void hear(DirectoryMessage message) {
-    switch (message) {
-      case DirectoryMessage.Here here -> directory.learn(List.of(here.host()));
-      case DirectoryMessage.Hosts all -> directory.learn(all.hosts());
+  private void stop(Instant now, List<GatewayAction> actions) {
+    if (stop.ask(now)) {
+      peers.stop(actions);
     }
   }
 
-  private static TellPeer tell(HostId peer, DirectoryMessage message) {
-    return new TellPeer(peer, new PeerMessage.Directory(message));
+  /** Ends every running request whose key has been withdrawn. */
+  private void endWithdrawn(Instant now, List<GatewayAction> actions) {
+    List<RunningCall> withdrawn =
+        calls.values().stream()
+            .filter(
+                call ->
+                    customerOf(call.head())
+                        .filter(customer -> customer.id().equals(call.customer().id()))
+                        .isEmpty())
+            .toList();
+    withdrawn.forEach(call -> endWithdrawn(call, now, actions));
   }
 
-  private static TellPeer tell(HostId peer, DistributionMessage message) {
-    return new TellPeer(peer, new PeerMessage.Distribution(message));
+  private void endWithdrawn(RunningCall call, Instant now, List<GatewayAction> actions) {
+    String message = "the key was withdrawn while the request was running";
+    if (call.attempts() == 0) {
+      forget(call, now);
+      refuse(call, Failure.notRun(ErrorCode.INVALID_KEY, message), now, actions);
+    } else if (call.hasAnswerBegun()) {
+      actions.add(new CancelCall(call.id(), Failure.ran(ErrorCode.INVALID_KEY, message)));
+    } else {
+      Failure failure = Failure.mayHaveRun(ErrorCode.INVALID_KEY, message);
+      attempts.ended(call, new AttemptEnd.CallerLeft(Usage.NONE), now);
+      actions.add(new Refuse(call.id(), failure));
+      finish(call, Usage.NONE, Optional.of(failure), now, actions);
+    }
   }
 }
--- a/core/src/main/java/org/cuminwell/core/gateway/GracefulStop.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GracefulStop.java
@@ -17,6 +17,7 @@
   static final Duration GRACE = Duration.ofSeconds(3);
 
   private @Nullable Instant askedAt;
+  private boolean refusing;
 
   /** Takes in that a stop was asked for, and returns whether it is the first time. */
   boolean ask(Instant now) {
@@ -36,8 +37,10 @@
     return askedAt != null && !now.isBefore(askedAt.plus(GRACE));
   }
 
-  /** Returns whether the process may end. */
-  boolean isDone(boolean idle, Instant now) {
-    return idle && refuses(now);
+  /** Returns true once, to do what is due when new requests begin to be refused. */
+  boolean beginsRefusing() {
+    boolean first = !refusing;
+    refusing = true;
+    return first;
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/AnswerStage.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/AnswerStage.java
@@ -7,6 +7,7 @@
 import org.apache.pekko.stream.Outlet;
 import org.apache.pekko.stream.stage.AbstractInHandler;
 import org.apache.pekko.stream.stage.AbstractOutHandler;
+import org.apache.pekko.stream.stage.AsyncCallback;
 import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.stream.stage.TimerGraphStageLogic;
@@ -94,6 +95,8 @@
 
     @Override
     public void preStart() {
+      AsyncCallback<Failure> cut = createAsyncCallback((Failure failure) -> fail(failure));
+      var _ = attempt.cut().thenAccept(cut::invoke);
       scheduleAtFixedRate("silence", SILENCE_PERIOD, SILENCE_PERIOD);
     }
 
@@ -148,7 +151,10 @@
     }
 
     private void fail(String problem) {
-      Failure failure = Failure.mayHaveRun(ErrorCode.INCOMPLETE_ANSWER, problem);
+      fail(Failure.mayHaveRun(ErrorCode.INCOMPLETE_ANSWER, problem));
+    }
+
+    private void fail(Failure failure) {
       attempt.ended(new AttemptEnd.Failed(failure, check.usage()));
       attempt.closeConnection();
       if (begun) {
--- a/shell/src/main/java/org/cuminwell/shell/gateway/EndpointAttempt.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/EndpointAttempt.java
@@ -1,5 +1,6 @@
 package org.cuminwell.shell.gateway;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.apache.pekko.stream.KillSwitches;
@@ -7,6 +8,7 @@
 import org.cuminwell.core.gateway.AttemptEnd;
 import org.cuminwell.core.gateway.GatewayAction.SendToEndpoint;
 import org.cuminwell.core.gateway.GatewayEvent;
+import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Usage;
 
@@ -25,12 +27,15 @@
   }
 
   private final SendToEndpoint order;
+  private final CompletableFuture<Failure> cut;
   private final Consumer<GatewayEvent> events;
   private final SharedKillSwitch connection = KillSwitches.shared("attempt");
   private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
 
-  EndpointAttempt(SendToEndpoint order, Consumer<GatewayEvent> events) {
+  EndpointAttempt(
+      SendToEndpoint order, CompletableFuture<Failure> cut, Consumer<GatewayEvent> events) {
     this.order = order;
+    this.cut = cut;
     this.events = events;
   }
 
@@ -42,6 +47,11 @@
     return order;
   }
 
+  /** Returns the failure that the answer is cut with, once there is one. */
+  CompletableFuture<Failure> cut() {
+    return cut;
+  }
+
   /** Returns the switch that closes the connection. */
   SharedKillSwitch connection() {
     return connection;
--- a/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
@@ -63,7 +63,7 @@
 
   /** Starts the attempt and returns at once. */
   void send(PendingCall call, SendToEndpoint order) {
-    EndpointAttempt attempt = new EndpointAttempt(order, events);
+    EndpointAttempt attempt = new EndpointAttempt(order, call.cancelled(), events);
     if (!call.tryAttempt(attempt)) {
       return;
     }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -1,6 +1,7 @@
 package org.cuminwell.shell.gateway;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -25,6 +26,7 @@
 import org.cuminwell.shell.metrics.Telemetry;
 import org.cuminwell.shell.peer.PeerListener;
 import org.cuminwell.shell.peer.PeerNode;
+import org.cuminwell.shell.peer.PeerTls;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -47,24 +49,37 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final Gateway gateway;
   private final HttpSystem http;
+  private final Optional<PeerTls> tls;
   private final PeerNode peers;
   private final CallerFront callers;
   private final EndpointClient endpoints;
+  private final ConfigurationKeeper keeper;
   private final Duty<GatewayEvent> decide;
   private final Duty<GatewayAction> dispatch;
   private final TimerDuty timer;
+  private final TimerDuty certificates;
   private volatile boolean ready;
   private volatile @Nullable ServerBinding listener;
 
   private GatewayProcess(GatewaySettings settings) {
-    gateway = new Gateway(settings.self(), new SplittableRandom());
+    gateway = new Gateway(settings.self(), settings.floorSlots(), new SplittableRandom());
+    Optional<ConfigurationStore> store = settings.data().map(ConfigurationStore::new);
+    store.flatMap(ConfigurationStore::load).ifPresent(gateway::restore);
+    keeper = new ConfigurationKeeper(store);
     http = HttpSystem.start("gateway");
-    peers = new PeerNode(settings.self().id(), listener());
+    tls = settings.tls().map(PeerTls::orFail);
+    peers = new PeerNode(settings.self().id(), listener(), tls);
+    telemetry.gauge("peer_sent_bytes", peers::sentBytes);
+    telemetry.gauge("peer_received_bytes", peers::receivedBytes);
+    telemetry.gauge("peer_refused_connections", peers::refusedConnections);
     callers = new CallerFront(http, calls, events);
     endpoints = new EndpointClient(http, events::force);
     decide = Duty.start("decide", events.ring(), this::decide);
     dispatch = Duty.start("dispatch", actions, this::perform);
     timer = TimerDuty.start("timer", TICK, () -> events.offer(new GatewayEvent.Ticked()));
+    certificates =
+        TimerDuty.start(
+            "certificates", PeerTls.RELOAD, () -> tls.ifPresent(PeerTls::reloadIfChanged));
   }
 
   /**
@@ -81,6 +96,7 @@
     process.http.serve(settings.self().inner(), inner::handle);
     process.peers.listen(settings.self().peer());
     settings.controls().forEach(process.peers::dial);
+    settings.neighbours().forEach(process.peers::dial);
     LOG.log(System.Logger.Level.INFO, "gateway started at " + settings.self().callers());
     return process;
   }
@@ -99,8 +115,10 @@
   @Override
   public void close() {
     timer.close();
+    certificates.close();
     decide.close();
     dispatch.close();
+    keeper.close();
     peers.close();
     http.close();
   }
@@ -145,6 +163,10 @@
           telemetry.count("peer_messages_dropped", 1);
         }
       }
+      case GatewayAction.Dial a -> peers.dial(a.address());
+      case GatewayAction.StopDialling a -> peers.stopDialling(a.address());
+      case GatewayAction.KeepConfiguration a -> keeper.keep(a.configuration());
+      case GatewayAction.CancelCall a -> calls.with(a.id(), call -> call.cancel(a.failure()));
       case GatewayAction.Count a -> {
         calls.remove(a.id());
         telemetry.record(a.call());
--- a/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
@@ -15,10 +15,17 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Function;
+import java.util.stream.Stream;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.peer.PeerMessage;
@@ -49,15 +56,24 @@
 
   private final HostId self;
   private final PeerListener listener;
+  private final Optional<PeerTls> tls;
   private final EventLoopGroup threads;
-  private final Map<HostId, Channel> links = new ConcurrentHashMap<>();
+  private final Map<HostId, List<Channel>> links = new ConcurrentHashMap<>();
   private final Map<HostAddress, Boolean> dialled = new ConcurrentHashMap<>();
+  private final AtomicLong refused = new AtomicLong();
+  private final LongAdder sentBytes = new LongAdder();
+  private final LongAdder receivedBytes = new LongAdder();
   private volatile boolean closed;
 
-  /** Makes a node that neither listens nor dials yet. */
-  public PeerNode(HostId self, PeerListener listener) {
+  /**
+   * Makes a node that neither listens nor dials yet.
+   *
+   * @param tls proves the ends of each connection; without it peers are believed
+   */
+  public PeerNode(HostId self, PeerListener listener, Optional<PeerTls> tls) {
     this.self = self;
     this.listener = listener;
+    this.tls = tls;
     this.threads = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   }
 
@@ -74,7 +90,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
-            .childHandler(initializer())
+            .childHandler(initializer(channel -> tls.map(t -> t.serverHandler(channel))))
             .bind(address.host(), address.port())
             .awaitUninterruptibly();
     if (!bound.isSuccess()) {
@@ -96,16 +112,32 @@
 
   /** Sends the message, and returns whether it was taken; a taken message may still be lost. */
   public boolean send(HostId peer, PeerMessage message) {
-    Channel link = links.get(peer);
-    if (link == null || !link.isWritable()) {
+    List<Channel> open = links.get(peer);
+    if (open == null || !open.getLast().isWritable()) {
       return false;
     }
+    Channel link = open.getLast();
     var _ =
         link.writeAndFlush(
             PeerFrameCodec.encode(new PeerFrame.Message(message)), link.voidPromise());
     return true;
   }
 
+  /** Returns how many connections were closed because the other end could not prove itself. */
+  public long refusedConnections() {
+    return refused.get();
+  }
+
+  /** Returns the bytes of all frames sent, without TLS. */
+  public long sentBytes() {
+    return sentBytes.sum();
+  }
+
+  /** Returns the bytes of all frames received, without TLS. */
+  public long receivedBytes() {
+    return receivedBytes.sum();
+  }
+
   @Override
   public void close() {
     closed = true;
@@ -117,22 +149,43 @@
   }
 
   void opened(HostId peer, Channel channel) {
-    @Nullable Channel old = links.put(peer, channel);
-    if (old == null) {
-      listener.connected(peer);
-    }
+    links.merge(peer, List.of(channel), PeerNode::joined);
+    listener.connected(peer);
   }
 
+  /** Forgets the connection; the peer is lost when it was the last one. */
   void closed(HostId peer, Channel channel) {
-    if (links.remove(peer, channel)) {
+    links.computeIfPresent(peer, (id, open) -> without(open, channel));
+    if (!links.containsKey(peer)) {
       listener.lost(peer);
     }
   }
 
+  void countSent(int bytes) {
+    sentBytes.add(LENGTH_BYTES + bytes);
+  }
+
+  void countReceived(int bytes) {
+    receivedBytes.add(LENGTH_BYTES + bytes);
+  }
+
+  void refused() {
+    refused.incrementAndGet();
+  }
+
   void heard(HostId peer, PeerMessage message) {
     listener.heard(peer, message);
   }
 
+  private static List<Channel> joined(List<Channel> open, List<Channel> more) {
+    return Stream.concat(open.stream(), more.stream()).toList();
+  }
+
+  private static @Nullable List<Channel> without(List<Channel> open, Channel closed) {
+    List<Channel> rest = open.stream().filter(channel -> !channel.equals(closed)).toList();
+    return rest.isEmpty() ? null : rest;
+  }
+
   private void connect(HostAddress address) {
     if (closed || !dialled.containsKey(address)) {
       return;
@@ -143,7 +196,7 @@
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
-        .handler(initializer())
+        .handler(initializer(channel -> tls.map(t -> t.clientHandler(channel))))
         .connect(address.host(), address.port())
         .addListener(
             (ChannelFutureListener)
@@ -165,10 +218,12 @@
     }
   }
 
-  private ChannelInitializer<SocketChannel> initializer() {
+  private ChannelInitializer<SocketChannel> initializer(
+      Function<SocketChannel, Optional<SslHandler>> security) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
+        security.apply(channel).ifPresent(handler -> channel.pipeline().addLast(handler));
         channel
             .pipeline()
             .addLast(
--- a/shell/src/test/java/org/cuminwell/shell/gateway/CallerFaultsTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/CallerFaultsTest.java
@@ -12,11 +12,13 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Holds what callers get for bad requests, and that no endpoint sees one or a key. */
+@Timeout(60)
 class CallerFaultsTest {
 
   /** Says what is sent over a raw connection and how the answer must begin and go on. */
--- a/shell/src/test/java/org/cuminwell/shell/gateway/EndpointFaultsTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/EndpointFaultsTest.java
@@ -14,10 +14,12 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.cuminwell.shell.gateway.FakeEndpoint.Script;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Holds what callers get when endpoints answer late, crossed, cut, doubled or not at all. */
+@Timeout(60)
 class EndpointFaultsTest {
 
   enum Call {
--- a/shell/src/test/java/org/cuminwell/shell/gateway/GatewayFixture.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/GatewayFixture.java
@@ -53,7 +53,7 @@
   private GatewayFixture() throws IOException, InterruptedException {
     HostAddress controlAddress = freeAddress();
     AtomicReference<PeerNode> node = new AtomicReference<>();
-    control = new PeerNode(new HostId("c0"), configure(node));
+    control = new PeerNode(new HostId("c0"), configure(node), Optional.empty());
     node.set(control);
     control.listen(controlAddress);
     self =
@@ -65,7 +65,10 @@
             freeAddress(),
             0,
             false);
-    process = GatewayProcess.start(new GatewaySettings(self, List.of(controlAddress)));
+    process =
+        GatewayProcess.start(
+            new GatewaySettings(
+                self, 1, List.of(controlAddress), List.of(), Optional.empty(), Optional.empty()));
     while (send(inner("/readyz").GET()).statusCode() != 200) {
       Thread.sleep(10);
     }
