--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationIndex;
 import org.cuminwell.core.directory.HostDescription;
@@ -15,6 +16,7 @@
 import org.cuminwell.core.gateway.GatewayAction.AnswerEntryHosts;
 import org.cuminwell.core.gateway.GatewayAction.AnswerModels;
 import org.cuminwell.core.gateway.GatewayAction.CancelCall;
+import org.cuminwell.core.gateway.GatewayAction.CloseListener;
 import org.cuminwell.core.gateway.GatewayAction.Count;
 import org.cuminwell.core.gateway.GatewayAction.ReadBody;
 import org.cuminwell.core.gateway.GatewayAction.Refuse;
@@ -27,7 +29,6 @@
 import org.cuminwell.core.idempotency.IdempotentCall;
 import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.limit.Admission;
-import org.cuminwell.core.limit.Floors;
 import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.membership.EndpointTable;
 import org.cuminwell.core.model.Customer;
@@ -43,9 +44,7 @@
 import org.cuminwell.core.model.Verdict;
 import org.cuminwell.core.peer.PeerMessage;
 import org.cuminwell.core.residency.Residency;
-import org.cuminwell.core.retry.RetryPolicy;
 import org.cuminwell.core.rollout.RolloutMessage;
-import org.cuminwell.core.routing.Router;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -59,6 +58,9 @@
   /** The tokens that a plain call is charged, since it generates none. */
   static final long PLAIN_CALL_TOKENS = 1;
 
+  private static final Failure DROPPED =
+      Failure.mayHaveRun(ErrorCode.CALL_DROPPED, "the caller went away or sent a bad body");
+
   private static final Duration RETRY_SOON = Duration.ofSeconds(1);
 
   private final HostDescription self;
@@ -69,28 +71,24 @@
   private final AwaitedShares awaited = new AwaitedShares();
   private final StartQueue starts = new StartQueue();
   private final GatewayPeers peers;
-  private final Router router = new Router();
   private final ClaimTracker claims;
   private final VersionMoves versions = new VersionMoves();
-  private final RetryPolicy retryPolicy = RetryPolicy.DEFAULT;
+  private final Attempts attempts;
+  private final GracefulStop stop = new GracefulStop();
   private final Map<RequestId, RunningCall> calls = new HashMap<>();
   private @Nullable ShareHolder limits;
-  private boolean stopping;
-
-  /** Makes the state of the gateway that {@code self} describes. */
-  public Gateway(HostDescription self) {
-    this(self, Floors.DEFAULT_SLOTS);
-  }
 
   /**
    * Makes the state of the gateway that {@code self} describes.
    *
    * @param floorSlots how many entry hosts its data centre may have
+   * @param random makes the draws of routing
    */
-  public Gateway(HostDescription self, int floorSlots) {
+  public Gateway(HostDescription self, int floorSlots, SplittableRandom random) {
     this.self = self;
     claims = new ClaimTracker(self.id());
     this.floorSlots = floorSlots;
+    attempts = new Attempts(self.place(), random);
     peers = new GatewayPeers(self, configuration, directory, endpoints);
   }
 
@@ -106,7 +104,7 @@
     switch (event) {
       case GatewayEvent.CallOpened e -> open(e.head(), now, actions);
       case GatewayEvent.CallRead e -> admit(e.body(), now, actions);
-      case GatewayEvent.CallDropped e -> drop(e.id(), now);
+      case GatewayEvent.CallDropped e -> drop(e.id(), now, actions);
       case GatewayEvent.AnswerBegan e -> answerBegan(e, now);
       case GatewayEvent.AttemptEnded e -> {
         attemptEnded(e, now, actions);
@@ -127,15 +125,12 @@
       case GatewayEvent.Ticked e -> tick(now, actions);
       case GatewayEvent.StopAsked e -> stop(now, actions);
     }
-    if (stopping && calls.isEmpty() && claims.isSettled()) {
-      actions.add(new Stopped());
-    }
     return actions;
   }
 
   /** Returns whether requests can be answered. */
   public boolean isReady() {
-    return peers.isServing() && !stopping;
+    return peers.isServing() && !stop.isAsked();
   }
 
   private void tick(Instant now, List<GatewayAction> actions) {
@@ -148,10 +143,25 @@
     versions
         .report(self.id(), configuration.index(), endpoints, now)
         .ifPresent(report -> tellControls(report, actions));
+    attempts.tick(now);
+    tickStop(now, actions);
+  }
+
+  private void tickStop(Instant now, List<GatewayAction> actions) {
+    if (!stop.refuses(now)) {
+      return;
+    }
+    if (stop.beginsRefusing()) {
+      limits(now).leave();
+      actions.add(new CloseListener());
+    }
+    if (calls.isEmpty() && claims.isSettled()) {
+      actions.add(new Stopped());
+    }
   }
 
   private void open(CallHead head, Instant now, List<GatewayAction> actions) {
-    Optional<Failure> refusal = refusalOfHead(head);
+    Optional<Failure> refusal = refusalOfHead(head, now);
     if (refusal.isPresent()) {
       actions.add(new Refuse(head.id(), refusal.get()));
       return;
@@ -161,8 +171,8 @@
     actions.add(new ReadBody(head.id()));
   }
 
-  private Optional<Failure> refusalOfHead(CallHead head) {
-    if (stopping) {
+  private Optional<Failure> refusalOfHead(CallHead head, Instant now) {
+    if (stop.refuses(now)) {
       return Optional.of(
           Failure.notRunRetryAfter(
               ErrorCode.STOPPING, "this host is stopping; use another entry host", RETRY_SOON));
@@ -269,6 +279,9 @@
           case CallBody.Completion c -> Optional.empty();
           case CallBody.Plain p -> p.idempotent();
         });
+    if (body instanceof CallBody.Completion completion) {
+      call.describe(completion);
+    }
     Residency residency = Residency.of(call.customer(), route.get());
     if (!residency.allows(self.place().region())) {
       refuse(call, wrongRegion(residency), now, actions);
@@ -382,10 +395,21 @@
     refuse(call, failure, now, actions);
   }
 
-  private void drop(RequestId id, Instant now) {
-    RunningCall call = calls.remove(id);
-    awaited.remove(id);
-    if (call != null && starts.ended(id)) {
+  /** Forgets a request that was not sent; the end of one that was sent is reported as such. */
+  private void drop(RequestId id, Instant now, List<GatewayAction> actions) {
+    RunningCall call = calls.get(id);
+    if (call == null || call.isAttempting()) {
+      return;
+    }
+    forget(call, now);
+    Failure dropped = DROPPED.withVerdict(Verdict.notRun());
+    actions.add(new Count(id, call.record(now, Usage.NONE, Optional.of(dropped))));
+  }
+
+  private void forget(RunningCall call, Instant now) {
+    calls.remove(call.id());
+    awaited.remove(call.id());
+    if (starts.ended(call.id())) {
       limits(now).settle(call.customer(), call.estimate(), 0, now);
     }
   }
@@ -423,35 +447,22 @@
   }
 
   private void attempt(RunningCall call, Instant now, List<GatewayAction> actions) {
-    List<EndpointTable.Entry> candidates =
-        endpoints.serving(call.route().service().name(), now).stream()
-            .filter(
-                entry ->
-                    Residency.of(call.customer(), call.route())
-                        .allows(entry.announcement().place().region()))
-            .toList();
-    Optional<EndpointTable.Entry> choice =
-        router.choose(versions.choose(call, configuration.index(), candidates, now), call.tried());
-    if (choice.isEmpty()) {
-      refuseCharged(
-          call,
-          Failure.notRunRetryAfter(
-              ErrorCode.NO_ENDPOINT, "no endpoint can take the request; try again", RETRY_SOON),
-          now,
-          actions);
+    var serving = endpoints.serving(call.route().service().name(), now);
+    Optional<SendToEndpoint> attempt =
+        attempts.begin(
+            call,
+            serving,
+            resident -> versions.choose(call, configuration.index(), resident, now),
+            now);
+    if (attempt.isPresent()) {
+      call.endpoint().ifPresent(target -> versions.sent(call, target.version(), now));
+      actions.add(attempt.get());
       return;
     }
-    var target = choice.get().announcement();
-    int attempt = call.begin(target);
-    router.sent(target.endpoint());
-    versions.sent(call, target.version(), now);
-    actions.add(
-        new SendToEndpoint(
-            call.id(),
-            attempt,
-            target.endpoint(),
-            target.address(),
-            Duration.between(now, call.deadline())));
+    Failure none =
+        Failure.notRunRetryAfter(
+            ErrorCode.NO_ENDPOINT, "no endpoint can take the request; try again", RETRY_SOON);
+    refuseCharged(call, call.withVerdictOfAll(none), now, actions);
   }
 
   private void answerBegan(GatewayEvent.AnswerBegan event, Instant now) {
@@ -475,13 +486,13 @@
     if (call == null || call.attempts() != event.attempt()) {
       return;
     }
-    call.endpoint().ifPresent(endpoint -> router.ended(endpoint.endpoint()));
+    attempts.ended(call, event.end(), now);
     versions.ended(call.id(), event.end(), now);
     switch (event.end()) {
       case AttemptEnd.Completed end -> finish(call, end.usage(), Optional.empty(), now, actions);
       case AttemptEnd.CallerLeft end -> {
         claimed(claims.ended(call.id(), new Outcome.Unknown(), now), now, actions);
-        finish(call, end.used(), Optional.empty(), now, actions);
+        finish(call, end.used(), Optional.of(DROPPED), now, actions);
       }
       case AttemptEnd.Failed end -> attemptFailed(call, end, now, actions);
     }
@@ -495,22 +506,15 @@
 
   private void attemptFailed(
       RunningCall call, AttemptEnd.Failed end, Instant now, List<GatewayAction> actions) {
-    boolean again =
-        retryPolicy.allows(
-            call.attempts(),
-            end.failure().verdict(),
-            call.isIdempotent(),
-            call.hasAnswerBegun(),
-            call.deadline(),
-            now);
-    if (again) {
+    Failure failure = call.withVerdictOfAll(end.failure());
+    if (attempts.tryAgain(call, end.failure(), now)) {
       attempt(call, now, actions);
       return;
     }
     if (!call.hasAnswerBegun()) {
-      actions.add(new Refuse(call.id(), end.failure()));
+      actions.add(new Refuse(call.id(), failure));
     }
-    finish(call, end.used(), Optional.of(end.failure()), now, actions);
+    finish(call, end.used(), Optional.of(failure), now, actions);
   }
 
   private void finish(
@@ -609,9 +613,9 @@
   }
 
   private void stop(Instant now, List<GatewayAction> actions) {
-    stopping = true;
-    limits(now).leave();
-    peers.stop(actions);
+    if (stop.ask(now)) {
+      peers.stop(actions);
+    }
   }
 
   /** Ends every running request whose key has been withdrawn. */
@@ -630,13 +634,13 @@
   private void endWithdrawn(RunningCall call, Instant now, List<GatewayAction> actions) {
     String message = "the key was withdrawn while the request was running";
     if (call.attempts() == 0) {
-      drop(call.id(), now);
+      forget(call, now);
       refuse(call, Failure.notRun(ErrorCode.INVALID_KEY, message), now, actions);
     } else if (call.hasAnswerBegun()) {
       actions.add(new CancelCall(call.id(), Failure.ran(ErrorCode.INVALID_KEY, message)));
     } else {
       Failure failure = Failure.mayHaveRun(ErrorCode.INVALID_KEY, message);
-      call.endpoint().ifPresent(endpoint -> router.ended(endpoint.endpoint()));
+      attempts.ended(call, new AttemptEnd.CallerLeft(Usage.NONE), now);
       actions.add(new Refuse(call.id(), failure));
       finish(call, Usage.NONE, Optional.of(failure), now, actions);
     }
--- a/core/src/test/java/org/cuminwell/core/gateway/KeyWithdrawalTest.java
+++ b/core/src/test/java/org/cuminwell/core/gateway/KeyWithdrawalTest.java
@@ -9,10 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.limit.Floors;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.model.Customer;
 import org.cuminwell.core.model.CustomerId;
@@ -49,7 +51,9 @@
 
   private final Gateway gateway =
       new Gateway(
-          new HostDescription(new HostId("g0"), PLACE, ADDRESS, ADDRESS, ADDRESS, 0, false));
+          new HostDescription(new HostId("g0"), PLACE, ADDRESS, ADDRESS, ADDRESS, 0, false),
+          Floors.DEFAULT_SLOTS,
+          new SplittableRandom(1));
   private final List<GatewayAction> actions = new ArrayList<>();
   private Instant now = Instant.parse("2026-01-01T00:00:00Z");
 
@@ -106,7 +110,7 @@
     if (stage == Stage.UNREAD) {
       return;
     }
-    handle(new GatewayEvent.CallRead(new CallBody.Completion(ID, "chat", true, 1, 1)));
+    handle(new GatewayEvent.CallRead(new CallBody.Completion(ID, "chat", true, 1, 1, 0)));
     now = now.plusSeconds(1);
     handle(new GatewayEvent.Ticked());
     assertThat(actions).hasAtLeastOneElementOfType(GatewayAction.SendToEndpoint.class);
