--- a/app/src/main/java/org/cuminwell/app/ControlCommand.java
+++ b/app/src/main/java/org/cuminwell/app/ControlCommand.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,6 +14,7 @@
 import org.cuminwell.shell.control.AgreementSettings;
 import org.cuminwell.shell.control.ControlProcess;
 import org.cuminwell.shell.control.ControlSettings;
+import org.cuminwell.shell.control.OperatorAccess;
 
 /** Runs a control host. */
 @Parameters(commandDescription = "Run a control host that keeps the tickets")
@@ -49,6 +51,12 @@
       description = "found a new cluster if the folders of all control hosts are empty")
   private boolean bootstrap;
 
+  @Parameter(
+      names = "--operators-file",
+      description =
+          "file of lines NAME SHA256 of those who may operate; without it anyone who reaches --http")
+  private String operatorsFile = "";
+
   @ParametersDelegate private final TlsFlags tls = new TlsFlags();
 
   @Override
@@ -66,9 +74,21 @@
         Settings.checked("--peer", peer, HostAddress::parse),
         Settings.addresses("--control", control),
         agreement(),
+        access(),
         tls.files());
   }
 
+  private OperatorAccess access() throws SettingException {
+    if (operatorsFile.isEmpty()) {
+      return OperatorAccess.open();
+    }
+    try {
+      return OperatorAccess.read(Path.of(operatorsFile));
+    } catch (IOException e) {
+      throw new SettingException("--operators-file", "can't use it: " + e.getMessage());
+    }
+  }
+
   private AgreementSettings agreement() throws SettingException {
     HostId self = Settings.checked("--host-id", hostId, HostId::new);
     Set<HostId> voters = new TreeSet<>();
--- a/app/src/main/java/org/cuminwell/app/OperatorClient.java
+++ b/app/src/main/java/org/cuminwell/app/OperatorClient.java
@@ -5,8 +5,11 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Base64;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Asks control hosts over the same interface that the screens use.
@@ -19,10 +22,17 @@
   private static final Duration TIMEOUT = Duration.ofSeconds(15);
 
   private final List<String> hosts;
+  private final Optional<String> credentials;
   private final HttpClient client = HttpClient.newBuilder().connectTimeout(CONNECT_TIMEOUT).build();
 
-  OperatorClient(List<String> hosts) {
+  /**
+   * Makes a client.
+   *
+   * @param credentials name and token, joined by a colon
+   */
+  OperatorClient(List<String> hosts, Optional<String> credentials) {
     this.hosts = List.copyOf(hosts);
+    this.credentials = credentials;
   }
 
   /** Prints the answer to a GET, and returns the exit code. */
@@ -39,7 +49,7 @@
   int follow(String path) throws InterruptedException {
     for (String host : hosts) {
       try {
-        HttpRequest request = HttpRequest.newBuilder(uri(host, path)).GET().build();
+        HttpRequest request = proven(HttpRequest.newBuilder(uri(host, path))).GET().build();
         client
             .send(request, HttpResponse.BodyHandlers.ofLines())
             .body()
@@ -58,7 +68,7 @@
       try {
         HttpResponse<String> answer =
             client.send(
-                request.copy().uri(uri(host, path)).timeout(TIMEOUT).build(),
+                proven(request.copy()).uri(uri(host, path)).timeout(TIMEOUT).build(),
                 HttpResponse.BodyHandlers.ofString());
         System.out.print(answer.body());
         return answer.statusCode() < 400 ? Command.OK : Command.FAILED;
@@ -70,6 +80,13 @@
     return Command.FAILED;
   }
 
+  private HttpRequest.Builder proven(HttpRequest.Builder request) {
+    credentials
+        .map(text -> Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)))
+        .ifPresent(encoded -> request.header("Authorization", "Basic " + encoded));
+    return request;
+  }
+
   private static URI uri(String host, String path) {
     return URI.create("http://" + host + path);
   }
--- a/app/src/main/java/org/cuminwell/app/TicketCommand.java
+++ b/app/src/main/java/org/cuminwell/app/TicketCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -19,13 +20,12 @@
   @Parameter(names = "-f", description = "file with the ticket as JSON")
   private String file = "";
 
-  @Parameter(names = "--operators", description = "HOST:PORT of each control host for operators")
-  private List<String> operators = new ArrayList<>(List.of("127.0.0.1:8400"));
+  @ParametersDelegate private final OperatorFlags operators = new OperatorFlags();
 
   @Override
   public int run() throws SettingException, InterruptedException {
     String verb = words.isEmpty() ? "" : words.getFirst();
-    OperatorClient client = new OperatorClient(operators);
+    OperatorClient client = operators.client();
     return switch (verb) {
       case "submit" -> client.put("/v1/tickets/" + number(), content());
       case "show" -> client.get("/v1/tickets/" + number());
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -69,7 +69,7 @@
     telemetry.gauge("agreement_applied_index", () -> status.appliedIndex());
     telemetry.gauge("agreement_leads", () -> status.leads() ? 1L : 0L);
     OpsPages pages = new OpsPages(() -> status.leader().isPresent(), telemetry);
-    operators = new OperatorFront(http, pages, events::offer, control.view());
+    operators = new OperatorFront(http, pages, settings.access(), events::offer, control.view());
     journalDuty = new JournalDuty(journal, this::synced, telemetry);
     decide = Duty.start("decide", events, this::decide);
     dispatch = Duty.start("dispatch", actions, this::perform);
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
@@ -13,6 +13,7 @@
  * @param peer where the system's own messages reach it
  * @param controls the peer addresses of all control hosts
  * @param agreement what makes this host one of several that agree
+ * @param access knows who may operate the system
  * @param tls proves this host to others; without it peers are believed
  */
 public record ControlSettings(
@@ -21,6 +22,7 @@
     HostAddress peer,
     List<HostAddress> controls,
     AgreementSettings agreement,
+    OperatorAccess access,
     Optional<TlsFiles> tls) {
 
   /** Copies the list. */
--- a/shell/src/main/java/org/cuminwell/shell/control/OperatorFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/OperatorFront.java
@@ -16,6 +16,7 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.control.ControlEvent;
 import org.cuminwell.core.control.ControlView;
@@ -39,15 +40,21 @@
 
   private final HttpSystem http;
   private final OpsPages pages;
+  private final OperatorAccess access;
   private final Predicate<ControlEvent> events;
   private final ConcurrentHashMap<RequestId, CompletableFuture<HttpResponse>> waiting =
       new ConcurrentHashMap<>();
   private volatile ControlView view;
 
   OperatorFront(
-      HttpSystem http, OpsPages pages, Predicate<ControlEvent> events, ControlView first) {
+      HttpSystem http,
+      OpsPages pages,
+      OperatorAccess access,
+      Predicate<ControlEvent> events,
+      ControlView first) {
     this.http = http;
     this.pages = pages;
+    this.access = access;
     this.events = events;
     this.view = first;
   }
@@ -82,6 +89,11 @@
   /** Handles one request; the stage never fails. */
   CompletionStage<HttpResponse> handle(HttpRequest request) {
     String path = request.getUri().path();
+    Optional<HttpResponse> monitoring = pages.find(request);
+    if (monitoring.isEmpty() && !access.allows(request)) {
+      BodyReader.leaveUnread(request, http.actors());
+      return CompletableFuture.completedFuture(unproven());
+    }
     if (path.startsWith(TICKETS + "/")) {
       return ticket(path.substring(TICKETS.length() + 1), request);
     }
@@ -182,6 +194,11 @@
     }
   }
 
+  private static HttpResponse unproven() {
+    return error(401, "prove that you are an operator: send your name and token by HTTP Basic")
+        .addHeader(RawHeader.create("WWW-Authenticate", "Basic realm=\"cuminwell\""));
+  }
+
   private static HttpResponse error(int status, String message) {
     ObjectNode body = JsonNodeFactory.instance.objectNode();
     body.putObject("error").put("message", message);
--- a/shell/src/test/java/org/cuminwell/shell/gateway/CutOffStartTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/CutOffStartTest.java
@@ -24,6 +24,7 @@
 import org.cuminwell.shell.control.AgreementSettings;
 import org.cuminwell.shell.control.ControlProcess;
 import org.cuminwell.shell.control.ControlSettings;
+import org.cuminwell.shell.control.OperatorAccess;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -128,7 +129,8 @@
     HostId self = new HostId("c0");
     AgreementSettings agreement =
         new AgreementSettings(folder.resolve("control"), Set.of(self), true);
-    return new ControlSettings(self, operators, peer, List.of(peer), agreement, Optional.empty());
+    return new ControlSettings(
+        self, operators, peer, List.of(peer), agreement, OperatorAccess.open(), Optional.empty());
   }
 
   private static GatewaySettings settings(HostDescription self, HostAddress control) {
