--- a/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
@@ -4,6 +4,7 @@
 import com.typesafe.config.ConfigFactory;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.apache.pekko.NotUsed;
@@ -71,6 +72,8 @@
       }
       """;
 
+  private static final int CLOSE_TIMEOUT_SECONDS = 3;
+
   private final ActorSystem system;
 
   private HttpSystem(ActorSystem system) {
@@ -146,8 +149,14 @@
     return system;
   }
 
+  /** Closes every connection, and returns when the addresses are free again. */
   @Override
   public void close() {
     system.terminate();
+    system
+        .getWhenTerminated()
+        .toCompletableFuture()
+        .completeOnTimeout(null, CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        .join();
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
@@ -47,6 +47,7 @@
 
   private static final System.Logger LOG = System.getLogger(PeerNode.class.getName());
   private static final int HEARTBEAT_SECONDS = 1;
+  private static final int CLOSE_TIMEOUT_SECONDS = 3;
   private static final int REDIAL_MILLIS = 500;
   private static final int CONNECT_TIMEOUT_MILLIS = 2_000;
   private static final int MAX_FRAME_BYTES = 64 * 1024 * 1024;
@@ -138,10 +139,14 @@
     return receivedBytes.sum();
   }
 
+  /** Closes every connection, and returns when the address is free again. */
   @Override
   public void close() {
     closed = true;
-    var _ = threads.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    var _ =
+        threads
+            .shutdownGracefully(0, 1, TimeUnit.SECONDS)
+            .awaitUninterruptibly(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 
   HostId self() {
--- a/shell/src/test/java/org/cuminwell/shell/gateway/CutOffStartTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/CutOffStartTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -21,6 +20,7 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Place;
 import org.cuminwell.core.model.RegionId;
+import org.cuminwell.shell.FreePorts;
 import org.cuminwell.shell.control.AgreementSettings;
 import org.cuminwell.shell.control.ControlProcess;
 import org.cuminwell.shell.control.ControlSettings;
@@ -48,8 +48,8 @@
   @ParameterizedTest(name = "from its {0}")
   @CsvSource({"disk, true, false", "neighbour, false, true"})
   void aCutOffGatewayServesAgain(String source, boolean disk, boolean neighbour) throws Exception {
-    HostAddress operators = free();
-    HostAddress controlPeer = free();
+    HostAddress operators = FreePorts.next();
+    HostAddress controlPeer = FreePorts.next();
     HostDescription first = describe("g0");
     HostDescription second = describe("g1");
     Optional<Path> data = disk ? Optional.of(folder) : Optional.empty();
@@ -145,12 +145,7 @@
 
   private static HostDescription describe(String id) throws IOException {
     Place place = new Place(new RegionId("coast"), new DataCentreId("dakar"));
-    return new HostDescription(new HostId(id), place, free(), free(), free(), 0, false);
-  }
-
-  private static HostAddress free() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return new HostAddress("127.0.0.1", socket.getLocalPort());
-    }
+    return new HostDescription(
+        new HostId(id), place, FreePorts.next(), FreePorts.next(), FreePorts.next(), 0, false);
   }
 }
--- a/shell/src/test/java/org/cuminwell/shell/gateway/GatewayFixture.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/GatewayFixture.java
@@ -1,8 +1,6 @@
 package org.cuminwell.shell.gateway;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -31,6 +29,7 @@
 import org.cuminwell.core.model.Service;
 import org.cuminwell.core.model.TokenLimit;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.shell.FreePorts;
 import org.cuminwell.shell.peer.PeerListener;
 import org.cuminwell.shell.peer.PeerNode;
 
@@ -41,7 +40,6 @@
   static final String ELSEWHERE_KEY = "key-of-saloum";
   static final Duration TIMEOUT = Duration.ofSeconds(9);
 
-  private static final String LOOPBACK = "127.0.0.1";
   private static final RegionId REGION = new RegionId("coast");
   private static final DataCentreId DATA_CENTRE = new DataCentreId("dakar");
 
@@ -51,7 +49,7 @@
   private final HostDescription self;
 
   private GatewayFixture() throws IOException, InterruptedException {
-    HostAddress controlAddress = freeAddress();
+    HostAddress controlAddress = FreePorts.next();
     AtomicReference<PeerNode> node = new AtomicReference<>();
     control = new PeerNode(new HostId("c0"), configure(node), Optional.empty());
     node.set(control);
@@ -60,9 +58,9 @@
         new HostDescription(
             new HostId("g0"),
             new Place(REGION, DATA_CENTRE),
-            freeAddress(),
-            freeAddress(),
-            freeAddress(),
+            FreePorts.next(),
+            FreePorts.next(),
+            FreePorts.next(),
             0,
             false);
     process =
@@ -163,10 +161,4 @@
     return new Customer(
         new CustomerId(id), Set.of(KeyHash.of(key)), new TokenLimit(1_000_000, 1_000_000), boundTo);
   }
-
-  private static HostAddress freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new HostAddress(LOOPBACK, socket.getLocalPort());
-    }
-  }
 }
--- a/shell/src/test/java/org/cuminwell/shell/peer/PeerTlsTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/peer/PeerTlsTest.java
@@ -5,8 +5,6 @@
 import io.netty.pkitesting.CertificateBuilder;
 import io.netty.pkitesting.X509Bundle;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -17,6 +15,7 @@
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.shell.FreePorts;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -47,7 +46,7 @@
   void onlyPeersThatProveTheirNameAreHeard(Client kind) throws Exception {
     X509Bundle authority = authority();
     Heard heard = new Heard();
-    HostAddress address = freeAddress();
+    HostAddress address = FreePorts.next();
     try (PeerNode server = node(SERVER, heard, files("server", SERVER, authority, authority));
         PeerNode client = client(kind, authority, authority())) {
       server.listen(address);
@@ -90,12 +89,6 @@
         .buildSelfSigned();
   }
 
-  private static HostAddress freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new HostAddress("127.0.0.1", socket.getLocalPort());
-    }
-  }
-
   private static void await(BooleanSupplier condition) throws InterruptedException {
     while (!condition.getAsBoolean()) {
       Thread.sleep(POLL);
