--- a/tools/launch-stub.sh
+++ b/tools/launch-stub.sh
@@ -13,7 +13,7 @@
 fi
 archive="${CUMINWELL_CDS_ARCHIVE:-${TMPDIR:-/tmp}/$(basename "$0")-$(id -u).jsa}"
 # shellcheck disable=SC2086 # The heap flags are meant to be split.
-exec "$java" -XX:+AutoCreateSharedArchive "-XX:SharedArchiveFile=$archive" -Xlog:cds=off -Xlog:aot=off \
+exec "$java" -XX:+AutoCreateSharedArchive "-XX:SharedArchiveFile=$archive" -Xlog:disable \
   -XX:+UseSerialGC -XX:TieredStopAtLevel=4 -Xss512k ${CUMINWELL_JAVA_FLAGS:--Xmx256m} \
   --enable-native-access=ALL-UNNAMED --sun-misc-unsafe-memory-access=allow \
   -jar "$0" "$@"
