--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -138,6 +138,22 @@
   stop_all
 }
 
+# Streamed chats sent to the engine directly and through the gateway, one after the other.
+added_latency() {
+  local target
+  start_control; start_gateway; start_engine; set_up_route 5
+  await "http://$address:$((base + 3))/readyz"
+  sleep 7
+  for target in 2 5 2 5; do
+    echo; [ "$target" = 2 ] && echo "Through the gateway:" || echo "To the engine directly:"
+    echo; echo '```'
+    dist/cuminwell load --entry "$address:$((base + target))" --customer customer1=key1 --model m \
+      --rate 50 --seconds "$seconds"
+    echo '```'
+  done
+  stop_all
+}
+
 tickets_by_rate() {
   local rate i
   echo; echo "Control leader and one gateway by tickets a second, 2,600 customers:"; echo
