--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationIndex;
@@ -587,7 +588,7 @@
         customer
             .map(Residency::of)
             .orElseGet(Residency.Unbound::new)
-            .and(Residency.of(route.map(Route::boundTo).orElse(java.util.Set.of())));
+            .and(Residency.of(route.map(Route::boundTo).orElse(Set.of())));
     actions.add(new AnswerEntryHosts(event.id(), directory.entryHosts(residency, self.place())));
   }
 
