--- a/app/src/main/java/org/cuminwell/app/ControlCommand.java
+++ b/app/src/main/java/org/cuminwell/app/ControlCommand.java
@@ -59,6 +59,10 @@
 
   @ParametersDelegate private final TlsFlags tls = new TlsFlags();
 
+  @ParametersDelegate private final SeedFlags seeds = new SeedFlags();
+
+  @ParametersDelegate private final PlatformFlags platform = new PlatformFlags();
+
   @Override
   public int run() throws SettingException, InterruptedException {
     ControlProcess process = ControlProcess.start(settings());
@@ -68,13 +72,15 @@
 
   @Override
   public ControlSettings settings() throws SettingException {
+    HostAddress peerAddress = Settings.checked("--peer", peer, HostAddress::parse);
     return new ControlSettings(
         Settings.checked("--host-id", hostId, HostId::new),
         Settings.checked("--http", http, HostAddress::parse),
-        Settings.checked("--peer", peer, HostAddress::parse),
-        Settings.addresses("--control", control),
+        peerAddress,
+        seeds.controls(Settings.addresses("--control", control), peerAddress),
         agreement(),
         access(),
+        platform.fronts(),
         tls.files());
   }
 
@@ -95,6 +101,7 @@
     for (String id : voter) {
       voters.add(Settings.checked("--voter", id, HostId::new));
     }
+    voters.addAll(seeds.ids());
     if (voters.isEmpty() && control.size() <= 1) {
       voters.add(self);
     }
--- /dev/null
+++ b/app/src/main/java/org/cuminwell/app/ForwardFlags.java
@@ -0,0 +1,65 @@
+package org.cuminwell.app;
+
+import com.beust.jcommander.Parameter;
+import java.time.Duration;
+import java.util.Optional;
+import org.cuminwell.core.forward.ForwardBounds;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.platform.PlatformDialect;
+import org.cuminwell.shell.forward.ForwardSettings;
+
+/** Holds the flags of a gateway that forwards requests unchanged. Not thread safe. */
+final class ForwardFlags {
+
+  @Parameter(
+      names = "--forward",
+      description = "HOST:PORT for callers whose requests are forwarded unchanged")
+  private String forward = "";
+
+  @Parameter(
+      names = "--readiness",
+      description = "HOST:PORT where this host tells whether it takes callers")
+  private String readiness = "";
+
+  @Parameter(
+      names = "--key-lease-ms",
+      description =
+          "how long keys are taken after the configuration was last known to be the latest, in"
+              + " milliseconds")
+  private long keyLeaseMillis = ForwardBounds.DEFAULT.keyLease().toMillis();
+
+  @Parameter(
+      names = "--retry-ratio",
+      description = "retries that all gateways may make for one request, on average")
+  private double retryRatio = ForwardBounds.DEFAULT.retryRatio();
+
+  @Parameter(
+      names = "--retry-extra",
+      description = "retries that all gateways may make beyond that at once")
+  private int retryExtra = ForwardBounds.DEFAULT.retryExtra();
+
+  /** Returns the settings, if requests are forwarded. */
+  Optional<ForwardSettings> settings() throws SettingException {
+    if (forward.isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<HostAddress> readinessAddress =
+        readiness.isEmpty()
+            ? Optional.empty()
+            : Optional.of(Settings.checked("--readiness", readiness, HostAddress::parse));
+    return Optional.of(
+        new ForwardSettings(
+            Settings.checked("--forward", forward, HostAddress::parse),
+            readinessAddress,
+            new PlatformDialect(),
+            bounds()));
+  }
+
+  private ForwardBounds bounds() throws SettingException {
+    try {
+      return new ForwardBounds(Duration.ofMillis(keyLeaseMillis), retryRatio, retryExtra);
+    } catch (IllegalArgumentException e) {
+      throw new SettingException("--key-lease-ms", e);
+    }
+  }
+}
--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -15,6 +15,7 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Place;
 import org.cuminwell.core.model.RegionId;
+import org.cuminwell.shell.forward.ForwardSettings;
 import org.cuminwell.shell.gateway.GatewayProcess;
 import org.cuminwell.shell.gateway.GatewaySettings;
 
@@ -31,9 +32,11 @@
   @Parameter(names = "--data-centre", required = true, description = "data centre of this host")
   private String dataCentre = "";
 
-  @Parameter(names = "--http", required = true, description = "HOST:PORT for callers")
+  @Parameter(names = "--http", description = "HOST:PORT for callers")
   private String http = "";
 
+  @ParametersDelegate private final ForwardFlags forward = new ForwardFlags();
+
   @Parameter(
       names = "--inner",
       required = true,
@@ -49,6 +52,8 @@
   @Parameter(names = "--control", description = "peer HOST:PORT of each control host")
   private List<String> control = new ArrayList<>();
 
+  @ParametersDelegate private final SeedFlags seeds = new SeedFlags();
+
   @ParametersDelegate private final TlsFlags tls = new TlsFlags();
 
   @Parameter(
@@ -78,6 +83,17 @@
     return OK;
   }
 
+  /** Returns where callers reach this host, for one interface or the other. */
+  private HostAddress callers() throws SettingException {
+    Optional<ForwardSettings> forwarding = forward.settings();
+    if (forwarding.isPresent() != http.isEmpty()) {
+      throw new SettingException("--http", "give either --http or --forward");
+    }
+    return forwarding.isPresent()
+        ? forwarding.get().callers()
+        : Settings.checked("--http", http, HostAddress::parse);
+  }
+
   @Override
   public GatewaySettings settings() throws SettingException {
     HostDescription self =
@@ -86,7 +102,7 @@
             new Place(
                 Settings.checked("--region", region, RegionId::new),
                 Settings.checked("--data-centre", dataCentre, DataCentreId::new)),
-            Settings.checked("--http", http, HostAddress::parse),
+            callers(),
             Settings.checked("--inner", inner, HostAddress::parse),
             Settings.checked("--peer", peer, HostAddress::parse),
             0,
@@ -100,8 +116,9 @@
     return new GatewaySettings(
         self,
         floorSlots,
-        Settings.addresses("--control", control),
+        seeds.controls(Settings.addresses("--control", control), self.peer()),
         Settings.addresses("--neighbour", neighbour),
+        forward.settings(),
         data.isEmpty() ? Optional.empty() : Optional.of(Settings.checked("--data", data, Path::of)),
         tls.files());
   }
--- /dev/null
+++ b/app/src/main/java/org/cuminwell/app/PlatformFlags.java
@@ -0,0 +1,65 @@
+package org.cuminwell.app;
+
+import com.beust.jcommander.Parameter;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.platform.ControlFront;
+import org.cuminwell.platform.Regions;
+import org.cuminwell.shell.control.AddedFront;
+
+/** Holds the flags of a control host that serves the users' platform. Not thread safe. */
+final class PlatformFlags {
+
+  @Parameter(
+      names = "--platform",
+      description = "HOST:PORT for the calls of the platform's operators, servers and callers")
+  private List<String> platform = new ArrayList<>();
+
+  @Parameter(
+      names = "--data-centre-region",
+      description = "DATA-CENTRE=REGION, for each data centre of the deployment")
+  private List<String> dataCentres = new ArrayList<>();
+
+  @Parameter(
+      names = "--announcement-life-ms",
+      description = "how long an endpoint counts after it was last heard, in milliseconds")
+  private long announcementLifeMillis = 10_000;
+
+  /** Returns what serves the platform, if anything does. */
+  List<AddedFront> fronts() throws SettingException {
+    Regions regions = regions();
+    Duration life = Duration.ofMillis(announcementLifeMillis);
+    if (!life.isPositive()) {
+      throw new SettingException("--announcement-life-ms", "must be 1 or more");
+    }
+    List<AddedFront> fronts = new ArrayList<>();
+    for (HostAddress address : Settings.addresses("--platform", platform)) {
+      fronts.add(
+          new AddedFront(
+              address,
+              (http, requests) -> new ControlFront(http, requests, regions, life)::handle));
+    }
+    return fronts;
+  }
+
+  private Regions regions() throws SettingException {
+    Map<DataCentreId, RegionId> regions = new HashMap<>();
+    for (String text : dataCentres) {
+      String[] parts = text.split("=", -1);
+      if (parts.length != 2) {
+        throw new SettingException(
+            "--data-centre-region", "must be DATA-CENTRE=REGION; found '" + text + "'");
+      }
+      regions.put(
+          Settings.checked("--data-centre-region", parts[0], DataCentreId::new),
+          Settings.checked("--data-centre-region", parts[1], RegionId::new));
+    }
+    return new Regions(regions);
+  }
+}
--- a/app/src/main/java/org/cuminwell/app/Shutdown.java
+++ b/app/src/main/java/org/cuminwell/app/Shutdown.java
@@ -18,6 +18,7 @@
   /** Waits for SIGTERM or SIGINT and does {@code stop} before the process ends. */
   static void awaitSignal(Stop stop) throws InterruptedException {
     CountDownLatch never = new CountDownLatch(1);
+    HangUp.ignore();
     Runtime.getRuntime().addShutdownHook(new Thread(() -> run(stop), "stop"));
     never.await();
   }
--- a/core/src/main/java/org/cuminwell/core/config/Configuration.java
+++ b/core/src/main/java/org/cuminwell/core/config/Configuration.java
@@ -2,7 +2,6 @@
 
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import org.cuminwell.core.model.Customer;
 import org.cuminwell.core.model.CustomerId;
 import org.cuminwell.core.model.DataCentreId;
@@ -23,12 +22,23 @@
     Map<CustomerId, Customer> customers,
     Map<RouteId, Route> routes,
     Map<RegionId, Region> regions,
-    Map<RouteId, Rollout> rollouts) {
+    Map<RouteId, Rollout> rollouts,
+    Forwarding forwarding) {
 
   /** The configuration before any ticket. */
   public static final Configuration EMPTY =
       new Configuration(Revision.ZERO, Map.of(), Map.of(), Map.of(), Map.of());
 
+  /** Makes a configuration that forwards nothing. */
+  public Configuration(
+      Revision revision,
+      Map<CustomerId, Customer> customers,
+      Map<RouteId, Route> routes,
+      Map<RegionId, Region> regions,
+      Map<RouteId, Rollout> rollouts) {
+    this(revision, customers, routes, regions, rollouts, Forwarding.NONE);
+  }
+
   /** Copies the maps. */
   public Configuration {
     customers = Map.copyOf(customers);
@@ -48,10 +58,11 @@
     }
     return new Configuration(
         next,
-        replaced(customers, change.customers()),
-        replaced(routes, change.routes()),
-        replaced(regions, change.regions()),
-        replaced(rollouts, change.rollouts()));
+        Forwarding.replaced(customers, change.customers()),
+        Forwarding.replaced(routes, change.routes()),
+        Forwarding.replaced(regions, change.regions()),
+        Forwarding.replaced(rollouts, change.rollouts()),
+        forwarding.apply(change.forwarding()));
   }
 
   /** Returns the region of a data centre, if a ticket has named one. */
@@ -62,14 +73,18 @@
         .findFirst();
   }
 
-  private static <K extends Comparable<K>, V> Map<K, V> replaced(
-      Map<K, V> before, Map<K, Optional<V>> changes) {
-    if (changes.isEmpty()) {
-      return before;
-    }
-    Map<K, V> after = new TreeMap<>(before);
-    changes.forEach(
-        (key, value) -> value.ifPresentOrElse(v -> after.put(key, v), () -> after.remove(key)));
-    return after;
+  /** Returns the same configuration with another part about forwarded requests. */
+  public Configuration withForwarding(Forwarding other) {
+    return new Configuration(revision, customers, routes, regions, rollouts, other);
+  }
+
+  /** Returns the change that leads from this configuration to the content of {@code next}. */
+  public ConfigurationChange changeTo(Configuration next) {
+    return new ConfigurationChange(
+        Forwarding.difference(customers, next.customers),
+        Forwarding.difference(routes, next.routes),
+        Forwarding.difference(regions, next.regions),
+        Forwarding.difference(rollouts, next.rollouts),
+        forwarding.changeTo(next.forwarding));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/config/ConfigurationChange.java
+++ b/core/src/main/java/org/cuminwell/core/config/ConfigurationChange.java
@@ -20,12 +20,22 @@
     Map<CustomerId, Optional<Customer>> customers,
     Map<RouteId, Optional<Route>> routes,
     Map<RegionId, Optional<Region>> regions,
-    Map<RouteId, Optional<Rollout>> rollouts) {
+    Map<RouteId, Optional<Rollout>> rollouts,
+    Forwarding.Change forwarding) {
 
   /** Changes nothing. */
   public static final ConfigurationChange NONE =
       new ConfigurationChange(Map.of(), Map.of(), Map.of(), Map.of());
 
+  /** Makes a change that does not touch forwarded requests. */
+  public ConfigurationChange(
+      Map<CustomerId, Optional<Customer>> customers,
+      Map<RouteId, Optional<Route>> routes,
+      Map<RegionId, Optional<Region>> regions,
+      Map<RouteId, Optional<Rollout>> rollouts) {
+    this(customers, routes, regions, rollouts, Forwarding.Change.NONE);
+  }
+
   /** Copies the maps. */
   public ConfigurationChange {
     customers = Map.copyOf(customers);
@@ -36,6 +46,6 @@
 
   /** Returns whether nothing is touched. */
   public boolean isEmpty() {
-    return customers.isEmpty() && routes.isEmpty() && regions.isEmpty() && rollouts.isEmpty();
+    return equals(NONE);
   }
 }
--- a/core/src/main/java/org/cuminwell/core/config/ConfigurationIndex.java
+++ b/core/src/main/java/org/cuminwell/core/config/ConfigurationIndex.java
@@ -1,9 +1,13 @@
 package org.cuminwell.core.config;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.ForwardRoute;
 import org.cuminwell.core.model.KeyHash;
 import org.cuminwell.core.model.Route;
 import org.cuminwell.core.model.RouteId;
@@ -19,14 +23,17 @@
   private final Configuration configuration;
   private final Map<KeyHash, Customer> customersByKey;
   private final Map<String, Route> routesByModel;
+  private final Map<String, List<ForwardRoute>> forwardRoutes;
 
   private ConfigurationIndex(
       Configuration configuration,
       Map<KeyHash, Customer> customersByKey,
-      Map<String, Route> routesByModel) {
+      Map<String, Route> routesByModel,
+      Map<String, List<ForwardRoute>> forwardRoutes) {
     this.configuration = configuration;
     this.customersByKey = customersByKey;
     this.routesByModel = routesByModel;
+    this.forwardRoutes = forwardRoutes;
   }
 
   /** Returns an index of {@code configuration}. */
@@ -41,7 +48,8 @@
         byModel.put(model.name(), route);
       }
     }
-    return new ConfigurationIndex(configuration, byKey, byModel);
+    return new ConfigurationIndex(
+        configuration, byKey, byModel, byHost(configuration.forwarding()));
   }
 
   /** Returns the configuration that this index was made of. */
@@ -63,4 +71,21 @@
   public Optional<Route> routeByModel(String model) {
     return Optional.ofNullable(routesByModel.get(model));
   }
+
+  /** Returns the forwarded route whose prefix is the longest that begins the path. */
+  public Optional<ForwardRoute> forwardRoute(String host, String path) {
+    return forwardRoutes.getOrDefault(host, List.of()).stream()
+        .filter(route -> path.startsWith(route.pathPrefix()))
+        .findFirst();
+  }
+
+  /** Returns the routes of each host, those with the longest prefixes first. */
+  private static Map<String, List<ForwardRoute>> byHost(Forwarding forwarding) {
+    Map<String, List<ForwardRoute>> routes = new HashMap<>();
+    forwarding.routes().values().stream()
+        .sorted(
+            Comparator.comparingInt((ForwardRoute route) -> route.pathPrefix().length()).reversed())
+        .forEach(route -> routes.computeIfAbsent(route.host(), _ -> new ArrayList<>()).add(route));
+    return routes;
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/consensus/Replica.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Replica.java
@@ -113,6 +113,16 @@
     };
   }
 
+  /**
+   * Returns the time of the latest message of this leader that a quorum has acknowledged; empty if
+   * this host does not lead, or may not know yet all that earlier leaders committed.
+   */
+  public Optional<Instant> confirmedAt(Instant now) {
+    return role instanceof Role.Leader leader && log.termAt(commit) == hard.term()
+        ? Optional.of(leader.quorumContact(now, quorum()))
+        : Optional.empty();
+  }
+
   /** Returns whether this host votes and counts. */
   public Standing standing() {
     return hard.standing();
--- a/core/src/main/java/org/cuminwell/core/control/Agreement.java
+++ b/core/src/main/java/org/cuminwell/core/control/Agreement.java
@@ -1,6 +1,5 @@
 package org.cuminwell.core.control;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Iterator;
@@ -11,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.consensus.DurableState;
 import org.cuminwell.core.consensus.EntryContent;
@@ -22,7 +22,6 @@
 import org.cuminwell.core.control.PendingCommand.Stage;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
-import org.cuminwell.core.model.Revision;
 
 /**
  * Brings submitted commands into the agreed order, from whichever control host they come, and keeps
@@ -34,9 +33,6 @@
  */
 public final class Agreement {
 
-  /** How long a submitted command may wait for its fate. */
-  public static final Duration PATIENCE = Duration.ofSeconds(6);
-
   /** How many entries the log may hold before a snapshot stands for them. */
   public static final int COMPACT_ENTRIES = 1_024;
 
@@ -46,6 +42,7 @@
   private final HostId self;
   private final int compactEntries;
   private final ReplicatedState state = new ReplicatedState();
+  private final CommittedIndex committed = new CommittedIndex();
   private final Map<RequestId, PendingCommand> pending = new LinkedHashMap<>();
   private final Map<RequestId, HostId> origins = new LinkedHashMap<>();
   private List<AgreementAction> actions = new ArrayList<>();
@@ -77,7 +74,7 @@
     } else if (pending.size() >= MAX_PENDING) {
       answer(id, PendingCommand.notTaken("this control host has too many open submissions"));
     } else {
-      pending.put(id, new PendingCommand(command, now.plus(PATIENCE)));
+      pending.put(id, new PendingCommand(command, now.plus(command.patience())));
       pass(now);
     }
     return drain();
@@ -93,14 +90,18 @@
       }
       case AgreementMessage.Placed m -> placed(m.id(), m.index(), m.term());
       case AgreementMessage.NotPlaced m -> rejected(m.id());
+      case AgreementMessage.AskCommitted m -> committed.asked(from, m.askedAt(), now);
+      case AgreementMessage.Committed m -> committed.answered(m.askedAt(), m.index());
     }
     pass(now);
+    establish(now);
     return drain();
   }
 
   /** Learns that all writes up to the sequence number are synced. */
   public List<AgreementAction> persisted(long sequence, Instant now) {
     run(new ReplicaEvent.Persisted<>(sequence), now);
+    establish(now);
     return drain();
   }
 
@@ -109,6 +110,22 @@
     run(new ReplicaEvent.Ticked<>(), now);
     giveUp(now);
     pass(now);
+    establish(now);
+    return drain();
+  }
+
+  /** Returns the moment before which everything committed anywhere is in the state. */
+  public Instant currentAt() {
+    return committed.currentAt();
+  }
+
+  /** Has the state brought up to the present, as {@link #currentAt} will tell. */
+  public List<AgreementAction> bringUpToDate(Instant now) {
+    Optional<HostId> leader = replica.leader(now).filter(host -> !host.equals(self));
+    if (leader.isPresent() && committed.asks(now)) {
+      tell(leader.get(), new AgreementMessage.AskCommitted(now));
+    }
+    establish(now);
     return drain();
   }
 
@@ -144,10 +161,20 @@
     return switch (command) {
       case Command.AcceptTicket c ->
           state.ledger().known(c.ticket()).map(Applied.TicketAnswered::new);
-      case Command.ChangeClaim _, Command.AdvanceRollout _ -> Optional.empty();
+      case Command.ReplaceConfiguration c ->
+          c.document().replaces(state.document())
+              ? Optional.empty()
+              : Optional.of(new Applied.ConfigurationReplaced(state.document().version()));
+      case Command.ChangeClaim _, Command.AdvanceRollout _, Command.Evacuate _ -> Optional.empty();
     };
   }
 
+  private void establish(Instant now) {
+    Optional<Instant> confirmedAt = replica.confirmedAt(now);
+    committed.advance(confirmedAt, replica.appliedIndex(), replica.commitIndex());
+    actions.addAll(committed.replies(confirmedAt, replica.commitIndex(), now));
+  }
+
   /** Passes waiting commands to the leader, if there is one. */
   private void pass(Instant now) {
     Optional<HostId> leader = replica.leader(now);
@@ -208,10 +235,10 @@
   private void apply(LogEntry<Command> entry) {
     switch (entry.content()) {
       case EntryContent.Proposed<Command> c -> {
-        Revision before = state.configuration().revision();
+        Configuration before = state.configuration();
         Applied result = state.apply(c.command(), entry.at());
-        if (state.configuration().revision().isAfter(before)) {
-          changed(c.command());
+        if (state.configuration().revision().isAfter(before.revision())) {
+          changed(before);
         }
         settle(entry, new CommandOutcome.Done(result));
       }
@@ -220,13 +247,9 @@
     }
   }
 
-  private void changed(Command command) {
-    Optional<ConfigurationChange> change =
-        switch (command) {
-          case Command.AcceptTicket c -> Optional.of(c.ticket().change());
-          case Command.ChangeClaim _, Command.AdvanceRollout _ -> Optional.empty();
-        };
-    actions.add(new AgreementAction.StateChanged(state.configuration(), change));
+  private void changed(Configuration before) {
+    ConfigurationChange change = before.changeTo(state.configuration());
+    actions.add(new AgreementAction.StateChanged(state.configuration(), Optional.of(change)));
   }
 
   /** Answers whoever waits for the place of the entry. */
--- a/core/src/main/java/org/cuminwell/core/control/AgreementMessage.java
+++ b/core/src/main/java/org/cuminwell/core/control/AgreementMessage.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.control;
 
+import java.time.Instant;
 import org.cuminwell.core.consensus.ConsensusMessage;
 import org.cuminwell.core.model.RequestId;
 
@@ -21,4 +22,18 @@
 
   /** Tells that a forwarded command got no place, since the receiver does not lead. */
   record NotPlaced(RequestId id) implements AgreementMessage {}
+
+  /**
+   * Asks the leader up to where the log is committed.
+   *
+   * @param askedAt the asker's time, returned with the answer
+   */
+  record AskCommitted(Instant askedAt) implements AgreementMessage {}
+
+  /**
+   * Tells an index that covers all that was committed before the question was asked.
+   *
+   * @param askedAt the asker's time of the question
+   */
+  record Committed(Instant askedAt, long index) implements AgreementMessage {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/Applied.java
+++ b/core/src/main/java/org/cuminwell/core/control/Applied.java
@@ -13,6 +13,12 @@
   /** Answers a {@link Command.ChangeClaim}. */
   record ClaimAnswered(ClaimId id, ClaimAnswer answer) implements Applied {}
 
+  /** Answers a {@link Command.ReplaceConfiguration}: which version is in force now. */
+  record ConfigurationReplaced(long version) implements Applied {}
+
+  /** Answers a {@link Command.Evacuate}. */
+  record Evacuated() implements Applied {}
+
   /** Answers a {@link Command.AdvanceRollout}: whether the step was recorded. */
   record RolloutAdvanced(boolean recorded) implements Applied {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/Command.java
+++ b/core/src/main/java/org/cuminwell/core/control/Command.java
@@ -1,6 +1,10 @@
 package org.cuminwell.core.control;
 
+import java.time.Duration;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.idempotency.ClaimChange;
+import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.rollout.RolloutAdvance;
 import org.cuminwell.core.ticket.Ticket;
 
@@ -12,6 +16,12 @@
  */
 public sealed interface Command {
 
+  /** How long a submitted command may wait for its fate. */
+  Duration PATIENCE = Duration.ofSeconds(6);
+
+  /** How long a command may wait that a later one may undo. */
+  Duration SHORT_PATIENCE = Duration.ofSeconds(1);
+
   /** Asks to put a ticket in force under its number. */
   record AcceptTicket(Ticket ticket) implements Command {}
 
@@ -21,14 +31,32 @@
   /** Asks to record the next step of a version move. */
   record AdvanceRollout(RolloutAdvance advance) implements Command {}
 
+  /** Asks to put a whole configuration in force, unless one of a higher version is. */
+  record ReplaceConfiguration(ConfigurationDocument document, Configuration content)
+      implements Command {}
+
+  /** Asks to keep requests from the endpoints of a data centre, or to end that. */
+  record Evacuate(DataCentreId dataCentre, boolean begins) implements Command {}
+
+  /**
+   * Returns how long the command may wait for its fate. One that a later command undoes must not
+   * wait longer than its sender, who may have sent that other one meanwhile.
+   */
+  default Duration patience() {
+    return switch (this) {
+      case AcceptTicket _, ChangeClaim _, AdvanceRollout _, ReplaceConfiguration _ -> PATIENCE;
+      case Evacuate _ -> SHORT_PATIENCE;
+    };
+  }
+
   /**
    * Returns whether applying the command twice gives the same state and result as once, so that it
    * may be sent to a new leader while its fate with the old one is unknown.
    */
   default boolean isIdempotent() {
     return switch (this) {
-      case AcceptTicket _ -> true;
-      case ChangeClaim _, AdvanceRollout _ -> false;
+      case AcceptTicket _, ReplaceConfiguration _ -> true;
+      case ChangeClaim _, AdvanceRollout _, Evacuate _ -> false;
     };
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -8,6 +8,7 @@
 import org.cuminwell.core.control.ControlAction.Show;
 import org.cuminwell.core.control.ControlAction.TellPeer;
 import org.cuminwell.core.directory.DirectoryMessage;
+import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.distribution.GatewayContact;
 import org.cuminwell.core.distribution.Publisher;
 import org.cuminwell.core.model.HostId;
@@ -30,6 +31,8 @@
   private final Submissions submissions;
   private final ClaimDuty claims;
   private final MoveDuty moves;
+  private final EndpointDuty endpoints;
+  private final CurrentReads reads = new CurrentReads();
   private boolean changed;
 
   /** Makes the state of a control host that takes part in the agreement. */
@@ -41,6 +44,7 @@
     this.submissions = new Submissions(self, agreement);
     this.claims = new ClaimDuty(submissions);
     this.moves = new MoveDuty(submissions, state);
+    this.endpoints = new EndpointDuty(this::connectedGateways);
   }
 
   /** Returns what to do about the event, in order. */
@@ -50,6 +54,17 @@
     switch (event) {
       case ControlEvent.TicketSubmitted e ->
           perform(agreement.submit(e.id(), new Command.AcceptTicket(e.ticket()), now), actions);
+      case ControlEvent.ConfigurationSubmitted e -> {
+        Command command = new Command.ReplaceConfiguration(e.document(), e.content());
+        perform(agreement.submit(e.id(), command, now), actions);
+      }
+      case ControlEvent.EvacuationSubmitted e -> {
+        Command command = new Command.Evacuate(e.dataCentre(), e.begins());
+        perform(agreement.submit(e.id(), command, now), actions);
+      }
+      case ControlEvent.ConfigurationAsked e -> reads.askDocument(e.id(), now);
+      case ControlEvent.EndpointAnnounced e -> endpoints.announced(e.announcement(), now);
+      case ControlEvent.EndpointLeft e -> endpoints.left(e.endpoint(), e.incarnation(), now);
       case ControlEvent.JournalSynced e -> perform(agreement.persisted(e.sequence(), now), actions);
       case ControlEvent.PeerConnected e -> greet(e.peer(), now, actions);
       case ControlEvent.PeerLost e -> lose(e.peer(), now);
@@ -60,6 +75,7 @@
       }
     }
     perform(submissions.drain(), actions);
+    settleReads(now, actions);
     return actions;
   }
 
@@ -76,6 +92,15 @@
     return agreement.status(now);
   }
 
+  /** Answers the questions for which the state is established, and establishes it for the rest. */
+  private void settleReads(Instant now, List<ControlAction> actions) {
+    if (!reads.isWaiting()) {
+      return;
+    }
+    perform(agreement.bringUpToDate(now), actions);
+    reads.settle(agreement, now, actions);
+  }
+
   /** Returns what operators are shown now. */
   public ControlView view() {
     return new ControlView(
@@ -108,6 +133,9 @@
         switch (done.result()) {
           case Applied.TicketAnswered applied ->
               actions.add(new AnswerTicket(id, applied.answer()));
+          case Applied.ConfigurationReplaced applied ->
+              actions.add(new ControlAction.AnswerReplaced(id, applied.version()));
+          case Applied.Evacuated applied -> actions.add(new ControlAction.AnswerEvacuated(id));
           case Applied.ClaimAnswered applied ->
               claims.answered(id, applied.id(), applied.answer(), actions);
           case Applied.RolloutAdvanced applied -> {
@@ -144,6 +172,7 @@
   private void lose(HostId peer, Instant now) {
     shares.lost(peer);
     publisher.lost(peer, now);
+    endpoints.lost(peer);
     changed = true;
   }
 
@@ -152,25 +181,31 @@
       case PeerMessage.Idempotency m -> claims.hear(m.message(), now);
       case PeerMessage.Rollouts m -> moves.hear(m.message(), now);
       case PeerMessage.Distribution m -> {
+        if (m.message() instanceof DistributionMessage.AskCurrent question) {
+          reads.askRevision(peer, question.askedAt(), now);
+        }
         tell(publisher.hear(peer, m.message(), now), actions);
         changed = true;
       }
       case PeerMessage.Consensus m -> perform(agreement.hear(peer, m.message(), now), actions);
       case PeerMessage.Limits m -> shares.hear(peer, m.message(), now, actions);
       case PeerMessage.Directory m -> {
-        if (m.message() instanceof DirectoryMessage.Here) {
-          shares.connected(peer, actions);
+        switch (m.message()) {
+          case DirectoryMessage.Here here -> shares.connected(peer, actions);
+          case DirectoryMessage.ControlHere here -> endpoints.foundControl(peer, actions);
+          case DirectoryMessage.Hosts hosts -> {}
         }
         tell(publisher.hear(peer, m.message(), now), actions);
         changed = true;
       }
-      case PeerMessage.Membership m -> {}
+      case PeerMessage.Membership m -> endpoints.hear(peer, m.message(), now, actions);
     }
   }
 
   /** Sends what is due, and shows operators what has changed since the last tick. */
   private void tick(Instant now, List<ControlAction> actions) {
     perform(agreement.tick(now), actions);
+    endpoints.tick(now, actions);
     tell(publisher.tick(now), actions);
     if (changed) {
       changed = false;
--- a/core/src/main/java/org/cuminwell/core/control/ControlAction.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlAction.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.control;
 
+import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostId;
@@ -13,10 +14,26 @@
   /** Answers the operator who submitted a ticket. */
   record AnswerTicket(RequestId id, TicketAnswer answer) implements ControlAction {}
 
+  /** Answers whoever asked under the id. */
+  sealed interface Answer extends ControlAction {
+
+    /** Returns the id under which was asked. */
+    RequestId id();
+  }
+
+  /** Tells the operator which version of the configuration is in force now. */
+  record AnswerReplaced(RequestId id, long version) implements Answer {}
+
+  /** Tells the operator that the evacuation has begun or ended. */
+  record AnswerEvacuated(RequestId id) implements Answer {}
+
+  /** Gives the operator the configuration as it was submitted. */
+  record AnswerConfiguration(RequestId id, ConfigurationDocument document) implements Answer {}
+
   /**
    * Tells the operator that the ticket has no answer; the verdict says whether it may yet stand.
    */
-  record FailTicket(RequestId id, Failure failure) implements ControlAction {}
+  record FailTicket(RequestId id, Failure failure) implements Answer {}
 
   /** Changes the journal and tells when that is synced, in the order of sequence numbers. */
   record WriteJournal(ReplicaAction.Write<Command, StateSnapshot> write) implements ControlAction {}
--- a/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
@@ -1,5 +1,11 @@
 package org.cuminwell.core.control;
 
+import java.util.OptionalLong;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationDocument;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.peer.PeerMessage;
@@ -11,6 +17,29 @@
   /** An operator has submitted a ticket. */
   record TicketSubmitted(RequestId id, Ticket ticket) implements ControlEvent {}
 
+  /** An operator has submitted a whole configuration. */
+  record ConfigurationSubmitted(RequestId id, ConfigurationDocument document, Configuration content)
+      implements ControlEvent {}
+
+  /**
+   * An operator asks that the endpoints of a data centre get no requests, or that they do again.
+   */
+  record EvacuationSubmitted(RequestId id, DataCentreId dataCentre, boolean begins)
+      implements ControlEvent {}
+
+  /** An operator asks for the latest configuration as it was submitted. */
+  record ConfigurationAsked(RequestId id) implements ControlEvent {}
+
+  /** An endpoint has announced itself. */
+  record EndpointAnnounced(Announcement announcement) implements ControlEvent {}
+
+  /**
+   * An endpoint has said that it leaves.
+   *
+   * @param incarnation the life that ends; empty if it is the one known now
+   */
+  record EndpointLeft(EndpointId endpoint, OptionalLong incarnation) implements ControlEvent {}
+
   /** Every journal write up to the sequence number is synced. */
   record JournalSynced(long sequence) implements ControlEvent {}
 
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
@@ -1,8 +1,13 @@
 package org.cuminwell.core.control;
 
 import java.time.Instant;
+import java.util.Set;
+import java.util.TreeSet;
 import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationDocument;
+import org.cuminwell.core.config.Forwarding;
 import org.cuminwell.core.idempotency.ClaimBook;
+import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.Rollout;
 import org.cuminwell.core.rollout.RolloutAdvance;
 import org.cuminwell.core.rollout.RolloutBook;
@@ -20,6 +25,7 @@
   private TicketLedger ledger = new TicketLedger();
   private ClaimBook claims = new ClaimBook();
   private RolloutBook moves = new RolloutBook();
+  private ConfigurationDocument document = ConfigurationDocument.NONE;
 
   /**
    * Applies the next command of the log.
@@ -33,12 +39,15 @@
           new Applied.ClaimAnswered(c.change().id(), claims.apply(c.change(), at));
       case Command.AdvanceRollout c ->
           new Applied.RolloutAdvanced(isConfigured(c.advance()) && moves.apply(c.advance(), at));
+      case Command.ReplaceConfiguration c -> replace(c);
+      case Command.Evacuate c -> evacuate(c);
     };
   }
 
   /** Returns the whole state. */
   public StateSnapshot snapshot() {
-    return new StateSnapshot(ledger.configuration(), ledger.all(), claims.snapshot(), moves.all());
+    return new StateSnapshot(
+        ledger.configuration(), ledger.all(), claims.snapshot(), moves.all(), document);
   }
 
   /** Replaces the whole state by a later one. */
@@ -46,6 +55,7 @@
     ledger = TicketLedger.of(snapshot.configuration(), snapshot.tickets());
     claims = new ClaimBook(snapshot.claims());
     moves = new RolloutBook(snapshot.moves());
+    document = snapshot.document();
   }
 
   /** Returns the tickets accepted so far. */
@@ -63,6 +73,36 @@
     return moves;
   }
 
+  /** Returns the configuration of the highest version, as it was submitted. */
+  public ConfigurationDocument document() {
+    return document;
+  }
+
+  /** Puts the content in force beside the evacuations that go on. */
+  private Applied replace(Command.ReplaceConfiguration command) {
+    if (command.document().replaces(document)) {
+      document = command.document();
+      Configuration now = configuration();
+      Forwarding next = command.content().forwarding().withEvacuated(now.forwarding().evacuated());
+      ledger.change(now.changeTo(command.content().withForwarding(next)));
+    }
+    return new Applied.ConfigurationReplaced(document.version());
+  }
+
+  private Applied evacuate(Command.Evacuate command) {
+    Forwarding forwarding = configuration().forwarding();
+    Set<DataCentreId> evacuated = new TreeSet<>(forwarding.evacuated());
+    boolean changes =
+        command.begins()
+            ? evacuated.add(command.dataCentre())
+            : evacuated.remove(command.dataCentre());
+    if (changes) {
+      Configuration next = configuration().withForwarding(forwarding.withEvacuated(evacuated));
+      ledger.change(configuration().changeTo(next));
+    }
+    return new Applied.Evacuated();
+  }
+
   /** Returns whether the move is the one that the last ticket asked for. */
   private boolean isConfigured(RolloutAdvance advance) {
     Rollout rollout = advance.rollout();
--- a/core/src/main/java/org/cuminwell/core/control/StateSnapshot.java
+++ b/core/src/main/java/org/cuminwell/core/control/StateSnapshot.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.idempotency.ClaimBook;
 import org.cuminwell.core.rollout.RolloutProgress;
 import org.cuminwell.core.ticket.TicketAnswer.Accepted;
@@ -10,13 +11,15 @@
  * Holds the whole replicated state at one index of the log. Immutable and thread safe.
  *
  * @param tickets every accepted ticket in the order of numbers
+ * @param document the configuration of the highest version, as it was submitted
  * @param moves the last step of the last version move of each route
  */
 public record StateSnapshot(
     Configuration configuration,
     List<Accepted> tickets,
     ClaimBook.Snapshot claims,
-    List<RolloutProgress> moves) {
+    List<RolloutProgress> moves,
+    ConfigurationDocument document) {
 
   /** Copies the lists. */
   public StateSnapshot {
--- a/core/src/main/java/org/cuminwell/core/directory/HostDescription.java
+++ b/core/src/main/java/org/cuminwell/core/directory/HostDescription.java
@@ -11,7 +11,7 @@
  * @param inner where endpoints and other gateways reach its HTTP side
  * @param peer where the system's own messages reach it
  * @param load the share of its capacity that is in use, 0 and up
- * @param stopping whether it has begun a graceful shutdown and takes no new callers
+ * @param stopping whether it takes no new callers, since it stops or is not ready
  */
 public record HostDescription(
     HostId id,
--- a/core/src/main/java/org/cuminwell/core/distribution/DistributionMessage.java
+++ b/core/src/main/java/org/cuminwell/core/distribution/DistributionMessage.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.distribution;
 
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import org.cuminwell.core.config.Configuration;
@@ -44,6 +45,20 @@
   /** Asks for whatever follows the revision that the sender has in force. */
   record Ask(Revision held) implements DistributionMessage {}
 
+  /**
+   * Asks a control host which revision is the latest.
+   *
+   * @param askedAt the asker's time, returned with the answer
+   */
+  record AskCurrent(Instant askedAt) implements DistributionMessage {}
+
+  /**
+   * Tells a revision that includes all that was committed before the question was asked.
+   *
+   * @param askedAt the asker's time of the question
+   */
+  record Current(Instant askedAt, Revision revision) implements DistributionMessage {}
+
   /** Tells control hosts which revisions the gateways of one data centre have in force. */
   record Confirmed(Map<HostId, Revision> held) implements DistributionMessage {
     /** Copies the map. */
--- a/core/src/main/java/org/cuminwell/core/distribution/Publisher.java
+++ b/core/src/main/java/org/cuminwell/core/distribution/Publisher.java
@@ -112,6 +112,8 @@
         m.held().forEach(this::confirm);
         yield List.of();
       }
+      case DistributionMessage.AskCurrent m -> List.of();
+      case DistributionMessage.Current m -> List.of();
       case DistributionMessage.Full m -> List.of();
       case DistributionMessage.Difference m -> List.of();
     };
--- a/core/src/main/java/org/cuminwell/core/distribution/Subscriber.java
+++ b/core/src/main/java/org/cuminwell/core/distribution/Subscriber.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -37,7 +38,14 @@
   /** How long a start leaves control hosts alone in case a neighbour has the configuration. */
   static final Duration NEIGHBOURS_FIRST = Duration.ofMillis(500);
 
+  /** How many answers may wait for the revision that they tell of. */
+  private static final int MAX_ANSWERS = 64;
+
   static final Duration ASK_TIMEOUT = Duration.ofSeconds(1);
+
+  /** How often a control host is asked for the latest revision. */
+  static final Duration ASK_CURRENT_PERIOD = Duration.ofMillis(500);
+
   static final Duration TELL_NEIGHBOURS_PERIOD = Duration.ofSeconds(1);
   static final Duration TELL_CONTROL_PERIOD = Duration.ofSeconds(5);
   static final Duration CONFIRM_PERIOD = Duration.ofMillis(200);
@@ -54,6 +62,10 @@
   private @Nullable HostId asked;
   private Confirmed confirmed = new Confirmed(java.util.Map.of());
   private Revision greatestHeard = Revision.ZERO;
+  private final TreeMap<Instant, Revision> answers = new TreeMap<>();
+  private Instant currentAt = Instant.MIN;
+  private Instant askedCurrentAt = Instant.MIN;
+  private int askedCurrent;
   private boolean neighbourHeard;
   private boolean fedByControl;
   private boolean serving;
@@ -70,6 +82,11 @@
     return serving;
   }
 
+  /** Returns the moment before which every change committed anywhere is in force here. */
+  public Instant currentAt() {
+    return currentAt;
+  }
+
   /** Returns what to say to a peer that has just been reached. */
   public List<Outgoing> connected(HostId peer) {
     return List.of(tell(peer, new Held(holder.revision())));
@@ -113,7 +130,13 @@
                     : new Held(holder.revision())));
       }
       case Confirmed m -> {}
+      case DistributionMessage.AskCurrent m -> {}
+      case DistributionMessage.Current m -> {
+        hearHeld(peer, m.revision());
+        answers.put(m.askedAt(), m.revision());
+      }
     }
+    establish();
     catchUp(now, out);
     decideServing(now);
     return out;
@@ -132,11 +155,46 @@
       contacts.controls().forEach(peer -> out.add(tell(peer, new Held(holder.revision()))));
     }
     confirm(now, out);
+    askCurrent(now, out);
     catchUp(now, out);
     decideServing(now);
     return out;
   }
 
+  /** Asks the control hosts in turn, going on to the next where one has not answered in time. */
+  private void askCurrent(Instant now, List<Outgoing> out) {
+    List<HostId> controls = contacts.controls();
+    if (controls.isEmpty() || !isDue(askedCurrentAt, ASK_CURRENT_PERIOD, now)) {
+      return;
+    }
+    boolean answered = !askedCurrentAt.isAfter(currentAt) || answers.containsKey(askedCurrentAt);
+    if (!answered) {
+      askedCurrent++;
+    }
+    askedCurrentAt = now.truncatedTo(ChronoUnit.MICROS);
+    out.add(
+        tell(
+            controls.get(Math.floorMod(askedCurrent, controls.size())),
+            new DistributionMessage.AskCurrent(askedCurrentAt)));
+  }
+
+  /** Moves {@link #currentAt} on to the latest question whose answer is in force here. */
+  private void establish() {
+    answers
+        .entrySet()
+        .removeIf(
+            answer -> {
+              boolean holds = !answer.getValue().isAfter(holder.revision());
+              if (holds && answer.getKey().isAfter(currentAt)) {
+                currentAt = answer.getKey();
+              }
+              return holds;
+            });
+    while (answers.size() > MAX_ANSWERS) {
+      answers.pollFirstEntry();
+    }
+  }
+
   private void hearHeld(HostId peer, Revision revision) {
     held.put(peer, revision);
     neighbourHeard |= contacts.isNeighbour(peer);
@@ -218,7 +276,8 @@
       return;
     }
     boolean isCurrent = !greatestHeard.isAfter(holder.revision());
-    serving = (isCurrent && hasRun(START_WAIT, now)) || hasRun(CATCH_UP_LIMIT, now);
+    boolean confirmed = currentAt.isAfter(Instant.MIN);
+    serving = confirmed || (isCurrent && hasRun(START_WAIT, now)) || hasRun(CATCH_UP_LIMIT, now);
   }
 
   private void begin(Instant now) {
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
@@ -0,0 +1,161 @@
+package org.cuminwell.core.forward;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import org.cuminwell.core.config.Forwarding;
+import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.directory.HostDirectory;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.membership.EndpointTable;
+import org.cuminwell.core.membership.EndpointTable.Entry;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.ForwardService;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.core.residency.Residency;
+import org.cuminwell.core.routing.Router;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses where a forwarded request goes: the endpoint, and the gateway that passes it on where the
+ * endpoint stands in another region.
+ *
+ * <p>Endpoints of evacuated data centres and regions that the request may not enter are never
+ * chosen. A cold endpoint is chosen only if there is no warm one, and no more often than this
+ * gateway's part of what it bears. Not thread safe: the thread of its {@link Forwarder} owns it.
+ */
+final class EndpointChoice {
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private final Place here;
+  private final EndpointTable endpoints;
+  private final HostDirectory directory;
+  private final Router router;
+  private final SplittableRandom random;
+  private final Map<EndpointId, Instant> coldSentAt = new HashMap<>();
+  private final Map<DataCentreId, Instant> takenBackAt = new HashMap<>();
+  private Set<DataCentreId> evacuated = Set.of();
+
+  /** Names an endpoint and the way to it. Immutable and thread safe. */
+  record Target(Announcement announcement, Optional<HostAddress> relay) {}
+
+  EndpointChoice(
+      Place here, EndpointTable endpoints, HostDirectory directory, SplittableRandom random) {
+    this.here = here;
+    this.endpoints = endpoints;
+    this.directory = directory;
+    this.router = new Router(here, random);
+    this.random = random;
+  }
+
+  /** Takes on the evacuations in force. */
+  void configure(Forwarding forwarding, Instant now) {
+    if (!forwarding.evacuated().equals(evacuated)) {
+      evacuated.stream()
+          .filter(id -> !forwarding.evacuated().contains(id))
+          .forEach(id -> takenBackAt.put(id, now));
+      evacuated = forwarding.evacuated();
+    }
+  }
+
+  /** Returns where the request goes next, or empty if nothing can take it now. */
+  Optional<Target> choose(ForwardedCall call, Forwarding forwarding, Instant now) {
+    Residency residency = call.residency();
+    String service = call.service();
+    List<Entry> open =
+        endpoints.serving(service, now).stream()
+            .filter(entry -> residency.allows(regionOf(entry)))
+            .filter(entry -> !evacuated.contains(dataCentreOf(entry)))
+            .filter(entry -> isNear(entry) || hasRelay(regionOf(entry)))
+            .toList();
+    List<Entry> warm = open.stream().filter(entry -> !isCold(entry, now)).toList();
+    List<Entry> candidates =
+        warm.isEmpty()
+            ? open.stream().filter(bearsAnother(forwarding.services().get(service), now)).toList()
+            : warm;
+    return router
+        .choose(candidates, call.query(), now)
+        .map(
+            entry -> {
+              if (isCold(entry, now)) {
+                coldSentAt.put(entry.announcement().endpoint(), now);
+              }
+              return new Target(entry.announcement(), relayTo(regionOf(entry)));
+            });
+  }
+
+  /** Counts a request that was sent. */
+  void sent(ForwardedCall call, Announcement target, Instant now) {
+    router.sent(target.endpoint(), call.query(), now);
+  }
+
+  /** Counts an attempt that has ended; {@code blamed} says whether its endpoint is at fault. */
+  void ended(Announcement target, Duration took, boolean blamed, Instant now) {
+    router.ended(target.endpoint(), took, blamed, now);
+  }
+
+  /** Forgets what is not needed any more. */
+  void tick(Instant now) {
+    router.forgetIdle(now);
+    coldSentAt.keySet().removeIf(id -> endpoints.find(id).isEmpty());
+  }
+
+  /** An endpoint taken back is cold until it has announced itself since. */
+  private boolean isCold(Entry entry, Instant now) {
+    Instant backAt = takenBackAt.get(dataCentreOf(entry));
+    return entry.isCold(now) || (backAt != null && !entry.heardAt().isAfter(backAt));
+  }
+
+  /** Spreads what a cold endpoint bears evenly over all gateways. */
+  private Predicate<Entry> bearsAnother(@Nullable ForwardService service, Instant now) {
+    if (service == null || service.coldPerSecond() <= 0) {
+      return _ -> true;
+    }
+    double gateways = Math.max(1, directory.all().size());
+    Duration gap = Duration.ofNanos((long) (NANOS_PER_SECOND * gateways / service.coldPerSecond()));
+    return entry -> {
+      Instant last = coldSentAt.get(entry.announcement().endpoint());
+      return last == null || !now.isBefore(last.plus(gap));
+    };
+  }
+
+  private boolean hasRelay(RegionId region) {
+    return !relays(region).isEmpty();
+  }
+
+  private Optional<HostAddress> relayTo(RegionId region) {
+    if (region.equals(here.region())) {
+      return Optional.empty();
+    }
+    List<HostDescription> relays = relays(region);
+    return Optional.of(relays.get(random.nextInt(relays.size())).inner());
+  }
+
+  private List<HostDescription> relays(RegionId region) {
+    return directory.all().stream()
+        .filter(host -> !host.stopping() && host.place().region().equals(region))
+        .toList();
+  }
+
+  private boolean isNear(Entry entry) {
+    return regionOf(entry).equals(here.region());
+  }
+
+  private static RegionId regionOf(Entry entry) {
+    return entry.announcement().place().region();
+  }
+
+  private static DataCentreId dataCentreOf(Entry entry) {
+    return entry.announcement().place().dataCentre();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
@@ -0,0 +1,192 @@
+package org.cuminwell.core.forward;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.cuminwell.core.limit.ChargedCall;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.model.CallRecord;
+import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.ForwardRoute;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Usage;
+import org.cuminwell.core.model.Verdict;
+import org.cuminwell.core.residency.Residency;
+import org.cuminwell.core.routing.RouteQuery;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows one forwarded request through its attempts.
+ *
+ * <p>Invariant: the verdict covers every attempt so far. Not thread safe: the thread of its {@link
+ * Forwarder} owns it.
+ */
+final class ForwardedCall implements ChargedCall {
+
+  private final ForwardHead head;
+  private final ForwardRoute route;
+  private final @Nullable Customer customer;
+  private final Instant deadline;
+  private final Set<EndpointId> tried = new HashSet<>();
+  private Verdict verdict = Verdict.notRun();
+  private @Nullable Announcement endpoint;
+  private @Nullable Instant sentAt;
+  private @Nullable Instant firstByteAt;
+  private boolean passed;
+  private int attempts;
+  private int runs;
+
+  ForwardedCall(ForwardHead head, ForwardRoute route, Optional<Customer> customer) {
+    this.head = head;
+    this.route = route;
+    this.customer = customer.orElse(null);
+    Duration allowed =
+        head.patience().filter(p -> p.compareTo(route.timeout()) < 0).orElse(route.timeout());
+    this.deadline = head.arrivedAt().plus(allowed);
+  }
+
+  @Override
+  public RequestId id() {
+    return head.id();
+  }
+
+  /** Returns the customer; only calls with a key have one. */
+  @Override
+  public Customer customer() {
+    if (customer == null) {
+      throw new IllegalStateException("request " + id() + " came without a key");
+    }
+    return customer;
+  }
+
+  Optional<Customer> customerIfAny() {
+    return Optional.ofNullable(customer);
+  }
+
+  @Override
+  public long estimate() {
+    return head.tokens()
+        .orElseGet(() -> customerIfAny().map(Customer::tokensOfPlainCall).orElse(0L));
+  }
+
+  @Override
+  public Instant deadline() {
+    return deadline;
+  }
+
+  ForwardHead head() {
+    return head;
+  }
+
+  ForwardRoute route() {
+    return route;
+  }
+
+  Residency residency() {
+    Residency ofRoute = Residency.of(route.boundTo());
+    return customerIfAny().map(Residency::of).map(ofRoute::and).orElse(ofRoute);
+  }
+
+  /** Returns the service that this request goes to, by the weights of its route. */
+  String service() {
+    long sum = route.split().stream().mapToLong(ForwardRoute.Weighted::weight).sum();
+    long point = Math.floorMod((long) head.id().hashCode(), sum);
+    for (ForwardRoute.Weighted part : route.split()) {
+      point -= part.weight();
+      if (point < 0) {
+        return part.service();
+      }
+    }
+    throw new IllegalStateException("route " + route.id() + " has no weight");
+  }
+
+  RouteQuery query() {
+    OptionalLong prefix =
+        route.cachesPrompts() && head.promptParts().size() > 1
+            ? OptionalLong.of(head.promptParts().subList(0, sharedParts()).hashCode())
+            : OptionalLong.empty();
+    return new RouteQuery(prefix, tried);
+  }
+
+  /** The last part of a prompt is the request's own. */
+  private int sharedParts() {
+    return head.promptParts().size() - 1;
+  }
+
+  /** Notes that the next attempt goes to the endpoint, and returns the number of the attempt. */
+  int begin(Announcement target, Instant now) {
+    endpoint = target;
+    sentAt = now;
+    tried.add(target.endpoint());
+    attempts++;
+    return attempts;
+  }
+
+  /** Notes that the running attempt has ended, and returns how long it took. */
+  Duration attemptTook(Instant now) {
+    Duration took = sentAt == null ? Duration.ZERO : Duration.between(sentAt, now);
+    sentAt = null;
+    return took;
+  }
+
+  /** Adds the verdict on an attempt that has ended. */
+  void judge(Verdict attempt) {
+    verdict = verdict.or(attempt);
+    if (!(attempt instanceof Verdict.NotRun)) {
+      runs++;
+    }
+  }
+
+  Verdict verdict() {
+    return verdict;
+  }
+
+  boolean isAttempting() {
+    return sentAt != null;
+  }
+
+  int attempts() {
+    return attempts;
+  }
+
+  /** Returns how many attempts may have run. */
+  int runs() {
+    return runs;
+  }
+
+  Optional<Announcement> endpoint() {
+    return Optional.ofNullable(endpoint);
+  }
+
+  /** Notes that an answer goes to the caller from now on. */
+  void passAnswer() {
+    passed = true;
+  }
+
+  boolean isAnswerPassed() {
+    return passed;
+  }
+
+  void bodyBegan(Instant now) {
+    if (firstByteAt == null) {
+      firstByteAt = now;
+    }
+  }
+
+  CallRecord record(Instant now, Optional<Failure> failure) {
+    return new CallRecord(
+        customerIfAny().map(Customer::id),
+        Optional.of(route.id()),
+        endpoint().map(Announcement::version),
+        attempts,
+        Optional.ofNullable(firstByteAt).map(at -> Duration.between(head.arrivedAt(), at)),
+        Duration.between(head.arrivedAt(), now),
+        new Usage(estimate(), 0),
+        failure);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -0,0 +1,424 @@
+package org.cuminwell.core.forward;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.cuminwell.core.config.ConfigurationIndex;
+import org.cuminwell.core.config.Forwarding;
+import org.cuminwell.core.directory.HostDirectory;
+import org.cuminwell.core.limit.Admission;
+import org.cuminwell.core.limit.AwaitedShares;
+import org.cuminwell.core.limit.LimitRefusal;
+import org.cuminwell.core.limit.ShareHolder;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.membership.EndpointTable;
+import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.ErrorCode;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.ForwardRoute;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.Repeat;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Verdict;
+import org.cuminwell.core.retry.RetryBudget;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides about requests that are forwarded unchanged.
+ *
+ * <p>Invariants: every request that was opened ends in exactly one {@link ForwardAction.Ended}; one
+ * that may run once is sent again only if it has certainly not run; a request is refused as not run
+ * only if no attempt may have run. Not thread safe: one thread owns it.
+ */
+public final class Forwarder {
+
+  /** How often one request is sent at most, whatever became of it. */
+  static final int MAX_SENDS = 4;
+
+  /** How many latency targets an attempt may take before another is made beside it. */
+  private static final int PATIENCE_TARGETS = 3;
+
+  /** The part of the bounds that is used, since gateways do not know each other's retries. */
+  private static final double BUDGET_PART = 0.7;
+
+  private static final Duration LEAST_PATIENCE = Duration.ofSeconds(1);
+  private static final Duration LONGEST_SILENCE = Duration.ofMillis(1_500);
+  private static final Duration RETRY_SOON = Duration.ofMillis(300);
+
+  private static final Failure LEFT =
+      Failure.mayHaveRun(ErrorCode.CALL_DROPPED, "the caller went away");
+
+  private final ForwardBounds bounds;
+  private final EndpointTable endpoints;
+  private final EndpointChoice choice;
+  private final HostDirectory directory;
+  private final Map<RequestId, ForwardedCall> calls = new HashMap<>();
+  private final AwaitedShares<ForwardedCall> awaited = new AwaitedShares<>();
+  private final Map<String, RetryBudget> budgets = new HashMap<>();
+
+  /** Makes a forwarder of a gateway at {@code here}; the random source makes its draws. */
+  public Forwarder(
+      Place here,
+      EndpointTable endpoints,
+      HostDirectory directory,
+      ForwardBounds bounds,
+      SplittableRandom random) {
+    this.bounds = bounds;
+    this.endpoints = endpoints;
+    this.directory = directory;
+    this.choice = new EndpointChoice(here, endpoints, directory, random);
+  }
+
+  /**
+   * Holds what a decision may rely on.
+   *
+   * @param configuration what is in force here
+   * @param currentAt the moment before which every change committed anywhere is in force here
+   * @param limits this gateway's shares of the customers' limits
+   * @param stopping whether new requests are refused
+   */
+  public record Known(
+      ConfigurationIndex configuration, Instant currentAt, ShareHolder limits, boolean stopping) {
+
+    Forwarding forwarding() {
+      return configuration.configuration().forwarding();
+    }
+  }
+
+  /** Returns what to do about the event, in order. */
+  public List<ForwardAction> handle(ForwardEvent event, Known known, Instant now) {
+    List<ForwardAction> actions = new ArrayList<>();
+    choice.configure(known.forwarding(), now);
+    switch (event) {
+      case ForwardEvent.Opened e -> open(e.head(), known, now, actions);
+      case ForwardEvent.AnswerCame e -> answerCame(e, known, now, actions);
+      case ForwardEvent.BodyBegan e -> {
+        ForwardedCall call = calls.get(e.id());
+        if (call != null) {
+          call.bodyBegan(now);
+        }
+      }
+      case ForwardEvent.AttemptEnded e -> attemptEnded(e, known, now, actions);
+      case ForwardEvent.CallerLeft e -> callerLeft(e.id(), known, now, actions);
+    }
+    return actions;
+  }
+
+  /** Returns what is due by now. */
+  public List<ForwardAction> tick(Known known, Instant now) {
+    List<ForwardAction> actions = new ArrayList<>();
+    choice.configure(known.forwarding(), now);
+    choice.tick(now);
+    retryAwaited(known, now, actions);
+    List.copyOf(calls.values()).stream()
+        .filter(call -> !now.isBefore(call.deadline()))
+        .forEach(call -> timeOut(call, known, now, actions));
+    return actions;
+  }
+
+  /** Tries again to start the requests that wait for a share of a limit. */
+  public List<ForwardAction> sharesChanged(Known known, Instant now) {
+    List<ForwardAction> actions = new ArrayList<>();
+    retryAwaited(known, now, actions);
+    return actions;
+  }
+
+  /** Returns whether no request is open. */
+  public boolean isIdle() {
+    return calls.isEmpty();
+  }
+
+  /** Returns whether keys may be taken as the configuration in force here has them. */
+  public boolean trustsKeys(Instant currentAt, Instant now) {
+    return !currentAt.equals(Instant.MIN) && now.isBefore(currentAt.plus(bounds.keyLease()));
+  }
+
+  private void open(ForwardHead head, Known known, Instant now, List<ForwardAction> actions) {
+    Optional<ForwardRoute> route = known.configuration().forwardRoute(head.host(), head.path());
+    Optional<Customer> customer = head.key().flatMap(known.configuration()::customerByKey);
+    Optional<Failure> refusal = refusal(head, route, customer, known, now);
+    if (refusal.isPresent()) {
+      actions.add(new ForwardAction.Refuse(head.id(), refusal.get()));
+      return;
+    }
+    ForwardedCall call =
+        new ForwardedCall(
+            head, route.orElseThrow(), customer.filter(_ -> !route.orElseThrow().anonymous()));
+    calls.put(call.id(), call);
+    admit(call, known, now, actions);
+  }
+
+  private Optional<Failure> refusal(
+      ForwardHead head,
+      Optional<ForwardRoute> route,
+      Optional<Customer> customer,
+      Known known,
+      Instant now) {
+    if (known.stopping()) {
+      return Optional.of(notNow(ErrorCode.STOPPING, "this host is stopping; use another"));
+    }
+    if (!trustsKeys(known.currentAt(), now)) {
+      return Optional.of(
+          notNow(
+              ErrorCode.NOT_READY, "this host may not have the latest configuration; try again"));
+    }
+    if (route.isEmpty()) {
+      return Optional.of(Failure.notRun(ErrorCode.UNKNOWN_ROUTE, "there is no such route"));
+    }
+    if (route.get().anonymous() || customer.isPresent()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        head.key().isPresent()
+            ? Failure.notRun(ErrorCode.INVALID_KEY, "the key does not work; ask for a new one")
+            : Failure.notRun(ErrorCode.MISSING_KEY, "send a key"));
+  }
+
+  private void admit(ForwardedCall call, Known known, Instant now, List<ForwardAction> actions) {
+    if (call.customerIfAny().isEmpty()) {
+      attempt(call, known, now, actions);
+      return;
+    }
+    Admission admission = known.limits().admit(call.customer(), call.estimate(), now);
+    if (admission instanceof Admission.ShareShort && awaited.offer(call, now)) {
+      return;
+    }
+    Optional<Failure> refusal = LimitRefusal.of(admission, call.estimate());
+    if (refusal.isPresent()) {
+      refuse(call, refusal.get(), now, actions);
+    } else {
+      attempt(call, known, now, actions);
+    }
+  }
+
+  private void retryAwaited(Known known, Instant now, List<ForwardAction> actions) {
+    AwaitedShares.Result<ForwardedCall> result = awaited.retry(known.limits(), now);
+    result.refused().forEach(refused -> refuse(refused.call(), refused.failure(), now, actions));
+    result.admitted().forEach(call -> attempt(call, known, now, actions));
+  }
+
+  private void attempt(ForwardedCall call, Known known, Instant now, List<ForwardAction> actions) {
+    Optional<EndpointChoice.Target> target = choice.choose(call, known.forwarding(), now);
+    if (target.isEmpty()) {
+      Failure none = notNow(ErrorCode.NO_ENDPOINT, "no endpoint can take the request; try again");
+      fail(call, none, known, now, actions);
+      return;
+    }
+    Announcement endpoint = target.get().announcement();
+    int attempt = call.begin(endpoint, now);
+    if (attempt == 1) {
+      budget(call).earn();
+    }
+    choice.sent(call, endpoint, now);
+    Duration left = Duration.between(now, call.deadline());
+    boolean another = maySendAnother(call, Verdict.mayHaveRun(), now) && budget(call).hasSome();
+    actions.add(
+        new ForwardAction.Send(
+            call.id(),
+            attempt,
+            endpoint.endpoint(),
+            endpoint.address(),
+            target.get().relay(),
+            left,
+            another ? shorter(patience(call), left) : left,
+            LONGEST_SILENCE,
+            call.customerIfAny().map(Customer::id),
+            call.isAnswerPassed(),
+            isResumable(call)));
+  }
+
+  private void answerCame(
+      ForwardEvent.AnswerCame event, Known known, Instant now, List<ForwardAction> actions) {
+    ForwardedCall call = current(event.id(), event.attempt());
+    if (call == null) {
+      return;
+    }
+    switch (event.head()) {
+      case AnswerHead.Final head -> pass(call, actions);
+      case AnswerHead.Failed head -> {
+        if (call.route().repeat().allowsAnother() && maySendAnother(call, Verdict.ran(), now)) {
+          Failure failure =
+              Failure.ran(ErrorCode.ENDPOINT_FAILED, "the endpoint failed: " + head.status());
+          abandon(call, failure, known, now, actions);
+        } else {
+          pass(call, actions);
+        }
+      }
+      case AnswerHead.NotRun head -> {
+        if (head.otherEndpoint()) {
+          call.endpoint().ifPresent(e -> endpoints.leave(e.endpoint(), e.incarnation(), now));
+        }
+        Failure full =
+            Failure.notRunRetryAfter(
+                ErrorCode.BUSY,
+                "the endpoint has no room; try again",
+                head.retryAfter().orElse(RETRY_SOON));
+        abandon(call, full, known, now, actions);
+      }
+      case AnswerHead.Foreign head ->
+          abandon(
+              call,
+              Failure.mayHaveRun(
+                  ErrorCode.INCOMPLETE_ANSWER, "the endpoint gave no answer to the request"),
+              known,
+              now,
+              actions);
+    }
+  }
+
+  private static void pass(ForwardedCall call, List<ForwardAction> actions) {
+    call.passAnswer();
+    actions.add(new ForwardAction.PassAnswer(call.id(), call.attempts()));
+  }
+
+  private void abandon(
+      ForwardedCall call, Failure failure, Known known, Instant now, List<ForwardAction> actions) {
+    actions.add(new ForwardAction.Abandon(call.id(), call.attempts()));
+    broken(call, failure, known, now, actions);
+  }
+
+  private void attemptEnded(
+      ForwardEvent.AttemptEnded event, Known known, Instant now, List<ForwardAction> actions) {
+    ForwardedCall call = current(event.id(), event.attempt());
+    if (call == null) {
+      return;
+    }
+    switch (event.end()) {
+      case ForwardEnd.Completed end -> {
+        call.judge(Verdict.ran());
+        settleAttempt(call, false, now);
+        finish(call, Optional.empty(), known, now, actions);
+      }
+      case ForwardEnd.CallerLeft end -> {
+        call.judge(Verdict.mayHaveRun());
+        settleAttempt(call, false, now);
+        finish(call, Optional.of(LEFT), known, now, actions);
+      }
+      case ForwardEnd.Broken end -> broken(call, end.failure(), known, now, actions);
+    }
+  }
+
+  /** Sends the request again after an attempt that gave no whole answer, or gives it up. */
+  private void broken(
+      ForwardedCall call, Failure failure, Known known, Instant now, List<ForwardAction> actions) {
+    call.judge(failure.verdict());
+    settleAttempt(call, failure.code() != ErrorCode.BUSY, now);
+    boolean resumes = !call.isAnswerPassed() || isResumable(call);
+    if (resumes && maySendAnother(call, failure.verdict(), now) && budget(call).trySpend()) {
+      attempt(call, known, now, actions);
+    } else {
+      fail(call, failure, known, now, actions);
+    }
+  }
+
+  private void callerLeft(RequestId id, Known known, Instant now, List<ForwardAction> actions) {
+    ForwardedCall call = calls.get(id);
+    if (call == null) {
+      return;
+    }
+    if (call.isAttempting()) {
+      call.judge(Verdict.mayHaveRun());
+      settleAttempt(call, false, now);
+      actions.add(new ForwardAction.Abandon(id, call.attempts()));
+    }
+    finish(call, Optional.of(LEFT), known, now, actions);
+  }
+
+  private void timeOut(ForwardedCall call, Known known, Instant now, List<ForwardAction> actions) {
+    Failure late = Failure.notRun(ErrorCode.DEADLINE_EXCEEDED, "the request took too long");
+    if (call.isAttempting()) {
+      call.judge(Verdict.mayHaveRun());
+      settleAttempt(call, false, now);
+      actions.add(new ForwardAction.Abandon(call.id(), call.attempts()));
+    }
+    fail(call, late, known, now, actions);
+  }
+
+  private boolean maySendAnother(ForwardedCall call, Verdict last, Instant now) {
+    boolean harmless = last instanceof Verdict.NotRun || call.route().repeat().allowsAnother();
+    int runs = call.isAttempting() && !(last instanceof Verdict.NotRun) ? 1 : 0;
+    return harmless
+        && call.attempts() < MAX_SENDS
+        && call.runs() + runs < call.route().maxAttempts()
+        && now.isBefore(call.deadline());
+  }
+
+  private void settleAttempt(ForwardedCall call, boolean blamed, Instant now) {
+    if (call.isAttempting()) {
+      Duration took = call.attemptTook(now);
+      call.endpoint().ifPresent(target -> choice.ended(target, took, blamed, now));
+    }
+  }
+
+  /** Ends a request that gets no whole answer. */
+  private void fail(
+      ForwardedCall call, Failure failure, Known known, Instant now, List<ForwardAction> actions) {
+    Failure judged = failure.withVerdict(call.verdict());
+    actions.add(
+        call.isAnswerPassed()
+            ? new ForwardAction.Cut(call.id(), judged)
+            : new ForwardAction.Refuse(call.id(), judged));
+    finish(call, Optional.of(judged), known, now, actions);
+  }
+
+  /** Refuses a request for which nothing was charged or sent. */
+  private void refuse(
+      ForwardedCall call, Failure failure, Instant now, List<ForwardAction> actions) {
+    calls.remove(call.id());
+    actions.add(new ForwardAction.Refuse(call.id(), failure));
+    actions.add(new ForwardAction.Ended(call.id(), call.record(now, Optional.of(failure))));
+  }
+
+  private void finish(
+      ForwardedCall call,
+      Optional<Failure> failure,
+      Known known,
+      Instant now,
+      List<ForwardAction> actions) {
+    calls.remove(call.id());
+    boolean waited = awaited.remove(call.id());
+    if (call.verdict() instanceof Verdict.NotRun && !waited) {
+      call.customerIfAny()
+          .ifPresent(customer -> known.limits().settle(customer, call.estimate(), 0, now));
+    }
+    actions.add(new ForwardAction.Ended(call.id(), call.record(now, failure)));
+  }
+
+  private @Nullable ForwardedCall current(RequestId id, int attempt) {
+    ForwardedCall call = calls.get(id);
+    return call != null && call.isAttempting() && call.attempts() == attempt ? call : null;
+  }
+
+  private RetryBudget budget(ForwardedCall call) {
+    return budgets.computeIfAbsent(
+        call.service(),
+        _ -> {
+          double gateways = Math.max(1, directory.all().size());
+          return new RetryBudget(
+              bounds.retryRatio() * BUDGET_PART,
+              Math.max(1, bounds.retryExtra() * BUDGET_PART / gateways));
+        });
+  }
+
+  private static Duration patience(ForwardedCall call) {
+    Duration targets = call.route().latencyTarget().multipliedBy(PATIENCE_TARGETS);
+    return targets.compareTo(LEAST_PATIENCE) > 0 ? targets : LEAST_PATIENCE;
+  }
+
+  private static boolean isResumable(ForwardedCall call) {
+    return call.route().repeat() instanceof Repeat.ResumableStream;
+  }
+
+  private static Duration shorter(Duration a, Duration b) {
+    return a.compareTo(b) < 0 ? a : b;
+  }
+
+  private static Failure notNow(ErrorCode code, String message) {
+    return Failure.notRunRetryAfter(code, message, RETRY_SOON);
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -14,6 +14,9 @@
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.directory.HostDirectory;
 import org.cuminwell.core.distribution.ConfigurationHolder;
+import org.cuminwell.core.forward.ForwardAction;
+import org.cuminwell.core.forward.ForwardBounds;
+import org.cuminwell.core.forward.Forwarder;
 import org.cuminwell.core.gateway.GatewayAction.AnswerEntryHosts;
 import org.cuminwell.core.gateway.GatewayAction.AnswerModels;
 import org.cuminwell.core.gateway.GatewayAction.CancelCall;
@@ -30,6 +33,8 @@
 import org.cuminwell.core.idempotency.IdempotentCall;
 import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.limit.Admission;
+import org.cuminwell.core.limit.AwaitedShares;
+import org.cuminwell.core.limit.LimitRefusal;
 import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.membership.EndpointTable;
 import org.cuminwell.core.model.Customer;
@@ -69,7 +74,7 @@
   private final HostDirectory directory = new HostDirectory();
   private final EndpointTable endpoints = new EndpointTable();
   private final int floorSlots;
-  private final AwaitedShares awaited = new AwaitedShares();
+  private final AwaitedShares<RunningCall> awaited = new AwaitedShares<>();
   private final StartQueue starts = new StartQueue();
   private final GatewayPeers peers;
   private final ClaimTracker claims;
@@ -77,6 +82,8 @@
   private final Attempts attempts;
   private final GracefulStop stop = new GracefulStop();
   private final Map<RequestId, RunningCall> calls = new HashMap<>();
+  private final Forwarder forwarder;
+  private boolean isServing;
   private @Nullable ShareHolder limits;
 
   /**
@@ -86,10 +93,23 @@
    * @param random makes the draws of routing
    */
   public Gateway(HostDescription self, int floorSlots, SplittableRandom random) {
+    this(self, floorSlots, ForwardBounds.DEFAULT, random);
+  }
+
+  /**
+   * Makes the state of the gateway that {@code self} describes.
+   *
+   * @param floorSlots how many entry hosts its data centre may have
+   * @param bounds bounds what is done with forwarded requests
+   * @param random makes the draws of routing
+   */
+  public Gateway(
+      HostDescription self, int floorSlots, ForwardBounds bounds, SplittableRandom random) {
     this.self = self;
     claims = new ClaimTracker(self.id());
     this.floorSlots = floorSlots;
     attempts = new Attempts(self.place(), random);
+    forwarder = new Forwarder(self.place(), endpoints, directory, bounds, random.split());
     peers = new GatewayPeers(self, configuration, directory, endpoints);
   }
 
@@ -112,6 +132,10 @@
         startWaiting(now, actions);
       }
       case GatewayEvent.AnswerKept e -> keep(e);
+      case GatewayEvent.Forwarded e -> {
+        forward(forwarder.handle(e.event(), known(now), now), actions);
+        reportShares(now, actions);
+      }
       case GatewayEvent.ModelsAsked e -> listModels(e, actions);
       case GatewayEvent.EntryHostsAsked e -> listEntryHosts(e, actions);
       case GatewayEvent.EndpointAnnounced e -> peers.announced(e.announcement(), now);
@@ -131,10 +155,25 @@
 
   /** Returns whether requests can be answered. */
   public boolean isReady() {
-    return peers.isServing() && !stop.isAsked();
+    return isServing && !stop.isAsked();
+  }
+
+  private void forward(List<ForwardAction> decided, List<GatewayAction> actions) {
+    decided.forEach(action -> actions.add(new GatewayAction.Forward(action)));
+  }
+
+  private Forwarder.Known known(Instant now) {
+    return new Forwarder.Known(
+        configuration.index(), peers.currentAt(), limits(now), stop.refuses(now));
   }
 
   private void tick(Instant now, List<GatewayAction> actions) {
+    isServing =
+        peers.isServing()
+            && (configuration.index().configuration().forwarding().routes().isEmpty()
+                || forwarder.trustsKeys(peers.currentAt(), now));
+    peers.accept(isReady(), actions);
+    forward(forwarder.tick(known(now), now), actions);
     endpoints.expire(now);
     peers.tick(now, actions);
     claimed(claims.tick(now), now, actions);
@@ -156,7 +195,7 @@
       limits(now).leave();
       actions.add(new CloseListener());
     }
-    if (calls.isEmpty() && claims.isSettled()) {
+    if (calls.isEmpty() && forwarder.isIdle() && claims.isSettled()) {
       actions.add(new Stopped());
     }
   }
@@ -302,7 +341,7 @@
   }
 
   private void retryAwaited(Instant now, List<GatewayAction> actions) {
-    AwaitedShares.Result result = awaited.retry(limits(now), now);
+    AwaitedShares.Result<RunningCall> result = awaited.retry(limits(now), now);
     result.refused().forEach(refused -> refuse(refused.call(), refused.failure(), now, actions));
     result.admitted().forEach(call -> start(call, now, actions));
   }
@@ -607,6 +646,7 @@
       case PeerMessage.Limits m -> {
         limits(now).hear(peer, m.message(), now);
         retryAwaited(now, actions);
+        forward(forwarder.sharesChanged(known(now), now), actions);
       }
       case PeerMessage.Consensus m -> {}
       case PeerMessage.Membership m -> peers.hear(peer, m.message(), now, actions);
@@ -615,7 +655,7 @@
 
   private void stop(Instant now, List<GatewayAction> actions) {
     if (stop.ask(now)) {
-      peers.stop(actions);
+      peers.accept(false, actions);
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.idempotency.Outcome;
+import org.cuminwell.core.model.CallRecord;
 import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
@@ -36,6 +38,9 @@
       Duration firstByteWithin)
       implements GatewayAction {}
 
+  /** Does something about a forwarded request. */
+  record Forward(ForwardAction action) implements GatewayAction {}
+
   /** Answers a resent call with what the first one was answered. */
   record Replay(RequestId id, Outcome.Answered answer) implements GatewayAction {}
 
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayEvent.java
@@ -1,6 +1,7 @@
 package org.cuminwell.core.gateway;
 
 import java.util.Optional;
+import org.cuminwell.core.forward.ForwardEvent;
 import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.membership.LoadReport;
@@ -32,6 +33,9 @@
   /** The whole answer to a call with an Idempotency-Key has come; its attempt ends next. */
   record AnswerKept(RequestId id, int attempt, Outcome outcome) implements GatewayEvent {}
 
+  /** Something happened to a forwarded request. */
+  record Forwarded(ForwardEvent event) implements GatewayEvent {}
+
   /** A caller asks which models there are. */
   record ModelsAsked(RequestId id, Optional<KeyHash> key) implements GatewayEvent {}
 
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayPeers.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayPeers.java
@@ -56,7 +56,7 @@
     this.directory = directory;
     this.contacts = new Contacts(self.place());
     this.subscriber = new Subscriber(self.id(), contacts, configuration);
-    this.membership = new MembershipExchange(contacts, endpoints);
+    this.membership = new MembershipExchange(contacts::neighbours, endpoints);
     this.kept = configuration.revision();
     directory.meet(self);
   }
@@ -66,6 +66,11 @@
     return subscriber.isServing();
   }
 
+  /** Returns the moment before which every change committed anywhere is in force here. */
+  Instant currentAt() {
+    return subscriber.currentAt();
+  }
+
   /** Returns who is in contact. */
   Contacts contacts() {
     return contacts;
@@ -100,14 +105,17 @@
   void hear(HostId peer, DirectoryMessage message, List<GatewayAction> actions) {
     switch (message) {
       case DirectoryMessage.Here here -> meet(peer, here.host(), actions);
-      case DirectoryMessage.ControlHere here -> contacts.foundControl(peer);
+      case DirectoryMessage.ControlHere here -> {
+        contacts.foundControl(peer);
+        send(membership.met(peer), actions);
+      }
       case DirectoryMessage.Hosts hosts -> learn(peer, hosts, actions);
     }
   }
 
-  /** Takes in what a neighbour heard from endpoints. */
+  /** Takes in what a neighbour or control host heard from endpoints. */
   void hear(HostId peer, MembershipMessage message, Instant now, List<GatewayAction> actions) {
-    if (contacts.isNeighbour(peer)) {
+    if (contacts.isNeighbour(peer) || contacts.isControl(peer)) {
       send(membership.hear(peer, message, now), actions);
     }
   }
@@ -133,11 +141,20 @@
     send(membership.tick(now), actions);
   }
 
-  /** Tells everyone that this host takes no new callers. */
-  void stop(List<GatewayAction> actions) {
+  /** Tells everyone whether this host takes new callers, if that has changed. */
+  void accept(boolean accepts, List<GatewayAction> actions) {
+    if (self.stopping() != accepts) {
+      return;
+    }
     self =
         new HostDescription(
-            self.id(), self.place(), self.callers(), self.inner(), self.peer(), self.load(), true);
+            self.id(),
+            self.place(),
+            self.callers(),
+            self.inner(),
+            self.peer(),
+            self.load(),
+            !accepts);
     directory.meet(self);
     List<HostId> peers = new ArrayList<>(contacts.controls());
     peers.addAll(contacts.neighbours());
--- a/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
@@ -8,7 +8,9 @@
 import java.util.Set;
 import org.cuminwell.core.idempotency.IdempotentCall;
 import org.cuminwell.core.idempotency.Outcome;
+import org.cuminwell.core.limit.ChargedCall;
 import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.model.CallRecord;
 import org.cuminwell.core.model.Customer;
 import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.Failure;
@@ -26,7 +28,7 @@
  *
  * <p>Not thread safe: the gateway's decide thread owns it.
  */
-final class RunningCall {
+final class RunningCall implements ChargedCall {
 
   /** A slow pace of generation. */
   private static final Duration TIME_PER_TOKEN = Duration.ofMillis(100);
@@ -53,7 +55,8 @@
     this.openedAt = openedAt;
   }
 
-  RequestId id() {
+  @Override
+  public RequestId id() {
     return head.id();
   }
 
@@ -61,7 +64,8 @@
     return head;
   }
 
-  Customer customer() {
+  @Override
+  public Customer customer() {
     return customer;
   }
 
@@ -77,12 +81,13 @@
     estimate = estimatedTokens;
   }
 
-  /** Returns the tokens that were charged at admission. */
-  long estimate() {
+  @Override
+  public long estimate() {
     return estimate;
   }
 
-  Instant deadline() {
+  @Override
+  public Instant deadline() {
     return openedAt.plus(route().timeout());
   }
 
--- a/core/src/main/java/org/cuminwell/core/idempotency/Outcome.java
+++ b/core/src/main/java/org/cuminwell/core/idempotency/Outcome.java
@@ -3,6 +3,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import org.cuminwell.core.model.Bytes;
 
 /** Says how a claimed call ended, as far as its gateway knows. Immutable and thread safe. */
 public sealed interface Outcome {
@@ -11,7 +12,7 @@
   int MAX_BODY_BYTES = 8 * 1024;
 
   /** The call ran, and its answer is kept for resends. */
-  record Answered(int status, String contentType, AnswerBytes body) implements Outcome {
+  record Answered(int status, String contentType, Bytes body) implements Outcome {
 
     /** Returns the same answer without its body, of which length and digest are left. */
     public NotKept withoutBody() {
@@ -36,7 +37,7 @@
   /** Returns the outcome of a call that was answered; a long body is not kept. */
   static Outcome answered(int status, String contentType, byte[] body) {
     return body.length <= MAX_BODY_BYTES
-        ? new Answered(status, contentType, AnswerBytes.copyOf(body))
+        ? new Answered(status, contentType, Bytes.copyOf(body))
         : new NotKept(status, body.length, digest(body));
   }
 
--- a/core/src/main/java/org/cuminwell/core/gateway/AwaitedShares.java
+++ b/core/src/main/java/org/cuminwell/core/limit/AwaitedShares.java
@@ -1,4 +1,4 @@
-package org.cuminwell.core.gateway;
+package org.cuminwell.core.limit;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -6,8 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.cuminwell.core.limit.Admission;
-import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.RequestId;
 
@@ -16,9 +14,9 @@
  *
  * <p>A customer that is new at a gateway has no share there, and asking for one takes a round trip
  * to the leader. Invariant: no request waits beyond {@link #LONGEST_WAIT}, and no more than {@link
- * #MAX_WAITING} do. Not thread safe: the thread of its {@link Gateway} owns it.
+ * #MAX_WAITING} do. Not thread safe: one thread owns it.
  */
-final class AwaitedShares {
+public final class AwaitedShares<C extends ChargedCall> {
 
   /** How long a request may wait for a share. */
   static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
@@ -26,40 +24,42 @@
   /** How many requests may wait for shares. */
   static final int MAX_WAITING = 4_096;
 
-  private final Map<RequestId, Entry> waiting = new LinkedHashMap<>();
+  private final Map<RequestId, Entry<C>> waiting = new LinkedHashMap<>();
 
-  private record Entry(RunningCall call, Instant until) {}
+  private record Entry<C>(C call, Instant until) {}
 
   /** Says which requests need not wait any longer. Immutable and thread safe. */
-  record Result(List<RunningCall> admitted, List<Refused> refused) {}
+  public record Result<C>(List<C> admitted, List<Refused<C>> refused) {}
 
   /** Pairs a request with the reason why it does not run. Immutable and thread safe. */
-  record Refused(RunningCall call, Failure failure) {}
+  public record Refused<C>(C call, Failure failure) {}
 
   /** Lets the request wait, and returns whether there was room. */
-  boolean offer(RunningCall call, Instant now) {
+  public boolean offer(C call, Instant now) {
     if (waiting.size() >= MAX_WAITING) {
       return false;
     }
     Instant latest = now.plus(LONGEST_WAIT);
     Instant until = call.deadline().isBefore(latest) ? call.deadline() : latest;
-    waiting.put(call.id(), new Entry(call, until));
+    waiting.put(call.id(), new Entry<>(call, until));
     return true;
   }
 
   /** Tries all that wait again, in the order of their coming. */
-  Result retry(ShareHolder limits, Instant now) {
-    Result result = new Result(new ArrayList<>(), new ArrayList<>());
+  public Result<C> retry(ShareHolder limits, Instant now) {
+    Result<C> result = new Result<>(new ArrayList<>(), new ArrayList<>());
     waiting.values().removeIf(entry -> isDecided(entry, limits, now, result));
     return result;
   }
 
-  void remove(RequestId id) {
-    waiting.remove(id);
+  /** Forgets a request that need not wait any longer, and returns whether it waited. */
+  public boolean remove(RequestId id) {
+    return waiting.remove(id) != null;
   }
 
-  private static boolean isDecided(Entry entry, ShareHolder limits, Instant now, Result result) {
-    RunningCall call = entry.call();
+  private static <C extends ChargedCall> boolean isDecided(
+      Entry<C> entry, ShareHolder limits, Instant now, Result<C> result) {
+    C call = entry.call();
     Admission admission = limits.admitAgain(call.customer(), call.estimate(), now);
     boolean waits = admission instanceof Admission.ShareShort && now.isBefore(entry.until());
     if (waits) {
@@ -67,7 +67,7 @@
     }
     LimitRefusal.of(admission, call.estimate())
         .ifPresentOrElse(
-            failure -> result.refused().add(new Refused(call, failure)),
+            failure -> result.refused().add(new Refused<>(call, failure)),
             () -> result.admitted().add(call));
     return true;
   }
--- a/core/src/main/java/org/cuminwell/core/gateway/LimitRefusal.java
+++ b/core/src/main/java/org/cuminwell/core/limit/LimitRefusal.java
@@ -1,12 +1,11 @@
-package org.cuminwell.core.gateway;
+package org.cuminwell.core.limit;
 
 import java.util.Optional;
-import org.cuminwell.core.limit.Admission;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 
 /** Words the refusal of a request that its customer's limit does not let in. Stateless. */
-final class LimitRefusal {
+public final class LimitRefusal {
 
   private LimitRefusal() {}
 
@@ -15,7 +14,7 @@
    *
    * @param estimate what the request was to be charged, in tokens
    */
-  static Optional<Failure> of(Admission admission, long estimate) {
+  public static Optional<Failure> of(Admission admission, long estimate) {
     return switch (admission) {
       case Admission.Admitted a -> Optional.empty();
       case Admission.OverRate a ->
--- a/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
@@ -17,6 +17,7 @@
 import org.cuminwell.core.model.CustomerId;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.TokenLimit;
 
 /**
  * Admits the requests at one gateway within its shares of the customers' limits.
@@ -89,6 +90,9 @@
    * @param tokens the estimate, in tokens
    */
   public Admission admit(Customer customer, long tokens, Instant now) {
+    if (customer.limit().equals(TokenLimit.UNLIMITED)) {
+      return new Admission.Admitted();
+    }
     lapse(now);
     long burst = customer.limit().burstTokens();
     if (tokens > burst) {
@@ -118,8 +122,10 @@
 
   /** Replaces the estimate that was charged by what was used. */
   public void settle(Customer customer, long estimate, long used, Instant now) {
-    lapse(now);
-    limit(customer, now).charge(used - estimate, now);
+    if (!customer.limit().equals(TokenLimit.UNLIMITED)) {
+      lapse(now);
+      limit(customer, now).charge(used - estimate, now);
+    }
   }
 
   /** Takes in a message of the control host {@code from}. */
--- a/core/src/main/java/org/cuminwell/core/membership/Announcement.java
+++ b/core/src/main/java/org/cuminwell/core/membership/Announcement.java
@@ -19,6 +19,8 @@
  * @param capacity how many requests it runs at once
  * @param timeToLive how long the announcement counts after it was heard
  * @param checksFencing whether it refuses orders with an old fencing number
+ * @param sequence grows with each announcement of one incarnation; 0 if the endpoint counts none
+ * @param coldFor how long it still bears little load, counted from the announcement
  */
 public record Announcement(
     EndpointId endpoint,
@@ -29,7 +31,34 @@
     VersionId version,
     int capacity,
     Duration timeToLive,
-    boolean checksFencing) {
+    boolean checksFencing,
+    long sequence,
+    Duration coldFor) {
+
+  /** Makes the announcement of an endpoint that is warm and counts no announcements. */
+  public Announcement(
+      EndpointId endpoint,
+      long incarnation,
+      Place place,
+      HostAddress address,
+      Set<String> services,
+      VersionId version,
+      int capacity,
+      Duration timeToLive,
+      boolean checksFencing) {
+    this(
+        endpoint,
+        incarnation,
+        place,
+        address,
+        services,
+        version,
+        capacity,
+        timeToLive,
+        checksFencing,
+        0,
+        Duration.ZERO);
+  }
 
   /**
    * Copies the set and checks the numbers.
@@ -49,4 +78,24 @@
       throw new IllegalArgumentException("time to live must be positive; found " + timeToLive);
     }
   }
+
+  /** Returns whether {@code later}, by the same endpoint, tells nothing but that it still lives. */
+  boolean isRenewedBy(Announcement later) {
+    return coldFor.isZero() && equals(later.withSequence(sequence));
+  }
+
+  private Announcement withSequence(long other) {
+    return new Announcement(
+        endpoint,
+        incarnation,
+        place,
+        address,
+        services,
+        version,
+        capacity,
+        timeToLive,
+        checksFencing,
+        other,
+        coldFor);
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/membership/EndpointTable.java
+++ b/core/src/main/java/org/cuminwell/core/membership/EndpointTable.java
@@ -33,6 +33,11 @@
   public record Entry(
       Announcement announcement, Instant heardAt, boolean leaving, Optional<LoadReport> load) {
 
+    /** Returns whether the endpoint bears only little load now. */
+    public boolean isCold(Instant now) {
+      return now.isBefore(heardAt.plus(announcement.coldFor()));
+    }
+
     boolean isLive(Instant now) {
       return now.isBefore(expiresAt());
     }
@@ -62,10 +67,14 @@
     }
     Optional<Entry> sameLife =
         old.filter(e -> e.announcement().incarnation() == news.incarnation());
+    if (sameLife.filter(e -> e.announcement().sequence() > news.sequence()).isPresent()) {
+      return;
+    }
     if (sameLife.filter(e -> e.expiresAt().isAfter(heardAt.plus(news.timeToLive()))).isPresent()) {
       return;
     }
     Optional<LoadReport> load = sameLife.flatMap(Entry::load);
+    dropOthersAt(news);
     entries.put(news.endpoint(), new Entry(news, heardAt, hasLeft(news), load));
   }
 
@@ -128,6 +137,17 @@
     return List.copyOf(entries.values());
   }
 
+  /** Drops endpoints of earlier starts whose address the announcing one has now. */
+  private void dropOthersAt(Announcement news) {
+    entries
+        .values()
+        .removeIf(
+            entry ->
+                entry.announcement().address().equals(news.address())
+                    && !entry.announcement().endpoint().equals(news.endpoint())
+                    && entry.announcement().incarnation() < news.incarnation());
+  }
+
   private boolean hasLeft(Announcement news) {
     Departed left = departed.get(news.endpoint());
     return left != null && left.incarnation() == news.incarnation();
--- a/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
+++ b/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.cuminwell.core.directory.Contacts;
+import java.util.function.Supplier;
 import org.cuminwell.core.membership.MembershipMessage.AskAll;
 import org.cuminwell.core.membership.MembershipMessage.Heard;
 import org.cuminwell.core.membership.MembershipMessage.Item;
@@ -18,9 +18,9 @@
 import org.cuminwell.core.peer.PeerMessage;
 
 /**
- * Exchanges what endpoints said between the gateways of one data centre.
+ * Exchanges what endpoints said between the processes that they may speak to.
  *
- * <p>Each gateway tells its neighbours only what it heard itself, by differences between versions:
+ * <p>Each process tells its audience only what it heard itself, by differences between versions:
  * what is new at once, what was merely renewed every {@link #RENEW_PERIOD}. Who misses a version
  * asks for everything. Invariant: news that is passed on never lengthens a life beyond what its
  * source heard; a message that is older than one already taken is dropped. Not thread safe: one
@@ -34,7 +34,7 @@
   /** How long it is told that an endpoint has left. */
   static final Duration LEFT_PERIOD = Duration.ofSeconds(5);
 
-  private final Contacts contacts;
+  private final Supplier<List<HostId>> audience;
   private final EndpointTable table;
   private final TreeMap<EndpointId, Own> own = new TreeMap<>();
   private final TreeMap<EndpointId, OwnLeft> left = new TreeMap<>();
@@ -52,13 +52,21 @@
     }
   }
 
+  private static boolean isLater(Announcement known, Announcement news) {
+    return known.incarnation() == news.incarnation() && known.sequence() > news.sequence();
+  }
+
   private record OwnLeft(long incarnation, Instant at, boolean isNew) {}
 
   private record Version(long start, long to) {}
 
-  /** Makes the exchange of the gateway that has these contacts and fills this table. */
-  public MembershipExchange(Contacts contacts, EndpointTable table) {
-    this.contacts = contacts;
+  /**
+   * Makes the exchange of a process that fills this table.
+   *
+   * @param audience tells which processes in contact are told what endpoints said here
+   */
+  public MembershipExchange(Supplier<List<HostId>> audience, EndpointTable table) {
+    this.audience = audience;
     this.table = table;
   }
 
@@ -69,11 +77,14 @@
     if (old != null && old.announcement().incarnation() > news.incarnation()) {
       return;
     }
-    boolean isNew = old == null || old.isNew() || !old.announcement().equals(news);
+    boolean isNew = old == null || old.isNew() || !old.announcement().isRenewedBy(news);
     Optional<LoadReport> load =
         Optional.ofNullable(old)
             .filter(o -> o.announcement().incarnation() == news.incarnation())
             .flatMap(Own::load);
+    if (old != null && isLater(old.announcement(), news)) {
+      return;
+    }
     own.put(news.endpoint(), new Own(news, now, load, isNew));
   }
 
@@ -130,7 +141,7 @@
       return List.of();
     }
     Heard message = new Heard(start, version, ++version, items);
-    return contacts.neighbours().stream().map(peer -> tell(peer, message)).toList();
+    return audience.get().stream().map(peer -> tell(peer, message)).toList();
   }
 
   private List<Outgoing> hear(HostId peer, Heard news, Instant now) {
--- a/core/src/main/java/org/cuminwell/core/idempotency/AnswerBytes.java
+++ b/core/src/main/java/org/cuminwell/core/model/Bytes.java
@@ -1,19 +1,19 @@
-package org.cuminwell.core.idempotency;
+package org.cuminwell.core.model;
 
 import java.util.Arrays;
 
-/** Holds the bytes of an answer by value. Immutable and thread safe. */
-public final class AnswerBytes {
+/** Holds bytes by value. Immutable and thread safe. */
+public final class Bytes {
 
   private final byte[] bytes;
 
-  private AnswerBytes(byte[] bytes) {
+  private Bytes(byte[] bytes) {
     this.bytes = bytes;
   }
 
   /** Returns a holder of a copy of {@code bytes}. */
-  public static AnswerBytes copyOf(byte[] bytes) {
-    return new AnswerBytes(bytes.clone());
+  public static Bytes copyOf(byte[] bytes) {
+    return new Bytes(bytes.clone());
   }
 
   /** Returns a copy of the bytes. */
@@ -28,7 +28,7 @@
 
   @Override
   public boolean equals(Object other) {
-    return other instanceof AnswerBytes that && Arrays.equals(bytes, that.bytes);
+    return other instanceof Bytes that && Arrays.equals(bytes, that.bytes);
   }
 
   @Override
--- a/core/src/main/java/org/cuminwell/core/gateway/CallRecord.java
+++ b/core/src/main/java/org/cuminwell/core/model/CallRecord.java
@@ -1,12 +1,7 @@
-package org.cuminwell.core.gateway;
+package org.cuminwell.core.model;
 
 import java.time.Duration;
 import java.util.Optional;
-import org.cuminwell.core.model.CustomerId;
-import org.cuminwell.core.model.Failure;
-import org.cuminwell.core.model.RouteId;
-import org.cuminwell.core.model.Usage;
-import org.cuminwell.core.model.VersionId;
 
 /**
  * Sums up a request that has ended, for the metrics. Immutable and thread safe.
--- a/core/src/main/java/org/cuminwell/core/model/TokenLimit.java
+++ b/core/src/main/java/org/cuminwell/core/model/TokenLimit.java
@@ -10,6 +10,11 @@
  */
 public record TokenLimit(long tokensPerSecond, long burstTokens) {
 
+  private static final long NO_BOUND = Long.MAX_VALUE / 4;
+
+  /** Lets everything through. */
+  public static final TokenLimit UNLIMITED = new TokenLimit(NO_BOUND, NO_BOUND);
+
   /**
    * Checks both numbers.
    *
--- a/core/src/main/java/org/cuminwell/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/cuminwell/core/retry/RetryBudget.java
@@ -5,8 +5,8 @@
  * the load of a system that is failing already.
  *
  * <p>Each first attempt earns a part of a retry; each retry spends a whole one. Invariant: over any
- * run of attempts the retries are at most {@link #MAX_SAVED} plus {@link #EARNED_PER_REQUEST} times
- * the first attempts. Not thread safe: one thread owns it.
+ * run of attempts the retries are at most the most that can be saved plus what the first attempts
+ * earned. Not thread safe: one thread owns it.
  */
 public final class RetryBudget {
 
@@ -16,11 +16,30 @@
   /** The most that can be saved up, in retries; also what a new gateway starts with. */
   public static final double MAX_SAVED = 20;
 
-  private double saved = MAX_SAVED;
+  private final double earnedPerRequest;
+  private final double maxSaved;
+  private double saved;
+
+  /** Makes a budget of the usual size. */
+  public RetryBudget() {
+    this(EARNED_PER_REQUEST, MAX_SAVED);
+  }
+
+  /**
+   * Makes a budget.
+   *
+   * @param earnedPerRequest what one first attempt earns, in retries
+   * @param maxSaved the most that can be saved up, in retries; also what it starts with
+   */
+  public RetryBudget(double earnedPerRequest, double maxSaved) {
+    this.earnedPerRequest = earnedPerRequest;
+    this.maxSaved = maxSaved;
+    this.saved = maxSaved;
+  }
 
   /** Counts a first attempt. */
   public void earn() {
-    saved = Math.min(MAX_SAVED, saved + EARNED_PER_REQUEST);
+    saved = Math.min(maxSaved, saved + earnedPerRequest);
   }
 
   /** Returns whether a retry could be spent now. */
--- a/core/src/main/java/org/cuminwell/core/ticket/TicketLedger.java
+++ b/core/src/main/java/org/cuminwell/core/ticket/TicketLedger.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.model.TicketNumber;
 import org.cuminwell.core.ticket.TicketAnswer.Accepted;
 import org.cuminwell.core.ticket.TicketAnswer.Conflict;
@@ -13,9 +14,10 @@
 /**
  * Keeps what stands under each ticket number and the configuration that the tickets have made.
  *
- * <p>Invariants: a number once accepted keeps its ticket; each accepted ticket makes exactly one
- * revision. The outcome depends only on the order of calls, so that all replicas that apply the
- * same tickets hold the same ledger. Not thread safe: one thread owns it.
+ * <p>Invariants: a number once accepted keeps its ticket; each accepted ticket, and each change
+ * beside them, makes exactly one revision. The outcome depends only on the order of calls, so that
+ * all replicas that apply the same tickets hold the same ledger. Not thread safe: one thread owns
+ * it.
  */
 public final class TicketLedger {
 
@@ -46,6 +48,11 @@
     return answer;
   }
 
+  /** Puts a change in force that no ticket asks for, as the next revision. */
+  public void change(ConfigurationChange change) {
+    configuration = configuration.apply(configuration.revision().next(), change);
+  }
+
   /** Returns the answer that the number has already, for this ticket. */
   public Optional<TicketAnswer> known(Ticket ticket) {
     Accepted winner = accepted.get(ticket.number());
--- a/core/src/test/java/org/cuminwell/core/idempotency/ClaimHistory.java
+++ b/core/src/test/java/org/cuminwell/core/idempotency/ClaimHistory.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import org.cuminwell.core.model.Bytes;
 import org.cuminwell.core.model.CustomerId;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
@@ -267,7 +268,7 @@
     return Integer.parseInt(id.value().substring(1));
   }
 
-  private static String text(AnswerBytes body) {
+  private static String text(Bytes body) {
     return new String(body.toArray(), StandardCharsets.UTF_8);
   }
 
--- a/core/src/test/java/org/cuminwell/core/membership/MembershipExchangeTest.java
+++ b/core/src/test/java/org/cuminwell/core/membership/MembershipExchangeTest.java
@@ -61,7 +61,7 @@
             .forEach(contacts::foundGateway);
         EndpointTable table = new EndpointTable();
         tables.add(table);
-        exchanges.add(new MembershipExchange(contacts, table));
+        exchanges.add(new MembershipExchange(contacts::neighbours, table));
       }
     }
 
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -50,6 +50,7 @@
   private final Optional<PeerTls> tls;
   private final PeerNode peers;
   private final OperatorFront operators;
+  private final ControlRequests requests;
   private final Duty<ControlEvent> decide;
   private final Duty<ControlAction> dispatch;
   private final TimerDuty timer;
@@ -70,6 +71,7 @@
     telemetry.gauge("agreement_leads", () -> status.leads() ? 1L : 0L);
     OpsPages pages = new OpsPages(() -> status.leader().isPresent(), telemetry);
     operators = new OperatorFront(http, pages, settings.access(), events::offer, control.view());
+    requests = new ControlRequests(events::offer, control.view());
     journalDuty = new JournalDuty(journal, this::synced, telemetry);
     decide = Duty.start("decide", events, this::decide);
     dispatch = Duty.start("dispatch", actions, this::perform);
@@ -87,6 +89,9 @@
   public static ControlProcess start(ControlSettings settings) {
     ControlProcess process = new ControlProcess(settings);
     process.http.serve(settings.operators(), process.operators::handle);
+    for (AddedFront front : settings.fronts()) {
+      process.http.serve(front.address(), front.maker().make(process.http, process.requests));
+    }
     process.peers.listen(settings.peer());
     settings.controls().stream()
         .filter(address -> isAfter(address, settings.peer()))
@@ -154,14 +159,21 @@
   private void perform(ControlAction action) {
     switch (action) {
       case ControlAction.AnswerTicket a -> operators.answer(a.id(), a.answer());
-      case ControlAction.FailTicket a -> operators.fail(a.id(), a.failure());
+      case ControlAction.FailTicket a -> {
+        operators.fail(a.id(), a.failure());
+        requests.answer(a);
+      }
+      case ControlAction.Answer a -> requests.answer(a);
       case ControlAction.WriteJournal a -> journalDuty.take(a.write());
       case ControlAction.TellPeer a -> {
         if (!peers.send(a.peer(), a.message())) {
           telemetry.count("peer_messages_dropped", 1);
         }
       }
-      case ControlAction.Show a -> operators.show(a.view());
+      case ControlAction.Show a -> {
+        operators.show(a.view());
+        requests.show(a.view());
+      }
     }
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
@@ -14,6 +14,7 @@
  * @param controls the peer addresses of all control hosts
  * @param agreement what makes this host one of several that agree
  * @param access knows who may operate the system
+ * @param fronts what serves the same in other forms
  * @param tls proves this host to others; without it peers are believed
  */
 public record ControlSettings(
@@ -23,10 +24,12 @@
     List<HostAddress> controls,
     AgreementSettings agreement,
     OperatorAccess access,
+    List<AddedFront> fronts,
     Optional<TlsFiles> tls) {
 
   /** Copies the list. */
   public ControlSettings {
     controls = List.copyOf(controls);
+    fronts = List.copyOf(fronts);
   }
 }
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
@@ -0,0 +1,95 @@
+package org.cuminwell.shell.forward;
+
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.cuminwell.core.forward.AnswerHead;
+import org.cuminwell.core.forward.ForwardAction;
+import org.cuminwell.core.forward.ForwardEnd;
+import org.cuminwell.core.forward.ForwardEvent;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.shell.http.CallOverException;
+import org.cuminwell.shell.http.SingleCall;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows one attempt over its own connection.
+ *
+ * <p>Invariants: the headers of its answer are reported at most once and its end once; nothing is
+ * reported after the end. Thread safe.
+ */
+final class ForwardAttempt {
+
+  private enum State {
+    WAITING,
+    ANSWERED,
+    ENDED
+  }
+
+  private final ForwardAction.Send order;
+  private final Consumer<ForwardEvent> events;
+  private final SingleCall connection = new SingleCall();
+  private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
+  private volatile @Nullable HttpResponse response;
+
+  ForwardAttempt(ForwardAction.Send order, Consumer<ForwardEvent> events) {
+    this.order = order;
+    this.events = events;
+  }
+
+  ForwardAction.Send order() {
+    return order;
+  }
+
+  SingleCall connection() {
+    return connection;
+  }
+
+  /** Returns the answer whose headers have come. */
+  HttpResponse response() {
+    HttpResponse come = response;
+    if (come == null) {
+      throw new IllegalStateException("no answer has come to request " + order.id());
+    }
+    return come;
+  }
+
+  /** Reports the headers of the answer. */
+  void answered(HttpResponse answer, AnswerHead head) {
+    response = answer;
+    if (state.compareAndSet(State.WAITING, State.ANSWERED)) {
+      events.accept(new ForwardEvent.AnswerCame(order.id(), order.attempt(), head));
+    } else {
+      close();
+    }
+  }
+
+  /** Gives the attempt up unless the headers of its answer have come. */
+  void giveUp(Failure failure) {
+    if (state.compareAndSet(State.WAITING, State.ENDED)) {
+      report(new ForwardEnd.Broken(failure));
+      close();
+    }
+  }
+
+  /** Reports how the attempt ended, unless that is known. */
+  void ended(ForwardEnd end) {
+    if (state.getAndSet(State.ENDED) != State.ENDED) {
+      report(end);
+    }
+  }
+
+  /** Ends the attempt without a report, since it was decided on. */
+  void abandon() {
+    state.set(State.ENDED);
+    close();
+  }
+
+  private void close() {
+    connection.abort(new CallOverException("the attempt is over"));
+  }
+
+  private void report(ForwardEnd end) {
+    events.accept(new ForwardEvent.AttemptEnded(order.id(), order.attempt(), end));
+  }
+}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
@@ -0,0 +1,172 @@
+package org.cuminwell.shell.forward;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.Cancellable;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.ResponseEntity;
+import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.cuminwell.core.forward.ForwardAction;
+import org.cuminwell.core.forward.ForwardEnd;
+import org.cuminwell.core.forward.ForwardEvent;
+import org.cuminwell.core.model.ErrorCode;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.shell.http.HttpSystem;
+import org.cuminwell.shell.http.SingleCall;
+
+/**
+ * Carries attempts to endpoints, over another gateway where need be, and passes answers on.
+ *
+ * <p>Every attempt is reported as {@link ForwardAttempt} says. Thread safe.
+ */
+final class ForwardClient {
+
+  /** How long a connection may take to be made. */
+  static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
+
+  private static final int MAX_RESUMPTIONS = 8;
+
+  private final HttpSystem http;
+  private final ForwardDialect dialect;
+  private final Consumer<ForwardEvent> events;
+  private final ClientConnectionSettings settings;
+
+  ForwardClient(HttpSystem http, ForwardDialect dialect, Consumer<ForwardEvent> events) {
+    this.http = http;
+    this.dialect = dialect;
+    this.events = events;
+    this.settings = SingleCall.settings(http, CONNECT_TIMEOUT);
+  }
+
+  /** Starts the attempt and returns at once. */
+  void send(PendingForward call, ForwardAction.Send order) {
+    ForwardAttempt attempt = new ForwardAttempt(order, events);
+    if (!call.begin(attempt)) {
+      attempt.ended(new ForwardEnd.CallerLeft());
+      return;
+    }
+    Optional<String> resumeAfter = order.resumes() ? call.lastEventId() : Optional.empty();
+    HttpRequest request =
+        dialect.toEndpoint(call.request(), call.body(), call.head(), order, resumeAfter);
+    HostAddress target = order.relay().orElse(order.address());
+    if (order.relay().isPresent()) {
+      request = RelayHeaders.mark(request, order.address());
+    }
+    Cancellable patience = giveUpLater(attempt);
+    var _ =
+        attempt
+            .connection()
+            .send(http, settings, target, request)
+            .whenComplete(
+                (response, error) -> {
+                  patience.cancel();
+                  if (error != null) {
+                    attempt.giveUp(SingleCall.failureOf(error));
+                  } else {
+                    answered(call, attempt, response);
+                  }
+                });
+  }
+
+  /** Passes the answer of the attempt to the caller, or goes on with an answer that has begun. */
+  void pass(PendingForward call) {
+    ForwardAttempt attempt = call.attempt().orElseThrow();
+    HttpResponse response = attempt.response();
+    if (attempt.order().resumes()) {
+      call.rest(body(call, attempt, response));
+    } else if (!call.answer().complete(answer(call, attempt, response))) {
+      attempt.abandon();
+    }
+  }
+
+  private void answered(PendingForward call, ForwardAttempt attempt, HttpResponse response) {
+    Optional<Failure> relayFailure =
+        attempt.order().relay().flatMap(_ -> RelayHeaders.failure(response));
+    if (relayFailure.isPresent()) {
+      attempt.giveUp(relayFailure.get());
+    } else {
+      attempt.answered(response, dialect.readAnswer(response, call.head()));
+    }
+  }
+
+  private Cancellable giveUpLater(ForwardAttempt attempt) {
+    ForwardAction.Send order = attempt.order();
+    if (order.firstByteWithin().compareTo(order.timeLeft()) >= 0) {
+      return Cancellable.alreadyCancelled();
+    }
+    return http.actors()
+        .scheduler()
+        .scheduleOnce(
+            order.firstByteWithin(),
+            () ->
+                attempt.giveUp(
+                    Failure.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "the endpoint stayed silent")),
+            http.actors().dispatcher());
+  }
+
+  private HttpResponse answer(PendingForward call, ForwardAttempt attempt, HttpResponse response) {
+    List<HttpHeader> headers = HopByHop.endToEnd(response.getHeaders());
+    HttpResponse head = HttpResponse.create().withStatus(response.status()).addHeaders(headers);
+    if (response.entity() instanceof HttpEntity.Strict whole) {
+      events.accept(new ForwardEvent.BodyBegan(call.head().id()));
+      attempt.ended(new ForwardEnd.Completed());
+      return head.withEntity(whole);
+    }
+    Source<ByteString, NotUsed> bytes =
+        body(call, attempt, response)
+            .via(
+                new AnswerReport(
+                    () -> events.accept(new ForwardEvent.BodyBegan(call.head().id())),
+                    end -> call.attempt().orElse(attempt).ended(end)));
+    return head.withEntity(sameShape(response.entity(), bytes));
+  }
+
+  private static ResponseEntity sameShape(ResponseEntity from, Source<ByteString, NotUsed> bytes) {
+    OptionalLong length = from.getContentLengthOption();
+    return length.isPresent()
+        ? HttpEntities.create(from.getContentType(), length.getAsLong(), bytes)
+        : HttpEntities.createChunked(from.getContentType(), bytes);
+  }
+
+  private Source<ByteString, NotUsed> body(
+      PendingForward call, ForwardAttempt attempt, HttpResponse response) {
+    Source<ByteString, NotUsed> bytes =
+        response
+            .entity()
+            .withoutSizeLimit()
+            .getDataBytes()
+            .mapMaterializedValue(_ -> NotUsed.getInstance());
+    if (!attempt.order().isResumable() || response.status().isFailure()) {
+      return bytes;
+    }
+    Source<ByteString, NotUsed> events =
+        bytes.idleTimeout(attempt.order().silenceWithin()).via(new EventFraming(call::passed));
+    return attempt.order().resumes()
+        ? events
+        : events.recoverWithRetries(MAX_RESUMPTIONS, Throwable.class, () -> rest(call));
+  }
+
+  /** Reports that the running attempt broke off, and waits for what goes on after it. */
+  private static Source<ByteString, NotUsed> rest(PendingForward call) {
+    CompletableFuture<Source<ByteString, NotUsed>> rest = call.awaitRest();
+    call.attempt()
+        .ifPresent(
+            attempt ->
+                attempt.ended(
+                    new ForwardEnd.Broken(
+                        Failure.ran(ErrorCode.INCOMPLETE_ANSWER, "the stream broke off"))));
+    return Source.completionStageSource(rest).mapMaterializedValue(_ -> NotUsed.getInstance());
+  }
+}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
@@ -0,0 +1,161 @@
+package org.cuminwell.shell.forward;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.util.ByteString;
+import org.cuminwell.core.forward.ForwardAction;
+import org.cuminwell.core.forward.ForwardEvent;
+import org.cuminwell.core.forward.ForwardHead;
+import org.cuminwell.core.model.ErrorCode;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.shell.http.BodyReader;
+import org.cuminwell.shell.http.HttpConnection;
+import org.cuminwell.shell.http.HttpSystem;
+
+/**
+ * Turns callers' requests into events, and decisions about them into answers.
+ *
+ * <p>Invariant: at most {@link #MAX_CALLS} requests are open. Thread safe.
+ */
+public final class ForwardFront {
+
+  /** How many requests a gateway forwards at once. */
+  static final int MAX_CALLS = 4_096;
+
+  private final HttpSystem http;
+  private final InstantSource time;
+  private final ForwardDialect dialect;
+  private final Predicate<ForwardEvent> offer;
+  private final Consumer<ForwardEvent> force;
+  private final ForwardClient client;
+  private final Map<RequestId, PendingForward> calls = new ConcurrentHashMap<>();
+  private volatile boolean closing;
+
+  /**
+   * Makes a front.
+   *
+   * @param offer takes an event that may be refused, and returns whether it was taken
+   * @param force takes an event that follows from a request already taken
+   */
+  public ForwardFront(
+      HttpSystem http,
+      InstantSource time,
+      ForwardDialect dialect,
+      Predicate<ForwardEvent> offer,
+      Consumer<ForwardEvent> force) {
+    this.http = http;
+    this.time = time;
+    this.dialect = dialect;
+    this.offer = offer;
+    this.force = force;
+    this.client = new ForwardClient(http, dialect, force);
+  }
+
+  /** Returns the handler of a new connection. */
+  public HttpConnection connection() {
+    return new ForwardConnection(this);
+  }
+
+  /** Tells callers from now on not to use their connections again. */
+  public void closeConnections() {
+    closing = true;
+  }
+
+  /** Does what was decided. */
+  public void perform(ForwardAction action) {
+    switch (action) {
+      case ForwardAction.Send a -> with(a.id(), call -> client.send(call, a));
+      case ForwardAction.PassAnswer a -> with(a.id(), client::pass);
+      case ForwardAction.Abandon a ->
+          with(a.id(), call -> call.attempt().ifPresent(ForwardAttempt::abandon));
+      case ForwardAction.Refuse a ->
+          with(
+              a.id(),
+              call -> {
+                call.answer().complete(dialect.refusal(Optional.of(call.head()), a.failure()));
+                calls.remove(a.id());
+              });
+      case ForwardAction.Cut a -> with(a.id(), PendingForward::cut);
+      case ForwardAction.Ended a -> calls.remove(a.id());
+    }
+  }
+
+  /** Handles one request; the stage never fails. */
+  CompletionStage<HttpResponse> handle(HttpRequest request, Consumer<PendingForward> opened) {
+    Instant arrivedAt = time.instant();
+    RequestId id = new RequestId(UUID.randomUUID().toString());
+    ForwardHead head;
+    try {
+      head = dialect.readHead(id, request, arrivedAt);
+    } catch (IllegalArgumentException e) {
+      BodyReader.leaveUnread(request, http.actors());
+      return CompletableFuture.completedFuture(
+          last(refusal(Optional.empty(), ErrorCode.BAD_REQUEST, String.valueOf(e.getMessage()))));
+    }
+    return BodyReader.read(request, http.actors())
+        .thenCompose(body -> open(head, request, body, opened))
+        .exceptionally(error -> last(dialect.refusal(Optional.of(head), BodyReader.failure(error))))
+        .thenApply(answer -> closing ? last(answer) : answer);
+  }
+
+  /** Takes in that the caller of a request has gone. */
+  void callerLeft(PendingForward call) {
+    RequestId id = call.head().id();
+    if (calls.containsKey(id)) {
+      force.accept(new ForwardEvent.CallerLeft(id));
+    }
+  }
+
+  /** Returns whether the request has not ended. */
+  boolean isOpen(PendingForward call) {
+    return calls.containsKey(call.head().id());
+  }
+
+  private CompletionStage<HttpResponse> open(
+      ForwardHead head, HttpRequest request, ByteString body, Consumer<PendingForward> opened) {
+    PendingForward call = new PendingForward(head, request, body);
+    if (calls.size() >= MAX_CALLS) {
+      return CompletableFuture.completedFuture(busy(head));
+    }
+    calls.put(head.id(), call);
+    opened.accept(call);
+    if (!offer.test(new ForwardEvent.Opened(head))) {
+      calls.remove(head.id());
+      return CompletableFuture.completedFuture(busy(head));
+    }
+    return call.answer();
+  }
+
+  private HttpResponse busy(ForwardHead head) {
+    return refusal(Optional.of(head), ErrorCode.BUSY, "this host is busy; try again");
+  }
+
+  private HttpResponse refusal(Optional<ForwardHead> head, ErrorCode code, String message) {
+    return dialect.refusal(head, Failure.notRun(code, message));
+  }
+
+  private void with(RequestId id, Consumer<PendingForward> step) {
+    PendingForward call = calls.get(id);
+    if (call != null) {
+      step.accept(call);
+    }
+  }
+
+  private static HttpResponse last(HttpResponse answer) {
+    return answer.getHeader("Connection").isEmpty()
+        ? answer.addHeader(RawHeader.create("Connection", "close"))
+        : answer;
+  }
+}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardSettings.java
@@ -0,0 +1,18 @@
+package org.cuminwell.shell.forward;
+
+import java.util.Optional;
+import org.cuminwell.core.forward.ForwardBounds;
+import org.cuminwell.core.model.HostAddress;
+
+/**
+ * Holds the checked settings of a gateway that forwards requests. Immutable and thread safe.
+ *
+ * @param callers where callers reach it
+ * @param readiness where it tells whether it takes callers, if anybody asks
+ * @param dialect translates what callers and endpoints say
+ */
+public record ForwardSettings(
+    HostAddress callers,
+    Optional<HostAddress> readiness,
+    ForwardDialect dialect,
+    ForwardBounds bounds) {}
--- a/shell/src/main/java/org/cuminwell/shell/gateway/EndpointAttempt.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/EndpointAttempt.java
@@ -3,16 +3,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.stream.KillSwitches;
-import org.apache.pekko.stream.SharedKillSwitch;
-import org.apache.pekko.stream.javadsl.Source;
 import org.cuminwell.core.gateway.AttemptEnd;
 import org.cuminwell.core.gateway.GatewayAction.SendToEndpoint;
 import org.cuminwell.core.gateway.GatewayEvent;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Usage;
+import org.cuminwell.shell.http.CallOverException;
+import org.cuminwell.shell.http.SingleCall;
 
 /**
  * Follows one attempt over its own connection.
@@ -31,7 +29,7 @@
   private final SendToEndpoint order;
   private final CompletableFuture<Failure> cut;
   private final Consumer<GatewayEvent> events;
-  private final SharedKillSwitch connection = KillSwitches.shared("attempt");
+  private final SingleCall connection = new SingleCall();
   private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
 
   EndpointAttempt(
@@ -54,21 +52,11 @@
     return cut;
   }
 
-  /** Returns the switch that closes the connection. */
-  SharedKillSwitch connection() {
+  /** Returns what carries the request. */
+  SingleCall connection() {
     return connection;
   }
 
-  /**
-   * Returns a source without requests that ends with the attempt.
-   *
-   * <p>While it is open the sending side of the connection is, and only an open side can be
-   * aborted.
-   */
-  Source<HttpRequest, ?> open() {
-    return Source.<HttpRequest>maybe();
-  }
-
   /** Reports that the answer is about to go to the caller, and returns whether it may. */
   boolean tryAnswer() {
     if (!state.compareAndSet(State.WAITING, State.ANSWERING)) {
@@ -100,7 +88,7 @@
 
   /** Closes the connection at once, so that the endpoint stops working for it. */
   void closeConnection() {
-    connection.abort(new AttemptOverException());
+    connection.abort(new CallOverException("the attempt is over"));
   }
 
   private void report(AttemptEnd end) {
--- a/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/EndpointClient.java
@@ -5,12 +5,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.stream.StreamSupport;
 import org.apache.pekko.actor.Cancellable;
-import org.apache.pekko.http.javadsl.ConnectHttp;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
@@ -19,7 +17,6 @@
 import org.apache.pekko.http.javadsl.model.MediaTypes;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
-import org.apache.pekko.stream.StreamTcpException;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
@@ -32,6 +29,7 @@
 import org.cuminwell.core.model.Usage;
 import org.cuminwell.shell.http.HttpAnswers;
 import org.cuminwell.shell.http.HttpSystem;
+import org.cuminwell.shell.http.SingleCall;
 
 /**
  * Carries attempts to endpoints and reports how each ended.
@@ -47,6 +45,7 @@
 
   private static final String COMPLETIONS_PATH = "/v1/chat/completions";
   private static final long MAX_ANSWER_BYTES = 16L * 1024 * 1024;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
   private static final int UNPROCESSABLE = 422;
@@ -58,8 +57,7 @@
   EndpointClient(HttpSystem http, Consumer<GatewayEvent> events) {
     this.http = http;
     this.events = events;
-    this.settings =
-        ClientConnectionSettings.create(http.actors()).withSocketOptions(List.of(new KeepAlive()));
+    this.settings = SingleCall.settings(http, CONNECT_TIMEOUT);
   }
 
   /** Starts the attempt and returns at once. */
@@ -72,7 +70,9 @@
     HttpRequest request = completion ? completionRequest(call) : plainRequest(call, order);
     Cancellable patience = giveUpLater(attempt);
     var _ =
-        connect(attempt, request)
+        attempt
+            .connection()
+            .send(http, settings, attempt.order().address(), request)
             .thenCompose(
                 response ->
                     completion
@@ -82,22 +82,11 @@
                 (_, error) -> {
                   patience.cancel();
                   if (error != null) {
-                    attempt.giveUp(new AttemptEnd.Failed(failureOf(error), Usage.NONE));
+                    attempt.giveUp(new AttemptEnd.Failed(SingleCall.failureOf(error), Usage.NONE));
                   }
                 });
   }
 
-  private CompletionStage<HttpResponse> connect(EndpointAttempt attempt, HttpRequest request) {
-    var address = attempt.order().address();
-    ConnectHttp target = ConnectHttp.toHost("http://" + address.host(), address.port());
-    return Source.single(request)
-        .concat(attempt.open())
-        .via(attempt.connection().flow())
-        .via(
-            http.http().outgoingConnection(target, Optional.empty(), settings, http.actors().log()))
-        .runWith(Sink.head(), http.actors());
-  }
-
   private Cancellable giveUpLater(EndpointAttempt attempt) {
     Duration patience = attempt.order().firstByteWithin();
     boolean deadline = patience.equals(attempt.order().timeout());
@@ -288,18 +277,6 @@
     return new AttemptEnd.Failed(Failure.mayHaveRun(code, message), Usage.NONE);
   }
 
-  private static Failure failureOf(Throwable error) {
-    Throwable cause = error;
-    while (cause instanceof CompletionException && cause.getCause() != null) {
-      cause = cause.getCause();
-    }
-    if (cause instanceof StreamTcpException
-        && String.valueOf(cause.getMessage()).contains("Connect(")) {
-      return Failure.notRun(ErrorCode.ENDPOINT_FAILED, "the endpoint takes no connection");
-    }
-    return Failure.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "the connection to the endpoint broke");
-  }
-
   /** Returns the path after {@code /r/ROUTE}. */
   private static String restOfPath(HttpRequest request) {
     String path = request.getUri().getPathString();
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -3,10 +3,15 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.pekko.http.javadsl.ServerBinding;
+import org.cuminwell.core.forward.ForwardAction;
+import org.cuminwell.core.forward.ForwardBounds;
+import org.cuminwell.core.forward.ForwardEnd;
+import org.cuminwell.core.forward.ForwardEvent;
 import org.cuminwell.core.gateway.AttemptEnd;
 import org.cuminwell.core.gateway.Gateway;
 import org.cuminwell.core.gateway.GatewayAction;
@@ -21,6 +26,9 @@
 import org.cuminwell.shell.duty.MonotonicTime;
 import org.cuminwell.shell.duty.Ring;
 import org.cuminwell.shell.duty.TimerDuty;
+import org.cuminwell.shell.forward.ForwardFront;
+import org.cuminwell.shell.forward.ForwardSettings;
+import org.cuminwell.shell.forward.RelayFront;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.OpsPages;
 import org.cuminwell.shell.metrics.Telemetry;
@@ -53,6 +61,7 @@
   private final PeerNode peers;
   private final CallerFront callers;
   private final EndpointClient endpoints;
+  private final Optional<ForwardFront> forwarding;
   private final ConfigurationKeeper keeper;
   private final Duty<GatewayEvent> decide;
   private final Duty<GatewayAction> dispatch;
@@ -62,7 +71,12 @@
   private volatile @Nullable ServerBinding listener;
 
   private GatewayProcess(GatewaySettings settings) {
-    gateway = new Gateway(settings.self(), settings.floorSlots(), new SplittableRandom());
+    gateway =
+        new Gateway(
+            settings.self(),
+            settings.floorSlots(),
+            settings.forwarding().map(ForwardSettings::bounds).orElse(ForwardBounds.DEFAULT),
+            new SplittableRandom());
     Optional<ConfigurationStore> store = settings.data().map(ConfigurationStore::new);
     store.flatMap(ConfigurationStore::load).ifPresent(gateway::restore);
     keeper = new ConfigurationKeeper(store);
@@ -74,6 +88,7 @@
     telemetry.gauge("peer_refused_connections", peers::refusedConnections);
     callers = new CallerFront(http, calls, events);
     endpoints = new EndpointClient(http, events::force);
+    forwarding = settings.forwarding().map(this::forwardFront);
     decide = Duty.start("decide", events.ring(), this::decide);
     dispatch = Duty.start("dispatch", actions, this::perform);
     timer = TimerDuty.start("timer", TICK, () -> events.offer(new GatewayEvent.Ticked()));
@@ -92,8 +107,14 @@
     OpsPages pages = new OpsPages(() -> process.ready, process.telemetry);
     InnerFront inner = new InnerFront(process.http, process.events, pages);
     process.listener =
-        process.http.serveConnections(settings.self().callers(), process.callers::connection);
-    process.http.serve(settings.self().inner(), inner::handle);
+        process.http.serveConnections(
+            settings.self().callers(),
+            process.forwarding.isPresent()
+                ? process.forwarding.get()::connection
+                : process.callers::connection);
+    RelayFront relay = new RelayFront(process.http, inner::handle);
+    process.http.serveConnections(settings.self().inner(), relay::connection);
+    settings.forwarding().ifPresent(process::serveReadiness);
     process.peers.listen(settings.self().peer());
     settings.controls().forEach(process.peers::dial);
     settings.neighbours().forEach(process.peers::dial);
@@ -105,6 +126,7 @@
   public void stop(Duration timeout) throws InterruptedException {
     LOG.log(System.Logger.Level.INFO, "gateway stopping");
     callers.closeConnections();
+    forwarding.ifPresent(ForwardFront::closeConnections);
     events.force(new GatewayEvent.StopAsked());
     if (!stopped.await(timeout.toMillis(), TimeUnit.MILLISECONDS)) {
       LOG.log(System.Logger.Level.WARNING, "requests cut by the end of the stop timeout");
@@ -144,6 +166,10 @@
         perform(new GatewayAction.Refuse(a.id(), busy));
         decide(new GatewayEvent.CallDropped(a.id()));
       }
+      case GatewayAction.Forward f when f.action() instanceof ForwardAction.Send a ->
+          decide(
+              new GatewayEvent.Forwarded(
+                  new ForwardEvent.AttemptEnded(a.id(), a.attempt(), new ForwardEnd.Broken(busy))));
       case GatewayAction.TellPeer a -> telemetry.count("peer_messages_dropped", 1);
       default -> perform(action);
     }
@@ -154,6 +180,12 @@
       case GatewayAction.ReadBody a -> calls.with(a.id(), callers::readBody);
       case GatewayAction.Refuse a -> end(a.id(), call -> callers.refuse(call, a.failure()));
       case GatewayAction.SendToEndpoint a -> calls.with(a.id(), call -> endpoints.send(call, a));
+      case GatewayAction.Forward a -> {
+        forwarding.ifPresent(front -> front.perform(a.action()));
+        if (a.action() instanceof ForwardAction.Ended ended) {
+          telemetry.record(ended.call());
+        }
+      }
       case GatewayAction.Replay a -> end(a.id(), call -> callers.replay(call, a.answer()));
       case GatewayAction.AnswerModels a ->
           end(a.id(), call -> callers.answerModels(call, a.models()));
@@ -177,6 +209,27 @@
     }
   }
 
+  private ForwardFront forwardFront(ForwardSettings settings) {
+    return new ForwardFront(
+        http,
+        time,
+        settings.dialect(),
+        event -> events.offer(new GatewayEvent.Forwarded(event)),
+        event -> events.force(new GatewayEvent.Forwarded(event)));
+  }
+
+  private void serveReadiness(ForwardSettings settings) {
+    settings
+        .readiness()
+        .ifPresent(
+            address ->
+                http.serve(
+                    address,
+                    request ->
+                        CompletableFuture.completedFuture(
+                            settings.dialect().readiness(request, ready))));
+  }
+
   private void closeListener() {
     ServerBinding open = listener;
     if (open != null) {
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewaySettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.shell.forward.ForwardSettings;
 import org.cuminwell.shell.peer.TlsFiles;
 
 /**
@@ -15,6 +16,8 @@
  * @param controls the peer addresses of the control hosts
  * @param neighbours the peer addresses of gateways of the same data centre, for a start while no
  *     control host can be reached
+ * @param forwarding how requests are forwarded unchanged, if they are; callers then reach this host
+ *     for that only
  * @param data the folder on the disk that keeps the last configuration, if there is a disk
  * @param tls proves this host to others; without it peers are believed
  */
@@ -23,6 +26,7 @@
     int floorSlots,
     List<HostAddress> controls,
     List<HostAddress> neighbours,
+    Optional<ForwardSettings> forwarding,
     Optional<Path> data,
     Optional<TlsFiles> tls) {
 
--- a/shell/src/main/java/org/cuminwell/shell/gateway/OutgoingHeaders.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/OutgoingHeaders.java
@@ -34,6 +34,7 @@
           "host",
           "keep-alive",
           "proxy-authenticate",
+          "raw-request-uri",
           "te",
           "timeout-access",
           "trailer",
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
@@ -49,6 +49,7 @@
             idle-timeout = 300 s
             max-connections = 16384
             backlog = 1024
+            raw-request-uri-header = on
             pipelining-limit = 2
             parsing.max-header-count = 64
             parsing.max-header-value-length = 8k
--- a/shell/src/main/java/org/cuminwell/shell/gateway/KeepAlive.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/KeepAlive.java
@@ -1,4 +1,4 @@
-package org.cuminwell.shell.gateway;
+package org.cuminwell.shell.http;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/shell/src/main/java/org/cuminwell/shell/metrics/Telemetry.java
+++ b/shell/src/main/java/org/cuminwell/shell/metrics/Telemetry.java
@@ -5,7 +5,7 @@
 import com.codahale.metrics.UniformReservoir;
 import java.util.Optional;
 import java.util.function.LongSupplier;
-import org.cuminwell.core.gateway.CallRecord;
+import org.cuminwell.core.model.CallRecord;
 import org.cuminwell.core.model.Failure;
 
 /**
--- a/wire/src/main/java/org/cuminwell/wire/ConfigurationCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/ConfigurationCodec.java
@@ -50,6 +50,7 @@
     sorted(from.routes()).forEach(route -> to.addRoute(toProto(route)));
     sorted(from.regions()).forEach(region -> to.addRegion(toProto(region)));
     sorted(from.rollouts()).forEach(rollout -> to.addRollout(toProto(rollout)));
+    to.setForwarding(ForwardingCodec.toProto(from.forwarding()));
     return to.build();
   }
 
@@ -60,7 +61,8 @@
         byId(from.getCustomerList(), ConfigurationCodec::fromProto, Customer::id),
         byId(from.getRouteList(), ConfigurationCodec::fromProto, Route::id),
         byId(from.getRegionList(), ConfigurationCodec::fromProto, Region::id),
-        byId(from.getRolloutList(), ConfigurationCodec::fromProto, Rollout::route));
+        byId(from.getRolloutList(), ConfigurationCodec::fromProto, Rollout::route),
+        ForwardingCodec.fromProto(from.getForwarding()));
   }
 
   /** Returns the message for a change. */
@@ -70,6 +72,9 @@
     write(from.routes(), r -> to.addRoute(toProto(r)), to::addRemovedRoute);
     write(from.regions(), r -> to.addRegion(toProto(r)), to::addRemovedRegion);
     write(from.rollouts(), r -> to.addRollout(toProto(r)), to::addRemovedRollout);
+    if (!from.forwarding().isEmpty()) {
+      to.setForwarding(ForwardingCodec.toProto(from.forwarding()));
+    }
     return to.build();
   }
 
@@ -92,7 +97,8 @@
         changes(
             byId(from.getRolloutList(), ConfigurationCodec::fromProto, Rollout::route),
             from.getRemovedRolloutList(),
-            RouteId::new));
+            RouteId::new),
+        ForwardingCodec.fromProto(from.getForwarding()));
   }
 
   private static org.cuminwell.wire.generated.Customer toProto(Customer from) {
@@ -102,6 +108,8 @@
         .setTokensPerSecond(from.limit().tokensPerSecond())
         .setBurstTokens(from.limit().burstTokens())
         .addAllBoundTo(names(from.boundTo(), RegionId::value))
+        .setRank(from.rank())
+        .setTokensOfPlainCall(from.tokensOfPlainCall())
         .build();
   }
 
@@ -110,7 +118,9 @@
         new CustomerId(from.getId()),
         set(from.getKeyHashList(), KeyHash::new),
         new TokenLimit(from.getTokensPerSecond(), from.getBurstTokens()),
-        set(from.getBoundToList(), RegionId::new));
+        set(from.getBoundToList(), RegionId::new),
+        from.getRank(),
+        from.getTokensOfPlainCall());
   }
 
   private static org.cuminwell.wire.generated.Route toProto(Route from) {
@@ -183,30 +193,29 @@
         new RolloutBounds(from.getFirstShare(), from.getMaxFailureRise(), from.getMaxSlowdown()));
   }
 
-  private static <K extends Comparable<K>, V> Collection<V> sorted(Map<K, V> map) {
+  static <K extends Comparable<K>, V> Collection<V> sorted(Map<K, V> map) {
     return new TreeMap<>(map).values();
   }
 
-  private static <T> Set<String> names(Set<T> values, Function<T, String> name) {
+  static <T> Set<String> names(Set<T> values, Function<T, String> name) {
     return values.stream().map(name).collect(Collectors.toCollection(TreeSet::new));
   }
 
-  private static <T> Set<T> set(List<String> names, Function<String, T> make) {
+  static <T> Set<T> set(List<String> names, Function<String, T> make) {
     return names.stream().map(make).collect(Collectors.toUnmodifiableSet());
   }
 
-  private static <P, K, V> Map<K, V> byId(
-      List<P> messages, Function<P, V> read, Function<V, K> id) {
+  static <P, K, V> Map<K, V> byId(List<P> messages, Function<P, V> read, Function<V, K> id) {
     return messages.stream().map(read).collect(Collectors.toUnmodifiableMap(id, v -> v));
   }
 
-  private static <K extends Comparable<K>, V> void write(
+  static <K extends Comparable<K>, V> void write(
       Map<K, Optional<V>> changes, Consumer<V> put, Consumer<String> remove) {
     new TreeMap<>(changes)
         .forEach((id, value) -> value.ifPresentOrElse(put, () -> remove.accept(id.toString())));
   }
 
-  private static <K, V> Map<K, Optional<V>> changes(
+  static <K, V> Map<K, Optional<V>> changes(
       Map<K, V> put, List<String> removed, Function<String, K> id) {
     Map<K, Optional<V>> changes =
         put.entrySet().stream()
--- a/wire/src/main/java/org/cuminwell/wire/ConsensusCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/ConsensusCodec.java
@@ -33,6 +33,12 @@
       case AgreementMessage.Placed m ->
           to.getPlacedBuilder().setId(m.id().value()).setIndex(m.index()).setTerm(m.term());
       case AgreementMessage.NotPlaced m -> to.getNotPlacedBuilder().setId(m.id().value());
+      case AgreementMessage.AskCommitted m ->
+          to.getAskCommittedBuilder().setAskedAtMicros(WireTime.micros(m.askedAt()));
+      case AgreementMessage.Committed m ->
+          to.getCommittedBuilder()
+              .setAskedAtMicros(WireTime.micros(m.askedAt()))
+              .setIndex(m.index());
     }
     return to.build();
   }
@@ -55,6 +61,13 @@
               from.getPlaced().getIndex(),
               from.getPlaced().getTerm());
       case NOT_PLACED -> new AgreementMessage.NotPlaced(new RequestId(from.getNotPlaced().getId()));
+      case ASK_COMMITTED ->
+          new AgreementMessage.AskCommitted(
+              WireTime.instant(from.getAskCommitted().getAskedAtMicros()));
+      case COMMITTED ->
+          new AgreementMessage.Committed(
+              WireTime.instant(from.getCommitted().getAskedAtMicros()),
+              from.getCommitted().getIndex());
       case KIND_NOT_SET -> throw new IllegalArgumentException("agreement message without a kind");
     };
   }
--- a/wire/src/main/java/org/cuminwell/wire/DistributionCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/DistributionCodec.java
@@ -27,6 +27,12 @@
       case DistributionMessage.Held held -> to.setHeld(held(held.revision()));
       case DistributionMessage.Ask ask -> to.setAsk(held(ask.held()));
       case DistributionMessage.Confirmed confirmed -> to.setConfirmed(toProto(confirmed));
+      case DistributionMessage.AskCurrent ask ->
+          to.getAskCurrentBuilder().setAskedAtMicros(WireTime.micros(ask.askedAt()));
+      case DistributionMessage.Current current ->
+          to.getCurrentBuilder()
+              .setAskedAtMicros(WireTime.micros(current.askedAt()))
+              .setRevision(current.revision().value());
     }
     return to.build();
   }
@@ -50,6 +56,13 @@
                           held -> new HostId(held.getHost()),
                           held -> new Revision(held.getRevision()),
                           (first, second) -> second)));
+      case ASK_CURRENT ->
+          new DistributionMessage.AskCurrent(
+              WireTime.instant(from.getAskCurrent().getAskedAtMicros()));
+      case CURRENT ->
+          new DistributionMessage.Current(
+              WireTime.instant(from.getCurrent().getAskedAtMicros()),
+              new Revision(from.getCurrent().getRevision()));
       case KIND_NOT_SET ->
           throw new IllegalArgumentException("distribution message without a kind");
     };
--- a/wire/src/main/java/org/cuminwell/wire/IdempotencyCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/IdempotencyCodec.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
-import org.cuminwell.core.idempotency.AnswerBytes;
 import org.cuminwell.core.idempotency.ClaimAnswer;
 import org.cuminwell.core.idempotency.ClaimBook;
 import org.cuminwell.core.idempotency.ClaimChange;
@@ -14,6 +13,7 @@
 import org.cuminwell.core.idempotency.IdempotencyKey;
 import org.cuminwell.core.idempotency.IdempotencyMessage;
 import org.cuminwell.core.idempotency.Outcome;
+import org.cuminwell.core.model.Bytes;
 import org.cuminwell.core.model.CustomerId;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
@@ -211,7 +211,7 @@
           new Outcome.Answered(
               from.getAnswered().getStatus(),
               from.getAnswered().getContentType(),
-              AnswerBytes.copyOf(from.getAnswered().getBody().toByteArray()));
+              Bytes.copyOf(from.getAnswered().getBody().toByteArray()));
       case NOT_KEPT ->
           new Outcome.NotKept(
               from.getNotKept().getStatus(),
--- a/wire/src/main/java/org/cuminwell/wire/MembershipCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/MembershipCodec.java
@@ -85,7 +85,9 @@
             .setCapacity(a.capacity())
             .setTimeToLiveMillis(a.timeToLive().toMillis())
             .setChecksFencing(a.checksFencing())
-            .setRemainingMillis(from.remaining().toMillis());
+            .setRemainingMillis(from.remaining().toMillis())
+            .setSequence(a.sequence())
+            .setColdMillis(a.coldFor().toMillis());
     from.load().ifPresent(load -> to.setLoad(toProto(load)));
     return to.build();
   }
@@ -102,7 +104,9 @@
             new VersionId(from.getVersion()),
             from.getCapacity(),
             Duration.ofMillis(from.getTimeToLiveMillis()),
-            from.getChecksFencing());
+            from.getChecksFencing(),
+            from.getSequence(),
+            Duration.ofMillis(from.getColdMillis()));
     return new Item.Announced(
         announcement,
         Duration.ofMillis(from.getRemainingMillis()),
--- a/wire/src/main/java/org/cuminwell/wire/StateCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/StateCodec.java
@@ -1,8 +1,12 @@
 package org.cuminwell.wire;
 
+import com.google.protobuf.ByteString;
 import java.time.Instant;
+import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.control.Command;
 import org.cuminwell.core.control.StateSnapshot;
+import org.cuminwell.core.model.Bytes;
+import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.model.TicketNumber;
 import org.cuminwell.core.ticket.Ticket;
@@ -22,6 +26,12 @@
     switch (from) {
       case Command.AcceptTicket c -> to.setAcceptTicket(toProto(c.ticket()));
       case Command.ChangeClaim c -> to.setChangeClaim(IdempotencyCodec.toProto(c.change()));
+      case Command.ReplaceConfiguration c ->
+          to.getReplaceConfigurationBuilder()
+              .setDocument(toProto(c.document()))
+              .setContent(ConfigurationCodec.toProto(c.content()));
+      case Command.Evacuate c ->
+          to.getEvacuateBuilder().setDataCentre(c.dataCentre().value()).setBegins(c.begins());
       case Command.AdvanceRollout c -> to.setAdvanceRollout(RolloutCodec.toProto(c.advance()));
     }
     return to.build();
@@ -34,6 +44,13 @@
           new Command.ChangeClaim(IdempotencyCodec.fromProto(from.getChangeClaim()));
       case ADVANCE_ROLLOUT ->
           new Command.AdvanceRollout(RolloutCodec.fromProto(from.getAdvanceRollout()));
+      case REPLACE_CONFIGURATION ->
+          new Command.ReplaceConfiguration(
+              fromProto(from.getReplaceConfiguration().getDocument()),
+              ConfigurationCodec.fromProto(from.getReplaceConfiguration().getContent()));
+      case EVACUATE ->
+          new Command.Evacuate(
+              new DataCentreId(from.getEvacuate().getDataCentre()), from.getEvacuate().getBegins());
       case KIND_NOT_SET -> throw new IllegalArgumentException("command without a kind");
     };
   }
@@ -44,6 +61,9 @@
     from.tickets().forEach(ticket -> to.addTicket(toProto(ticket)));
     to.setClaims(IdempotencyCodec.toProto(from.claims()));
     from.moves().forEach(move -> to.addMove(RolloutCodec.toProto(move)));
+    if (!from.document().equals(ConfigurationDocument.NONE)) {
+      to.setDocument(toProto(from.document()));
+    }
     return to.build();
   }
 
@@ -52,7 +72,21 @@
         ConfigurationCodec.fromProto(from.getConfiguration()),
         from.getTicketList().stream().map(StateCodec::fromProto).toList(),
         IdempotencyCodec.fromProto(from.getClaims()),
-        from.getMoveList().stream().map(RolloutCodec::fromProto).toList());
+        from.getMoveList().stream().map(RolloutCodec::fromProto).toList(),
+        from.hasDocument() ? fromProto(from.getDocument()) : ConfigurationDocument.NONE);
+  }
+
+  private static org.cuminwell.wire.generated.ConfigurationDocument toProto(
+      ConfigurationDocument from) {
+    return org.cuminwell.wire.generated.ConfigurationDocument.newBuilder()
+        .setVersion(from.version())
+        .setText(ByteString.copyFrom(from.text().toArray()))
+        .build();
+  }
+
+  private static ConfigurationDocument fromProto(
+      org.cuminwell.wire.generated.ConfigurationDocument from) {
+    return new ConfigurationDocument(from.getVersion(), Bytes.copyOf(from.getText().toByteArray()));
   }
 
   private static org.cuminwell.wire.generated.Ticket toProto(Ticket from) {
