Share out most of what nobody wants of a limit; test the forwarder's decisions

Change: three quarters of what nobody wants is split evenly over the gateways that hold a share, and a forwarded request waits half of its latency target for a share at most.

--- a/app/src/main/java/org/cuminwell/app/Main.java
+++ b/app/src/main/java/org/cuminwell/app/Main.java
@@ -1,7 +1,6 @@
 package org.cuminwell.app;
 
 import com.beust.jcommander.JCommander;
-import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -21,14 +20,8 @@
 public final class Main {
 
   private static final String CHECK = "check";
+  private static final String HELP = "--help";
 
-  /** Holds the flag that every command takes. */
-  private static final class HelpFlag {
-    @Parameter(names = "--help", help = true, description = "print this")
-    private boolean help;
-  }
-
-  private final HelpFlag help = new HelpFlag();
   private final Map<String, Command> commands = new LinkedHashMap<>();
 
   private Main() {
@@ -63,12 +56,16 @@
 
   private int run(boolean check, List<String> words) throws SettingException, InterruptedException {
     JCommander line = parser();
+    if (words.contains(HELP)) {
+      printHelp(line, words.stream().filter(commands::containsKey).findFirst().orElse(null));
+      return Command.OK;
+    }
     line.parse(words.toArray(String[]::new));
     String name = line.getParsedCommand();
     Command command = name == null ? null : commands.get(name);
-    if (name == null || command == null || help.help) {
+    if (name == null || command == null) {
       printHelp(line, name);
-      return help.help ? Command.OK : Command.USAGE;
+      return Command.USAGE;
     }
     if (!check) {
       return command.run();
@@ -105,13 +102,9 @@
 
   private JCommander parser() {
     JCommander.Builder builder =
-        JCommander.newBuilder()
-            .programName("cuminwell")
-            .defaultProvider(Settings::fromEnvironment)
-            .addObject(help);
+        JCommander.newBuilder().programName("cuminwell").defaultProvider(Settings::fromEnvironment);
     commands.forEach(builder::addCommand);
     JCommander line = builder.build();
-    line.getCommands().values().forEach(command -> command.addObject(help));
     return line;
   }
 }
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
@@ -79,6 +79,12 @@
     return deadline;
   }
 
+  /** Half of the latency target is left for the endpoint. */
+  @Override
+  public Duration patienceForShare() {
+    return route.latencyTarget().dividedBy(2);
+  }
+
   ForwardHead head() {
     return head;
   }
--- a/core/src/main/java/org/cuminwell/core/limit/AwaitedShares.java
+++ b/core/src/main/java/org/cuminwell/core/limit/AwaitedShares.java
@@ -19,7 +19,7 @@
 public final class AwaitedShares<C extends ChargedCall> {
 
   /** How long a request may wait for a share. */
-  static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
+  public static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
 
   /** How many requests may wait for shares. */
   static final int MAX_WAITING = 4_096;
@@ -39,7 +39,7 @@
     if (waiting.size() >= MAX_WAITING) {
       return false;
     }
-    Instant latest = now.plus(LONGEST_WAIT);
+    Instant latest = now.plus(call.patienceForShare());
     Instant until = call.deadline().isBefore(latest) ? call.deadline() : latest;
     waiting.put(call.id(), new Entry<>(call, until));
     return true;
--- a/core/src/main/java/org/cuminwell/core/limit/ChargedCall.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ChargedCall.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.limit;
 
+import java.time.Duration;
 import java.time.Instant;
 import org.cuminwell.core.model.Customer;
 import org.cuminwell.core.model.RequestId;
@@ -16,6 +17,11 @@
   /** Returns the tokens that are charged at admission. */
   long estimate();
 
+  /** Returns how long it may wait for a share of the limit. */
+  default Duration patienceForShare() {
+    return AwaitedShares.LONGEST_WAIT;
+  }
+
   /** Returns the time at which it must have ended. */
   Instant deadline();
 }
--- a/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
+++ b/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,10 @@
 
   private static final double HEADROOM = 1.3;
   private static final double SECONDS_OF_BURST = 3;
+
+  /** The part of what nobody wants now that is shared out for demand to come. */
+  private static final double LEFT_OVER_SHARED = 0.75;
+
   private static final double SHRINK_BELOW = 0.8;
   private static final double ENOUGH = 0.9;
 
@@ -183,7 +188,7 @@
         all.stream()
             .mapToDouble(e -> (double) e.getValue().demand().tokensPerSecond() * HEADROOM)
             .toArray();
-    return MaxMin.divide((double) rate, wanted);
+    return withLeftOver((double) rate, MaxMin.divide((double) rate, wanted));
   }
 
   private double[] wantedBursts(List<Map.Entry<HostId, Allotted>> all) {
@@ -201,7 +206,13 @@
     for (int i = 0; i < first.length; i++) {
       first[i] += second[i];
     }
-    return first;
+    return withLeftOver((double) burst, first);
+  }
+
+  /** Adds to each share an equal part of what nobody wants now, but for what stays in the pool. */
+  private static double[] withLeftOver(double whole, double[] shares) {
+    double left = Math.max(0, whole - Arrays.stream(shares).sum()) * LEFT_OVER_SHARED;
+    return Arrays.stream(shares).map(share -> share + left / shares.length).toArray();
   }
 
   private static long demand(List<Map.Entry<HostId, Allotted>> all) {
--- /dev/null
+++ b/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
@@ -0,0 +1,397 @@
+package org.cuminwell.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationIndex;
+import org.cuminwell.core.config.Forwarding;
+import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.directory.HostDirectory;
+import org.cuminwell.core.limit.ShareHolder;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.membership.EndpointTable;
+import org.cuminwell.core.model.CallerLimits;
+import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.CustomerId;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.ErrorCode;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.ForwardRoute;
+import org.cuminwell.core.model.ForwardService;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.KeyHash;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.core.model.Repeat;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.model.TokenLimit;
+import org.cuminwell.core.model.VersionId;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Holds what becomes of forwarded requests, by what their endpoints and callers do. */
+final class ForwarderTest {
+
+  private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+  private static final Place HERE = place("coast", "dakar");
+  private static final Place AWAY = place("inland", "tamba");
+  private static final RequestId ID = new RequestId("r1");
+  private static final KeyHash KEY = KeyHash.of("key");
+  private static final CustomerId CUSTOMER = new CustomerId("mbour");
+  private static final Duration LEASE = Duration.ofSeconds(4);
+  private static final HostAddress RELAY = new HostAddress("10.0.0.9", 7615);
+
+  private final EndpointTable endpoints = new EndpointTable();
+  private final HostDirectory directory = new HostDirectory();
+  private final Forwarder forwarder =
+      new Forwarder(
+          HERE, endpoints, directory, new ForwardBounds(LEASE, 0.2, 50), new SplittableRandom(1));
+  private final ShareHolder limits = new ShareHolder(HERE, 1, START);
+  private final List<ForwardAction> actions = new ArrayList<>();
+  private Instant now = START;
+  private Instant currentAt = START;
+  private boolean stopping;
+  private Configuration configuration = Configuration.EMPTY;
+
+  @BeforeEach
+  void meetRelay() {
+    directory.meet(new HostDescription(new HostId("away"), AWAY, RELAY, RELAY, RELAY, 0, false));
+  }
+
+  @ParameterizedTest(name = "{0}, {1} attempts, {2}: {3}")
+  @CsvSource({
+    "idempotent,       2, FINAL,         PASSED",
+    "idempotent,       2, FAILED,        SENT_AGAIN",
+    "idempotent,       1, FAILED,        PASSED",
+    "once,             1, FAILED,        PASSED",
+    "stream_once,      2, FAILED,        PASSED",
+    "idempotent,       1, NOT_RUN,       SENT_AGAIN",
+    "once,             1, NOT_RUN,       SENT_AGAIN",
+    "once,             1, OTHER,         SENT_AGAIN",
+    "idempotent,       2, FOREIGN,       SENT_AGAIN",
+    "once,             2, FOREIGN,       REFUSED_MAYBE_RUN",
+    "once,             2, NOT_CONNECTED, SENT_AGAIN",
+    "once,             2, BROKEN,        REFUSED_MAYBE_RUN",
+    "stream_once,      2, BROKEN,        REFUSED_MAYBE_RUN",
+    "idempotent,       2, BROKEN,        SENT_AGAIN",
+    "idempotent,       1, BROKEN,        REFUSED_MAYBE_RUN",
+    "resumable_stream, 2, BROKEN,        SENT_AGAIN",
+  })
+  void answersDecideWhatFollows(String repeat, int attempts, Step step, Outcome expected) {
+    serve(Repeat.of(repeat), attempts, HERE, HERE);
+    open(ID);
+    ForwardAction.Send first = lastSend();
+    actions.clear();
+    play(step, first);
+    assertThat(outcome()).isEqualTo(expected);
+  }
+
+  @ParameterizedTest(name = "{0} breaks off after its answer began: {1}")
+  @CsvSource({"resumable_stream, true", "stream_once, false", "idempotent, false"})
+  void onlyResumableStreamsGoOnElsewhere(String repeat, boolean resumes) {
+    serve(Repeat.of(repeat), 2, HERE, HERE);
+    open(ID);
+    ForwardAction.Send first = lastSend();
+    play(Step.FINAL, first);
+    actions.clear();
+    play(Step.BROKEN, first);
+    if (resumes) {
+      assertThat(lastSend().resumes()).isTrue();
+      assertThat(lastSend().endpoint()).isNotEqualTo(first.endpoint());
+    } else {
+      assertThat(actions).hasAtLeastOneElementOfType(ForwardAction.Cut.class);
+    }
+  }
+
+  @ParameterizedTest(name = "{0}: {1}")
+  @CsvSource({
+    "NOTHING,         ",
+    "STALE,           NOT_READY",
+    "STOPPING,        STOPPING",
+    "NO_KEY,          MISSING_KEY",
+    "WRONG_KEY,       INVALID_KEY",
+    "WRONG_PATH,      UNKNOWN_ROUTE",
+    "NO_ENDPOINT,     NO_ENDPOINT",
+    "EVACUATED,       NO_ENDPOINT",
+  })
+  void refusalsSayWhyAndThatNothingRan(String fault, ErrorCode expected) {
+    serve(new Repeat.Once(), 1, fault.equals("NO_ENDPOINT") ? new Place[0] : new Place[] {HERE});
+    Optional<KeyHash> key = Optional.of(KEY);
+    String path = "/a/1";
+    switch (fault) {
+      case "STALE" -> now = now.plus(LEASE);
+      case "STOPPING" -> stopping = true;
+      case "NO_KEY" -> key = Optional.empty();
+      case "WRONG_KEY" -> key = Optional.of(KeyHash.of("other"));
+      case "WRONG_PATH" -> path = "/b/1";
+      case "EVACUATED" -> evacuate(Set.of(HERE.dataCentre()));
+      default -> {}
+    }
+    handle(new ForwardEvent.Opened(head(ID, path, key)));
+    assertThat(failures())
+        .extracting(Failure::code)
+        .isEqualTo(expected == null ? List.of() : List.of(expected));
+    assertThat(failures()).allSatisfy(f -> assertThat(f.verdict().label()).isEqualTo("not_run"));
+  }
+
+  @ParameterizedTest(name = "route bound to {0}, endpoint in {1}: sent {2}, relayed {3}")
+  @CsvSource({
+    "'',     coast,  true,  false",
+    "'',     inland, true,  true",
+    "inland, coast,  false, false",
+    "inland, inland, true,  true",
+    "coast,  coast,  true,  false",
+  })
+  void requestsStayInTheirRegions(String bound, String region, boolean sent, boolean relayed) {
+    Set<RegionId> boundTo = bound.isEmpty() ? Set.of() : Set.of(new RegionId(bound));
+    configure(new Repeat.Once(), 1, boundTo, Set.of());
+    announce("e1", region.equals("coast") ? HERE : AWAY, Duration.ZERO);
+    open(ID);
+    assertThat(sends()).hasSize(sent ? 1 : 0);
+    assertThat(sends())
+        .allSatisfy(
+            s -> assertThat(s.relay()).isEqualTo(relayed ? Optional.of(RELAY) : Optional.empty()));
+  }
+
+  @ParameterizedTest(name = "{0} requests in a second, {1} of them to a cold endpoint at most")
+  @CsvSource({"20, 4", "200, 4"})
+  void coldEndpointsGetNoMoreThanTheyBear(int requests, int most) {
+    configure(new Repeat.Once(), 1, Set.of(), Set.of());
+    announce("cold", HERE, Duration.ofSeconds(5));
+    for (int i = 0; i < requests; i++) {
+      open(new RequestId("r" + i));
+      now = now.plus(Duration.ofSeconds(1).dividedBy(requests));
+    }
+    assertThat(sends().size()).isBetween(1, most);
+  }
+
+  @ParameterizedTest(name = "heard {0} ms after the data centre was taken back: {1} sent")
+  @CsvSource({"-100, 1", "100, 20"})
+  void endpointsTakenBackAreColdUntilHeardAgain(long heardAfterMillis, int sent) {
+    configure(new Repeat.Once(), 1, Set.of(), Set.of(HERE.dataCentre()));
+    open(new RequestId("before"));
+    if (heardAfterMillis < 0) {
+      announce("e1", HERE, Duration.ZERO);
+      now = now.plusMillis(-heardAfterMillis);
+      evacuate(Set.of());
+      forwarder.tick(known(), now);
+    } else {
+      evacuate(Set.of());
+      forwarder.tick(known(), now);
+      now = now.plusMillis(heardAfterMillis);
+      announce("e1", HERE, Duration.ZERO);
+    }
+    for (int i = 0; i < 20; i++) {
+      open(new RequestId("r" + i));
+    }
+    assertThat(sends()).hasSize(sent);
+  }
+
+  @ParameterizedTest(name = "{0}, answer begun {1}: {2}")
+  @CsvSource({
+    "once,        false, REFUSED_MAYBE_RUN",
+    "idempotent,  false, REFUSED_MAYBE_RUN",
+    "stream_once, true,  CUT",
+  })
+  void requestsEndAtTheirDeadline(String repeat, boolean begun, Outcome expected) {
+    serve(Repeat.of(repeat), 1, HERE);
+    open(ID);
+    ForwardAction.Send first = lastSend();
+    if (begun) {
+      play(Step.FINAL, first);
+    }
+    actions.clear();
+    now = now.plusSeconds(3);
+    currentAt = now;
+    actions.addAll(forwarder.tick(known(), now));
+    assertThat(outcome()).isEqualTo(expected);
+    assertThat(actions).contains(new ForwardAction.Abandon(ID, 1));
+    assertThat(forwarder.isIdle()).isTrue();
+  }
+
+  enum Step {
+    FINAL,
+    FAILED,
+    NOT_RUN,
+    OTHER,
+    FOREIGN,
+    NOT_CONNECTED,
+    BROKEN
+  }
+
+  enum Outcome {
+    PASSED,
+    SENT_AGAIN,
+    REFUSED_MAYBE_RUN,
+    REFUSED_NOT_RUN,
+    CUT,
+    NOTHING
+  }
+
+  private void play(Step step, ForwardAction.Send send) {
+    Failure unconnected = Failure.notRun(ErrorCode.ENDPOINT_FAILED, "no connection");
+    Failure broken = Failure.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "broke");
+    switch (step) {
+      case FINAL -> answer(send, new AnswerHead.Final(200));
+      case FAILED -> answer(send, new AnswerHead.Failed(500));
+      case NOT_RUN -> answer(send, new AnswerHead.NotRun(503, false, Optional.empty()));
+      case OTHER -> answer(send, new AnswerHead.NotRun(421, true, Optional.empty()));
+      case FOREIGN -> answer(send, new AnswerHead.Foreign());
+      case NOT_CONNECTED -> end(send, new ForwardEnd.Broken(unconnected));
+      case BROKEN -> end(send, new ForwardEnd.Broken(broken));
+    }
+  }
+
+  private void answer(ForwardAction.Send send, AnswerHead head) {
+    handle(new ForwardEvent.AnswerCame(send.id(), send.attempt(), head));
+  }
+
+  private void end(ForwardAction.Send send, ForwardEnd end) {
+    handle(new ForwardEvent.AttemptEnded(send.id(), send.attempt(), end));
+  }
+
+  private Outcome outcome() {
+    for (ForwardAction action : actions) {
+      switch (action) {
+        case ForwardAction.Send a -> {
+          return Outcome.SENT_AGAIN;
+        }
+        case ForwardAction.PassAnswer a -> {
+          return Outcome.PASSED;
+        }
+        case ForwardAction.Refuse a -> {
+          return a.failure().verdict().label().equals("not_run")
+              ? Outcome.REFUSED_NOT_RUN
+              : Outcome.REFUSED_MAYBE_RUN;
+        }
+        case ForwardAction.Cut a -> {
+          return Outcome.CUT;
+        }
+        case ForwardAction.Abandon a -> {}
+        case ForwardAction.Ended a -> {}
+      }
+    }
+    return Outcome.NOTHING;
+  }
+
+  private List<Failure> failures() {
+    return actions.stream()
+        .filter(ForwardAction.Refuse.class::isInstance)
+        .map(action -> ((ForwardAction.Refuse) action).failure())
+        .toList();
+  }
+
+  private List<ForwardAction.Send> sends() {
+    return actions.stream()
+        .filter(ForwardAction.Send.class::isInstance)
+        .map(ForwardAction.Send.class::cast)
+        .toList();
+  }
+
+  private ForwardAction.Send lastSend() {
+    return sends().getLast();
+  }
+
+  private void open(RequestId id) {
+    handle(new ForwardEvent.Opened(head(id, "/a/1", Optional.of(KEY))));
+  }
+
+  private void handle(ForwardEvent event) {
+    actions.addAll(forwarder.handle(event, known(), now));
+  }
+
+  private Forwarder.Known known() {
+    return new Forwarder.Known(ConfigurationIndex.of(configuration), currentAt, limits, stopping);
+  }
+
+  private ForwardHead head(RequestId id, String path, Optional<KeyHash> key) {
+    return new ForwardHead(
+        id,
+        id.value(),
+        "host.example",
+        path,
+        key,
+        now,
+        Optional.of(Duration.ofSeconds(3)),
+        OptionalLong.empty(),
+        List.of());
+  }
+
+  private void serve(Repeat repeat, int attempts, Place... places) {
+    configure(repeat, attempts, Set.of(), Set.of());
+    int count = 0;
+    for (Place place : places) {
+      announce("e" + count++, place, Duration.ZERO);
+    }
+  }
+
+  private void announce(String id, Place place, Duration coldFor) {
+    endpoints.announce(
+        new Announcement(
+            new EndpointId(id),
+            1,
+            place,
+            new HostAddress("10.0.1." + endpoints.all().size(), 80),
+            Set.of("app"),
+            new VersionId("v1"),
+            4,
+            Duration.ofSeconds(10),
+            false,
+            1,
+            coldFor),
+        now);
+  }
+
+  private void configure(
+      Repeat repeat, int attempts, Set<RegionId> boundTo, Set<DataCentreId> evacuated) {
+    RouteId id = new RouteId("a");
+    ForwardRoute route =
+        new ForwardRoute(
+            id,
+            "host.example",
+            "/a/",
+            repeat,
+            Duration.ofSeconds(5),
+            Duration.ofMillis(300),
+            0,
+            List.of(new ForwardRoute.Weighted("app", 1)),
+            attempts,
+            false,
+            false,
+            boundTo);
+    ForwardService service = new ForwardService("app", "/health", 10, Duration.ofSeconds(3), 3);
+    Customer customer = new Customer(CUSTOMER, Set.of(KEY), TokenLimit.UNLIMITED, Set.of());
+    configuration =
+        new Configuration(
+            new Revision(1),
+            Map.of(CUSTOMER, customer),
+            Map.of(),
+            Map.of(),
+            Map.of(),
+            new Forwarding(
+                Map.of(id, route), Map.of("app", service), CallerLimits.DEFAULT, evacuated));
+  }
+
+  private void evacuate(Set<DataCentreId> dataCentres) {
+    configuration =
+        configuration.withForwarding(configuration.forwarding().withEvacuated(dataCentres));
+  }
+
+  private static Place place(String region, String dataCentre) {
+    return new Place(new RegionId(region), new DataCentreId(dataCentre));
+  }
+}
--- a/shell/src/test/java/org/cuminwell/shell/gateway/CutOffStartTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/CutOffStartTest.java
@@ -130,7 +130,14 @@
     AgreementSettings agreement =
         new AgreementSettings(folder.resolve("control"), Set.of(self), true);
     return new ControlSettings(
-        self, operators, peer, List.of(peer), agreement, OperatorAccess.open(), Optional.empty());
+        self,
+        operators,
+        peer,
+        List.of(peer),
+        agreement,
+        OperatorAccess.open(),
+        List.of(),
+        Optional.empty());
   }
 
   private static GatewaySettings settings(HostDescription self, HostAddress control) {
@@ -140,7 +147,13 @@
   private static GatewaySettings settings(
       HostDescription self, HostAddress control, List<HostAddress> known, Optional<Path> data) {
     return new GatewaySettings(
-        self, Floors.DEFAULT_SLOTS, List.of(control), known, data, Optional.empty());
+        self,
+        Floors.DEFAULT_SLOTS,
+        List.of(control),
+        known,
+        Optional.empty(),
+        data,
+        Optional.empty());
   }
 
   private static HostDescription describe(String id) throws IOException {
--- a/shell/src/test/java/org/cuminwell/shell/gateway/GatewayFixture.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/GatewayFixture.java
@@ -66,7 +66,13 @@
     process =
         GatewayProcess.start(
             new GatewaySettings(
-                self, 1, List.of(controlAddress), List.of(), Optional.empty(), Optional.empty()));
+                self,
+                1,
+                List.of(controlAddress),
+                List.of(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty()));
     while (send(inner("/readyz").GET()).statusCode() != 200) {
       Thread.sleep(10);
     }
