--- a/app/src/main/java/org/cuminwell/app/ControlCommand.java
+++ b/app/src/main/java/org/cuminwell/app/ControlCommand.java
@@ -105,9 +105,11 @@
     if (voters.isEmpty() && control.size() <= 1) {
       voters.add(self);
     }
-    if (!voters.contains(self)) {
+    boolean votes = voters.contains(self);
+    if (!votes && seeds.ids().isEmpty()) {
       throw new SettingException("--voter", "must name every control host, also " + self);
     }
-    return new AgreementSettings(Settings.checked("--data", data, Path::of), voters, bootstrap);
+    return new AgreementSettings(
+        Settings.checked("--data", data, Path::of), voters, bootstrap && votes);
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.Show;
 import org.cuminwell.core.control.ControlAction.TellPeer;
@@ -11,6 +12,7 @@
 import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.distribution.GatewayContact;
 import org.cuminwell.core.distribution.Publisher;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.peer.Outgoing;
@@ -26,7 +28,7 @@
   private final HostId self;
   private final Agreement agreement;
   private final ReplicatedState state;
-  private final Publisher publisher = new Publisher();
+  private final Publisher publisher;
   private final ShareDuty shares = new ShareDuty();
   private final Submissions submissions;
   private final ClaimDuty claims;
@@ -35,9 +37,14 @@
   private final CurrentReads reads = new CurrentReads();
   private boolean changed;
 
-  /** Makes the state of a control host that takes part in the agreement. */
-  public Control(HostId self, Agreement agreement) {
+  /**
+   * Makes the state of a control host that takes part in the agreement.
+   *
+   * @param controls the peer addresses of the control hosts that it knows, its own among them
+   */
+  public Control(HostId self, Set<HostAddress> controls, Agreement agreement) {
     this.self = self;
+    this.publisher = new Publisher(controls);
     this.agreement = agreement;
     this.state = agreement.state();
     publisher.publish(state.configuration());
--- a/core/src/main/java/org/cuminwell/core/directory/DirectoryMessage.java
+++ b/core/src/main/java/org/cuminwell/core/directory/DirectoryMessage.java
@@ -1,6 +1,8 @@
 package org.cuminwell.core.directory;
 
 import java.util.List;
+import java.util.Set;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 
 /** Carries what is known of the entry hosts. Immutable and thread safe. */
@@ -9,8 +11,17 @@
   /** Describes the sender, a gateway. */
   record Here(HostDescription host) implements DirectoryMessage {}
 
-  /** Says that the sender is a control host. */
-  record ControlHere() implements DirectoryMessage {}
+  /**
+   * Says that the sender is a control host.
+   *
+   * @param controls the peer addresses of the control hosts that it knows, its own among them
+   */
+  record ControlHere(Set<HostAddress> controls) implements DirectoryMessage {
+    /** Copies the set. */
+    public ControlHere {
+      controls = Set.copyOf(controls);
+    }
+  }
 
   /**
    * Tells of entry hosts; those not named stay as they were.
--- a/core/src/main/java/org/cuminwell/core/distribution/Publisher.java
+++ b/core/src/main/java/org/cuminwell/core/distribution/Publisher.java
@@ -16,6 +16,7 @@
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.distribution.DistributionMessage.Held;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Place;
 import org.cuminwell.core.model.Revision;
@@ -44,6 +45,7 @@
   static final Duration DIRECTORY_GRACE = Duration.ofSeconds(10);
 
   private final ConfigurationHolder holder = new ConfigurationHolder();
+  private final TreeSet<HostAddress> controls;
   private final TreeMap<HostId, GatewayContact> gateways = new TreeMap<>();
   private final Map<HostId, Sent> sent = new HashMap<>();
   private final Set<HostId> told = new HashSet<>();
@@ -53,6 +55,11 @@
 
   private record Sent(Revision to, Instant at) {}
 
+  /** Makes the publisher of a control host that knows the control hosts at these addresses. */
+  public Publisher(Set<HostAddress> controls) {
+    this.controls = new TreeSet<>(controls);
+  }
+
   /** Takes in a committed configuration and the change that led to it from the one before. */
   public void publish(Configuration configuration, ConfigurationChange change) {
     if (configuration.revision().isAfter(holder.revision())) {
@@ -68,7 +75,8 @@
   /** Returns what to say to a peer that has just been reached. */
   public List<Outgoing> connected(HostId peer) {
     return List.of(
-        tell(peer, new DirectoryMessage.ControlHere()), tell(peer, new Held(holder.revision())));
+        tell(peer, new DirectoryMessage.ControlHere(controls)),
+        tell(peer, new Held(holder.revision())));
   }
 
   /** Takes in that a peer can't be reached. */
@@ -83,7 +91,13 @@
   public List<Outgoing> hear(HostId peer, DirectoryMessage message, Instant now) {
     switch (message) {
       case DirectoryMessage.Here here -> describe(peer, here.host(), now);
-      case DirectoryMessage.ControlHere here -> {}
+      case DirectoryMessage.ControlHere here -> {
+        if (controls.addAll(here.controls())) {
+          return inContact().stream()
+              .map(gateway -> tell(gateway, new DirectoryMessage.ControlHere(controls)))
+              .toList();
+        }
+      }
       case DirectoryMessage.Hosts hosts -> {}
     }
     return List.of();
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayPeers.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayPeers.java
@@ -107,6 +107,7 @@
       case DirectoryMessage.Here here -> meet(peer, here.host(), actions);
       case DirectoryMessage.ControlHere here -> {
         contacts.foundControl(peer);
+        here.controls().forEach(address -> actions.add(new Dial(address)));
         send(membership.met(peer), actions);
       }
       case DirectoryMessage.Hosts hosts -> learn(peer, hosts, actions);
--- a/core/src/main/java/org/cuminwell/core/model/HostAddress.java
+++ b/core/src/main/java/org/cuminwell/core/model/HostAddress.java
@@ -1,13 +1,17 @@
 package org.cuminwell.core.model;
 
+import java.util.Comparator;
+
 /**
  * Names a socket address by IP number or name and port.
  *
  * <p>Invariant: the host is not empty and the port is from 1 to 65535. Immutable and thread safe.
  */
-public record HostAddress(String host, int port) {
+public record HostAddress(String host, int port) implements Comparable<HostAddress> {
 
   private static final int MAX_PORT = 65_535;
+  private static final Comparator<HostAddress> ORDER =
+      Comparator.comparing(HostAddress::host).thenComparingInt(HostAddress::port);
 
   /**
    * Checks both parts.
@@ -42,6 +46,11 @@
     return new HostAddress(text.substring(0, colon), Integer.parseInt(port));
   }
 
+  @Override
+  public int compareTo(HostAddress other) {
+    return ORDER.compare(this, other);
+  }
+
   @Override
   public String toString() {
     return host + ":" + port;
--- a/core/src/test/java/org/cuminwell/core/distribution/DistributionCluster.java
+++ b/core/src/test/java/org/cuminwell/core/distribution/DistributionCluster.java
@@ -86,8 +86,8 @@
 
   DistributionCluster(long seed) {
     random = new SplittableRandom(seed);
-    controls.put(LEADER, new Publisher());
-    controls.put(BEHIND, new Publisher());
+    controls.put(LEADER, new Publisher(Set.of()));
+    controls.put(BEHIND, new Publisher(Set.of()));
     int number = 0;
     for (String centre : List.of("dakar", "tamba")) {
       for (int i = 0; i < 3; i++) {
--- a/shell/src/main/java/org/cuminwell/shell/control/AgreementSettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/AgreementSettings.java
@@ -8,7 +8,7 @@
  * Holds the checked settings of the agreement. Immutable and thread safe.
  *
  * @param data the folder that keeps the journal
- * @param voters every control host, this one among them
+ * @param voters the control hosts that vote; one that does not, only tells what it hears
  * @param bootstrap whether an empty data folder may found a new cluster; otherwise the host joins
  *     the cluster that there is
  */
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -2,7 +2,9 @@
 
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.control.Agreement;
@@ -58,7 +60,9 @@
 
   private ControlProcess(ControlSettings settings) {
     journal = Journal.open(settings.agreement().data(), () -> fresh(settings.agreement()));
-    control = new Control(settings.self(), agreement(settings));
+    Set<HostAddress> controls = new HashSet<>(settings.controls());
+    controls.add(settings.peer());
+    control = new Control(settings.self(), controls, agreement(settings));
     status = control.agreement(time.instant());
     http = HttpSystem.start("control");
     tls = settings.tls().map(PeerTls::orFail);
@@ -94,7 +98,7 @@
     }
     process.peers.listen(settings.peer());
     settings.controls().stream()
-        .filter(address -> isAfter(address, settings.peer()))
+        .filter(address -> dials(settings, address))
         .forEach(process.peers::dial);
     LOG.log(System.Logger.Level.INFO, "control host started at " + settings.operators());
     return process;
@@ -177,6 +181,13 @@
     }
   }
 
+  /** A host that the others do not know of dials all of them. */
+  private static boolean dials(ControlSettings settings, HostAddress other) {
+    return settings.agreement().voters().contains(settings.self())
+        ? isAfter(other, settings.peer())
+        : !other.equals(settings.peer());
+  }
+
   /** Orders addresses, so that of two control hosts only one dials the other. */
   private static boolean isAfter(HostAddress address, HostAddress own) {
     return address.toString().compareTo(own.toString()) > 0;
--- a/wire/src/main/java/org/cuminwell/wire/DirectoryCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/DirectoryCodec.java
@@ -1,5 +1,6 @@
 package org.cuminwell.wire;
 
+import java.util.stream.Collectors;
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.model.DataCentreId;
@@ -22,8 +23,9 @@
     switch (from) {
       case DirectoryMessage.Here here -> to.setHere(toProto(here.host()));
       case DirectoryMessage.ControlHere here ->
-          to.setControlHere(
-              org.cuminwell.wire.generated.DirectoryMessage.ControlHere.getDefaultInstance());
+          to.getControlHereBuilder()
+              .addAllControl(
+                  here.controls().stream().sorted().map(DirectoryCodec::toProto).toList());
       case DirectoryMessage.Hosts all -> {
         var hosts = org.cuminwell.wire.generated.DirectoryMessage.Hosts.newBuilder();
         all.hosts().forEach(host -> hosts.addHost(toProto(host)));
@@ -41,7 +43,11 @@
           new DirectoryMessage.Hosts(
               from.getHosts().getHostList().stream().map(DirectoryCodec::fromProto).toList(),
               from.getHosts().getGoneList().stream().map(HostId::new).toList());
-      case CONTROL_HERE -> new DirectoryMessage.ControlHere();
+      case CONTROL_HERE ->
+          new DirectoryMessage.ControlHere(
+              from.getControlHere().getControlList().stream()
+                  .map(DirectoryCodec::fromProto)
+                  .collect(Collectors.toUnmodifiableSet()));
       case KIND_NOT_SET -> throw new IllegalArgumentException("directory message without a kind");
     };
   }
