Write down each decision about a request, on a thread that nobody waits for

Request lines name the caller's id, what was decided and on what: endpoint and how long ago it was heard, revision and its age, verdict and reason. Lines go over a ring to a writer; what finds no room is counted. Library logs reach it too.

--- a/app/src/main/java/org/cuminwell/app/StructuredLog.java
+++ b/app/src/main/java/org/cuminwell/app/StructuredLog.java
@@ -2,41 +2,112 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.logging.ConsoleHandler;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import org.cuminwell.shell.duty.Duty;
+import org.cuminwell.shell.duty.Ring;
 
-/** Writes log lines as JSON, one object a line, so that programs can read them. Thread safe. */
-final class StructuredLog extends Formatter {
+/**
+ * Writes log lines as JSON, one object a line, so that programs can read them.
+ *
+ * <p>Lines go through a ring to a thread that writes, so that nobody who logs waits for the output.
+ * Invariant: a line that finds no room is counted, and the count is written as soon as there is
+ * room. Thread safe.
+ */
+final class StructuredLog extends Handler {
 
-  private StructuredLog() {}
+  private static final int RING = 4_096;
+  private static final int MAX_BATCH = 64 * 1024;
 
-  /** Makes every logger of the process write to standard error in this form. */
+  private final Ring<LogRecord> lines = new Ring<>(RING);
+  private final AtomicLong dropped = new AtomicLong();
+  private final Formatter formatter = new JsonLines();
+  private final PrintStream out;
+  private final Duty<LogRecord> writer;
+
+  StructuredLog(PrintStream out) {
+    this.out = out;
+    this.writer = Duty.start("log", lines, this::write);
+  }
+
+  /** Makes every logger of the process write to standard output in this form. */
   static void install() {
     Logger root = Logger.getLogger("");
     for (Handler handler : root.getHandlers()) {
       root.removeHandler(handler);
     }
-    ConsoleHandler console = new ConsoleHandler();
-    console.setFormatter(new StructuredLog());
-    console.setLevel(Level.INFO);
-    root.addHandler(console);
+    root.addHandler(new StructuredLog(System.out));
+    // The library looks for a network card's address, which hosts need not have.
+    Logger.getLogger("io.netty.util.internal").setLevel(Level.SEVERE);
+  }
+
+  @Override
+  public void publish(LogRecord line) {
+    if (line.getLevel().intValue() >= Level.INFO.intValue() && !lines.offer(line)) {
+      dropped.incrementAndGet();
+    }
+  }
+
+  /** Returns how many lines found no room and are not told of yet. */
+  long dropped() {
+    return dropped.get();
   }
 
   @Override
-  public String format(LogRecord line) {
-    ObjectNode node = JsonNodeFactory.instance.objectNode();
-    node.put("time", line.getInstant().toString());
-    node.put("level", line.getLevel().getName());
-    node.put("logger", line.getLoggerName());
-    node.put("message", formatMessage(line));
-    Throwable thrown = line.getThrown();
-    if (thrown != null) {
-      node.put("error", thrown.toString());
+  public void flush() {
+    out.flush();
+  }
+
+  @Override
+  public void close() {
+    writer.close();
+  }
+
+  private void write(LogRecord first) {
+    StringBuilder batch = new StringBuilder();
+    long lost = dropped.getAndSet(0);
+    if (lost > 0) {
+      LogRecord note = new LogRecord(Level.WARNING, "lines dropped: " + lost);
+      note.setLoggerName(StructuredLog.class.getName());
+      batch.append(formatter.format(note));
+    }
+    Optional<LogRecord> next = Optional.of(first);
+    while (next.isPresent()) {
+      batch.append(formatter.format(next.get()));
+      next = batch.length() < MAX_BATCH ? lines.poll() : Optional.empty();
+    }
+    byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
+    out.write(bytes, 0, bytes.length);
+    out.flush();
+  }
+
+  /** Makes one JSON object of a line; a message that is one already is taken apart. Stateless. */
+  private static final class JsonLines extends Formatter {
+
+    @Override
+    public String format(LogRecord line) {
+      ObjectNode node = JsonNodeFactory.instance.objectNode();
+      node.put("time", line.getInstant().toString());
+      node.put("level", line.getLevel().getName());
+      node.put("logger", line.getLoggerName());
+      String message = formatMessage(line);
+      if (message.startsWith("{") && message.endsWith("}")) {
+        String head = node.toString();
+        return head.substring(0, head.length() - 1) + "," + message.substring(1) + "\n";
+      }
+      node.put("message", message);
+      Throwable thrown = line.getThrown();
+      if (thrown != null) {
+        node.put("error", thrown.toString());
+      }
+      return node + "\n";
     }
-    return node + "\n";
   }
 }
--- a/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
+++ b/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
@@ -46,8 +46,14 @@
   private final Map<DataCentreId, Instant> takenBackAt = new HashMap<>();
   private Set<DataCentreId> evacuated = Set.of();
 
-  /** Names an endpoint and the way to it. Immutable and thread safe. */
-  record Target(Announcement announcement, Optional<HostAddress> relay) {}
+  /**
+   * Names an endpoint and the way to it. Immutable and thread safe.
+   *
+   * @param heardAt when the endpoint was last heard
+   * @param outOf how many endpoints could have been chosen
+   */
+  record Target(
+      Announcement announcement, Optional<HostAddress> relay, Instant heardAt, int outOf) {}
 
   EndpointChoice(
       Place here, EndpointTable endpoints, HostDirectory directory, SplittableRandom random) {
@@ -90,7 +96,11 @@
               if (isCold(entry, now)) {
                 coldSentAt.put(entry.announcement().endpoint(), now);
               }
-              return new Target(entry.announcement(), relayTo(regionOf(entry)));
+              return new Target(
+                  entry.announcement(),
+                  relayTo(regionOf(entry)),
+                  entry.heardAt(),
+                  candidates.size());
             });
   }
 
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
@@ -49,6 +49,13 @@
   /** Breaks off an answer that has begun, so that the caller sees that it is not whole. */
   record Cut(RequestId id, Failure failure) implements ForwardAction {}
 
+  /**
+   * Writes down a decision.
+   *
+   * @param callerId the name that the caller gave the request
+   */
+  record Note(RequestId id, String callerId, ForwardNote note) implements ForwardAction {}
+
   /** Tells that the request has ended, after what answers it. */
   record Ended(RequestId id, CallRecord call) implements ForwardAction {}
 }
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -17,6 +17,7 @@
 import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.membership.EndpointTable;
+import org.cuminwell.core.model.CallRecord;
 import org.cuminwell.core.model.Customer;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
@@ -24,6 +25,7 @@
 import org.cuminwell.core.model.Place;
 import org.cuminwell.core.model.Repeat;
 import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.model.Verdict;
 import org.cuminwell.core.retry.RetryBudget;
 import org.jspecify.annotations.Nullable;
@@ -46,6 +48,7 @@
   /** The part of the bounds that is used, since gateways do not know each other's retries. */
   private static final double BUDGET_PART = 0.7;
 
+  private static final Duration UNKNOWN_AGE = Duration.ofDays(1);
   private static final Duration LEAST_PATIENCE = Duration.ofSeconds(1);
   private static final Duration LONGEST_SILENCE = Duration.ofMillis(1_500);
   private static final Duration RETRY_SOON = Duration.ofMillis(300);
@@ -88,6 +91,15 @@
     Forwarding forwarding() {
       return configuration.configuration().forwarding();
     }
+
+    Revision revision() {
+      return configuration.configuration().revision();
+    }
+
+    /** Returns how long ago the configuration was last known to be the latest. */
+    Duration age(Instant now) {
+      return currentAt.equals(Instant.MIN) ? UNKNOWN_AGE : Duration.between(currentAt, now);
+    }
   }
 
   /** Returns what to do about the event, in order. */
@@ -144,6 +156,7 @@
     Optional<Failure> refusal = refusal(head, route, customer, known, now);
     if (refusal.isPresent()) {
       actions.add(new ForwardAction.Refuse(head.id(), refusal.get()));
+      noteEnd(head, route, customer, refusal, known, now, actions);
       return;
     }
     ForwardedCall call =
@@ -190,7 +203,7 @@
     }
     Optional<Failure> refusal = LimitRefusal.of(admission, call.estimate());
     if (refusal.isPresent()) {
-      refuse(call, refusal.get(), now, actions);
+      refuse(call, refusal.get(), known, now, actions);
     } else {
       attempt(call, known, now, actions);
     }
@@ -198,7 +211,9 @@
 
   private void retryAwaited(Known known, Instant now, List<ForwardAction> actions) {
     AwaitedShares.Result<ForwardedCall> result = awaited.retry(known.limits(), now);
-    result.refused().forEach(refused -> refuse(refused.call(), refused.failure(), now, actions));
+    result
+        .refused()
+        .forEach(refused -> refuse(refused.call(), refused.failure(), known, now, actions));
     result.admitted().forEach(call -> attempt(call, known, now, actions));
   }
 
@@ -215,6 +230,7 @@
       budget(call).earn();
     }
     choice.sent(call, endpoint, now);
+    note(call, sent(call, target.get(), now), actions);
     Duration left = Duration.between(now, call.deadline());
     boolean another = maySendAnother(call, Verdict.mayHaveRun(), now) && budget(call).hasSome();
     actions.add(
@@ -306,6 +322,7 @@
   /** Sends the request again after an attempt that gave no whole answer, or gives it up. */
   private void broken(
       ForwardedCall call, Failure failure, Known known, Instant now, List<ForwardAction> actions) {
+    note(call, new ForwardNote.AttemptFailed(call.attempts(), failure), actions);
     call.judge(failure.verdict());
     settleAttempt(call, failure.code() != ErrorCode.BUSY, now);
     boolean resumes = !call.isAnswerPassed() || isResumable(call);
@@ -368,10 +385,10 @@
 
   /** Refuses a request for which nothing was charged or sent. */
   private void refuse(
-      ForwardedCall call, Failure failure, Instant now, List<ForwardAction> actions) {
+      ForwardedCall call, Failure failure, Known known, Instant now, List<ForwardAction> actions) {
     calls.remove(call.id());
     actions.add(new ForwardAction.Refuse(call.id(), failure));
-    actions.add(new ForwardAction.Ended(call.id(), call.record(now, Optional.of(failure))));
+    ended(call, Optional.of(failure), known, now, actions);
   }
 
   private void finish(
@@ -386,7 +403,64 @@
       call.customerIfAny()
           .ifPresent(customer -> known.limits().settle(customer, call.estimate(), 0, now));
     }
-    actions.add(new ForwardAction.Ended(call.id(), call.record(now, failure)));
+    ended(call, failure, known, now, actions);
+  }
+
+  private static void ended(
+      ForwardedCall call,
+      Optional<Failure> failure,
+      Known known,
+      Instant now,
+      List<ForwardAction> actions) {
+    CallRecord record = call.record(now, failure);
+    actions.add(new ForwardAction.Ended(call.id(), record));
+    note(
+        call,
+        new ForwardNote.Ended(
+            record.route(),
+            record.customer(),
+            record.attempts(),
+            record.endedAfter(),
+            record.firstByteAfter(),
+            known.revision(),
+            known.age(now),
+            failure),
+        actions);
+  }
+
+  private static void noteEnd(
+      ForwardHead head,
+      Optional<ForwardRoute> route,
+      Optional<Customer> customer,
+      Optional<Failure> failure,
+      Known known,
+      Instant now,
+      List<ForwardAction> actions) {
+    ForwardNote note =
+        new ForwardNote.Ended(
+            route.map(ForwardRoute::id),
+            customer.map(Customer::id),
+            0,
+            Duration.between(head.arrivedAt(), now),
+            Optional.empty(),
+            known.revision(),
+            known.age(now),
+            failure);
+    actions.add(new ForwardAction.Note(head.id(), head.callerId(), note));
+  }
+
+  private static ForwardNote sent(ForwardedCall call, EndpointChoice.Target target, Instant now) {
+    return new ForwardNote.Sent(
+        call.attempts(),
+        target.announcement().endpoint(),
+        target.relay(),
+        Duration.between(target.heardAt(), now),
+        target.outOf(),
+        Duration.between(now, call.deadline()));
+  }
+
+  private static void note(ForwardedCall call, ForwardNote note, List<ForwardAction> actions) {
+    actions.add(new ForwardAction.Note(call.id(), call.head().callerId(), note));
   }
 
   private @Nullable ForwardedCall current(RequestId id, int attempt) {
--- a/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
+++ b/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
@@ -282,6 +282,7 @@
           return Outcome.CUT;
         }
         case ForwardAction.Abandon a -> {}
+        case ForwardAction.Note a -> {}
         case ForwardAction.Ended a -> {}
       }
     }
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
@@ -40,6 +40,7 @@
   private final Predicate<ForwardEvent> offer;
   private final Consumer<ForwardEvent> force;
   private final ForwardClient client;
+  private final ForwardLog log = new ForwardLog();
   private final Map<RequestId, PendingForward> calls = new ConcurrentHashMap<>();
   private volatile boolean closing;
 
@@ -88,6 +89,7 @@
                 calls.remove(a.id());
               });
       case ForwardAction.Cut a -> with(a.id(), PendingForward::cut);
+      case ForwardAction.Note a -> log.write(a);
       case ForwardAction.Ended a -> calls.remove(a.id());
     }
   }
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
@@ -36,6 +36,7 @@
         coordinated-shutdown.run-by-jvm-shutdown-hook = off
         coordinated-shutdown.run-by-actor-system-terminate = off
         jvm-exit-on-fatal-error = on
+        scheduler.tick-duration = 50 ms
         actor.default-dispatcher.fork-join-executor {
           parallelism-min = 2
           parallelism-factor = 1.0
