Lead callers to where routes are bound while their region has no host

Ruled out: gateways that were down, which the directory had dropped. Change: CallerDirectory names hosts of the region that are stopping and still serve, then those in regions that every bound route allows, then any.

--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/directory/CallerDirectory.java
@@ -0,0 +1,69 @@
+package org.cuminwell.core.directory;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.cuminwell.core.config.Forwarding;
+import org.cuminwell.core.model.ForwardRoute;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.RegionId;
+
+/**
+ * Decides which entry hosts a caller is told of, knowing only where it stands.
+ *
+ * <p>A caller stays in its region as long as a host there can be reached, even one that is stopping
+ * and still serves for its grace. Else it is led to the regions that most bound routes allow, so
+ * that bound requests are not read elsewhere. Stateless and thread safe.
+ */
+public final class CallerDirectory {
+
+  private CallerDirectory() {}
+
+  /**
+   * Returns the hosts to tell of, those of the caller's data centre first.
+   *
+   * @param inContact the hosts that can be reached now
+   */
+  public static List<HostDescription> hostsFor(
+      Place caller, Collection<HostDescription> inContact, Forwarding forwarding) {
+    Predicate<HostDescription> near = host -> host.place().region().equals(caller.region());
+    Predicate<HostDescription> accepting = host -> !host.stopping();
+    Set<RegionId> homes = commonHomes(forwarding);
+    Predicate<HostDescription> home = host -> homes.contains(host.place().region());
+    for (Predicate<HostDescription> wanted :
+        List.of(near.and(accepting), near, home.and(accepting), accepting)) {
+      List<HostDescription> hosts = inContact.stream().filter(wanted).toList();
+      if (!hosts.isEmpty()) {
+        return nearestFirst(hosts, caller);
+      }
+    }
+    return List.of();
+  }
+
+  /** Returns the regions that every bound route allows. */
+  private static Set<RegionId> commonHomes(Forwarding forwarding) {
+    List<Set<RegionId>> bounds =
+        forwarding.routes().values().stream()
+            .map(ForwardRoute::boundTo)
+            .filter(bound -> !bound.isEmpty())
+            .toList();
+    if (bounds.isEmpty()) {
+      return Set.of();
+    }
+    Set<RegionId> common = new HashSet<>(bounds.getFirst());
+    bounds.forEach(common::retainAll);
+    return common;
+  }
+
+  private static List<HostDescription> nearestFirst(List<HostDescription> hosts, Place caller) {
+    List<HostDescription> sorted = new ArrayList<>(hosts);
+    sorted.sort(
+        Comparator.comparing((HostDescription host) -> !host.place().equals(caller))
+            .thenComparing(HostDescription::id));
+    return sorted;
+  }
+}
