--- a/app/src/test/java/org/cuminwell/app/LayersTest.java
+++ b/app/src/test/java/org/cuminwell/app/LayersTest.java
@@ -92,4 +92,27 @@
   @ArchTest
   static final ArchRule noProcessStartsAnother =
       noClasses().should().dependOnClassesThat().belongToAnyOf(ProcessBuilder.class, Process.class);
+
+  @ArchTest
+  static final ArchRule onlyTheCommandLineKnowsThePlatform =
+      noClasses()
+          .that()
+          .resideOutsideOfPackages("org.cuminwell.platform..", "org.cuminwell.app..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("org.cuminwell.platform..");
+
+  @ArchTest
+  static final ArchRule thePlatformDecidesNothingByItself =
+      noClasses()
+          .that()
+          .resideInAPackage("org.cuminwell.platform..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "java.util.concurrent.atomic..",
+              "java.util.concurrent.locks..",
+              "java.nio.file..",
+              "java.net..",
+              "io.netty..");
 }
