--- a/core/src/test/java/org/cuminwell/core/limit/ShareFaultTest.java
+++ b/core/src/test/java/org/cuminwell/core/limit/ShareFaultTest.java
@@ -46,12 +46,12 @@
     assertThat(share(fleet, OTHER).tokensPerSecond()).isGreaterThan(500);
   }
 
-  @ParameterizedTest(name = "after {0} ms of a cut, holds a share: {1}")
-  @CsvSource({"3000, true", "4500, true", "6000, false", "20000, false"})
-  void usesAShareNoLongerThanItsLease(int cutMillis, boolean held) {
+  @ParameterizedTest(name = "cut until {0} ms after the lease, holds a share: {1}")
+  @CsvSource({"-2000, true", "-500, true", "1000, false", "15000, false"})
+  void usesAShareNoLongerThanItsLease(int afterLeaseMillis, boolean held) {
     ShareFleet fleet = settled();
     fleet.cut.add(BUSY);
-    ask(fleet, BUSY, Duration.ofMillis(cutMillis));
+    ask(fleet, BUSY, ShareLease.LEASE.plusMillis(afterLeaseMillis));
 
     assertThat(!share(fleet, BUSY).equals(Share.NONE)).isEqualTo(held);
   }
@@ -90,12 +90,12 @@
         .isBetween(Math.min(Floors.movable(after), ASKED) * 9 / 10, Floors.movable(after));
   }
 
-  @ParameterizedTest(name = "{0} ms after a new leader, grants: {1}")
-  @CsvSource({"1000, false", "5000, false", "8000, true"})
-  void aNewLeaderWaitsUntilOldLeasesHaveEnded(int millis, boolean granted) {
+  @ParameterizedTest(name = "{0} ms after the lease, a new leader grants: {1}")
+  @CsvSource({"-1500, false", "0, false", "3000, true"})
+  void aNewLeaderWaitsUntilOldLeasesHaveEnded(int afterLeaseMillis, boolean granted) {
     ShareFleet fleet = settled();
     fleet.lead();
-    ask(fleet, BUSY, Duration.ofMillis(millis));
+    ask(fleet, BUSY, ShareLease.LEASE.plusMillis(afterLeaseMillis));
 
     assertThat(!fleet.booked().equals(Share.NONE)).isEqualTo(granted);
   }
