--- a/app/src/main/java/org/cuminwell/app/ForwardFlags.java
+++ b/app/src/main/java/org/cuminwell/app/ForwardFlags.java
@@ -11,6 +11,9 @@
 /** Holds the flags of a gateway that forwards requests unchanged. Not thread safe. */
 final class ForwardFlags {
 
+  /** The part of the time until a key must stop that keys are taken for without news. */
+  private static final double LEASE_PART = 0.9;
+
   @Parameter(
       names = "--forward",
       description = "HOST:PORT for callers whose requests are forwarded unchanged")
@@ -22,11 +25,11 @@
   private String readiness = "";
 
   @Parameter(
-      names = "--key-lease-ms",
+      names = "--revoke-ms",
       description =
-          "how long keys are taken after the configuration was last known to be the latest, in"
-              + " milliseconds")
-  private long keyLeaseMillis = ForwardBounds.DEFAULT.keyLease().toMillis();
+          "how soon a withdrawn key must have stopped working, in milliseconds; keys are taken for"
+              + " nine tenths of it after the configuration was last known to be the latest")
+  private double revokeMillis = ForwardBounds.DEFAULT.keyLease().toMillis();
 
   @Parameter(
       names = "--retry-ratio",
@@ -36,7 +39,7 @@
   @Parameter(
       names = "--retry-extra",
       description = "retries that all gateways may make beyond that at once")
-  private int retryExtra = ForwardBounds.DEFAULT.retryExtra();
+  private double retryExtra = ForwardBounds.DEFAULT.retryExtra();
 
   /** Returns the settings, if requests are forwarded. */
   Optional<ForwardSettings> settings() throws SettingException {
@@ -57,9 +60,10 @@
 
   private ForwardBounds bounds() throws SettingException {
     try {
-      return new ForwardBounds(Duration.ofMillis(keyLeaseMillis), retryRatio, retryExtra);
+      Duration lease = Duration.ofMillis((long) (revokeMillis * LEASE_PART));
+      return new ForwardBounds(lease, retryRatio, (int) retryExtra);
     } catch (IllegalArgumentException e) {
-      throw new SettingException("--key-lease-ms", e);
+      throw new SettingException("--revoke-ms, --retry-ratio, --retry-extra", e);
     }
   }
 }
--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -74,12 +74,13 @@
   @Parameter(
       names = "--stop-timeout-s",
       description = "how long running requests may take after SIGTERM, in seconds")
-  private int stopTimeoutSeconds = 120;
+  private double stopTimeoutSeconds = 120;
 
   @Override
   public int run() throws SettingException, InterruptedException {
     GatewayProcess process = GatewayProcess.start(settings());
-    Shutdown.awaitSignal(() -> process.stop(Duration.ofSeconds(stopTimeoutSeconds)));
+    Shutdown.awaitSignal(
+        () -> process.stop(Duration.ofMillis((long) (stopTimeoutSeconds * 1_000))));
     return OK;
   }
 
