--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardNotes.java
@@ -0,0 +1,71 @@
+package org.cuminwell.core.forward;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import org.cuminwell.core.model.CallRecord;
+import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.ForwardRoute;
+
+/** Writes down the decisions of a {@link Forwarder}. Stateless and thread safe. */
+final class ForwardNotes {
+
+  private ForwardNotes() {}
+
+  static ForwardAction sent(ForwardedCall call, EndpointChoice.Target target, Instant now) {
+    return of(
+        call,
+        new ForwardNote.Sent(
+            call.attempts(),
+            target.announcement().endpoint(),
+            target.relay(),
+            Duration.between(target.heardAt(), now),
+            target.outOf(),
+            Duration.between(now, call.deadline())));
+  }
+
+  static ForwardAction attemptFailed(ForwardedCall call, Failure failure) {
+    return of(call, new ForwardNote.AttemptFailed(call.attempts(), failure));
+  }
+
+  static ForwardAction ended(
+      ForwardedCall call, CallRecord record, Forwarder.Known known, Instant now) {
+    return of(
+        call,
+        new ForwardNote.Ended(
+            record.route(),
+            record.customer(),
+            record.attempts(),
+            record.endedAfter(),
+            record.firstByteAfter(),
+            known.revision(),
+            known.age(now),
+            record.failure()));
+  }
+
+  /** Writes down a request that was refused before it was taken in. */
+  static ForwardAction refused(
+      ForwardHead head,
+      Optional<ForwardRoute> route,
+      Optional<Customer> customer,
+      Optional<Failure> failure,
+      Forwarder.Known known,
+      Instant now) {
+    ForwardNote note =
+        new ForwardNote.Ended(
+            route.map(ForwardRoute::id),
+            customer.map(Customer::id),
+            0,
+            Duration.between(head.arrivedAt(), now),
+            Optional.empty(),
+            known.revision(),
+            known.age(now),
+            failure);
+    return new ForwardAction.Note(head.id(), head.callerId(), note);
+  }
+
+  private static ForwardAction of(ForwardedCall call, ForwardNote note) {
+    return new ForwardAction.Note(call.id(), call.head().callerId(), note);
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -156,7 +156,7 @@
     Optional<Failure> refusal = refusal(head, route, customer, known, now);
     if (refusal.isPresent()) {
       actions.add(new ForwardAction.Refuse(head.id(), refusal.get()));
-      noteEnd(head, route, customer, refusal, known, now, actions);
+      actions.add(ForwardNotes.refused(head, route, customer, refusal, known, now));
       return;
     }
     ForwardedCall call =
@@ -230,7 +230,7 @@
       budget(call).earn();
     }
     choice.sent(call, endpoint, now);
-    note(call, sent(call, target.get(), now), actions);
+    actions.add(ForwardNotes.sent(call, target.get(), now));
     Duration left = Duration.between(now, call.deadline());
     boolean another = maySendAnother(call, Verdict.mayHaveRun(), now) && budget(call).hasSome();
     actions.add(
@@ -322,7 +322,7 @@
   /** Sends the request again after an attempt that gave no whole answer, or gives it up. */
   private void broken(
       ForwardedCall call, Failure failure, Known known, Instant now, List<ForwardAction> actions) {
-    note(call, new ForwardNote.AttemptFailed(call.attempts(), failure), actions);
+    actions.add(ForwardNotes.attemptFailed(call, failure));
     call.judge(failure.verdict());
     settleAttempt(call, failure.code() != ErrorCode.BUSY, now);
     boolean resumes = !call.isAnswerPassed() || isResumable(call);
@@ -414,53 +414,7 @@
       List<ForwardAction> actions) {
     CallRecord record = call.record(now, failure);
     actions.add(new ForwardAction.Ended(call.id(), record));
-    note(
-        call,
-        new ForwardNote.Ended(
-            record.route(),
-            record.customer(),
-            record.attempts(),
-            record.endedAfter(),
-            record.firstByteAfter(),
-            known.revision(),
-            known.age(now),
-            failure),
-        actions);
-  }
-
-  private static void noteEnd(
-      ForwardHead head,
-      Optional<ForwardRoute> route,
-      Optional<Customer> customer,
-      Optional<Failure> failure,
-      Known known,
-      Instant now,
-      List<ForwardAction> actions) {
-    ForwardNote note =
-        new ForwardNote.Ended(
-            route.map(ForwardRoute::id),
-            customer.map(Customer::id),
-            0,
-            Duration.between(head.arrivedAt(), now),
-            Optional.empty(),
-            known.revision(),
-            known.age(now),
-            failure);
-    actions.add(new ForwardAction.Note(head.id(), head.callerId(), note));
-  }
-
-  private static ForwardNote sent(ForwardedCall call, EndpointChoice.Target target, Instant now) {
-    return new ForwardNote.Sent(
-        call.attempts(),
-        target.announcement().endpoint(),
-        target.relay(),
-        Duration.between(target.heardAt(), now),
-        target.outOf(),
-        Duration.between(now, call.deadline()));
-  }
-
-  private static void note(ForwardedCall call, ForwardNote note, List<ForwardAction> actions) {
-    actions.add(new ForwardAction.Note(call.id(), call.head().callerId(), note));
+    actions.add(ForwardNotes.ended(call, record, known, now));
   }
 
   private @Nullable ForwardedCall current(RequestId id, int attempt) {
