Share out an idle burst only where its parts hold requests

Change: what is left of a burst stays in the pool, which is handed out by need, unless each part holds two of the largest requests; a request waits three quarters of its latency target for a share. ShareBoundTest and ShareFaultTest pass.

--- a/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
@@ -79,10 +79,10 @@
     return deadline;
   }
 
-  /** Half of the latency target is left for the endpoint. */
+  /** A quarter of the latency target is left for the endpoint. */
   @Override
   public Duration patienceForShare() {
-    return route.latencyTarget().dividedBy(2);
+    return route.latencyTarget().multipliedBy(3).dividedBy(4);
   }
 
   ForwardHead head() {
--- a/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
+++ b/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
@@ -29,6 +29,9 @@
   /** The part of what nobody wants now that is shared out for demand to come. */
   private static final double LEFT_OVER_SHARED = 0.75;
 
+  /** How many of the largest requests an even part of the burst must hold to be shared out. */
+  private static final double REQUESTS_OF_BURST = 2;
+
   private static final double SHRINK_BELOW = 0.8;
   private static final double ENOUGH = 0.9;
 
@@ -206,7 +209,9 @@
     for (int i = 0; i < first.length; i++) {
       first[i] += second[i];
     }
-    return withLeftOver((double) burst, first);
+    double greatest = Arrays.stream(largest).max().orElse(0);
+    boolean partsHoldRequests = (double) burst / first.length >= REQUESTS_OF_BURST * greatest;
+    return partsHoldRequests ? withLeftOver((double) burst, first) : first;
   }
 
   /** Adds to each share an equal part of what nobody wants now, but for what stays in the pool. */
