Go on with a begun stream only by a success

A server crashed in the middle of a resumable stream; the server that was to go on answered 500, no attempt was left, and the body of the 500 was appended and ended as a whole answer. Ruled out: truncated chunks and the relay, which break off visibly. Change: once an answer has begun, anything but 200 ends the attempt, and the answer is cut if nobody else can go on. Test: onlyASuccessGoesOnWithABegunAnswer, three of four cases failed before.

--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -48,6 +48,7 @@
   /** The part of the bounds that is used, since gateways do not know each other's retries. */
   private static final double BUDGET_PART = 0.7;
 
+  private static final int OK = 200;
   private static final Duration UNKNOWN_AGE = Duration.ofDays(1);
   private static final Duration LEAST_PATIENCE = Duration.ofSeconds(1);
   private static final Duration LONGEST_SILENCE = Duration.ofMillis(1_500);
@@ -255,12 +256,18 @@
       return;
     }
     switch (event.head()) {
-      case AnswerHead.Final head -> pass(call, actions);
+      case AnswerHead.Final head -> {
+        if (call.isAnswerPassed() && head.status() != OK) {
+          abandon(call, failedWith(head.status()), known, now, actions);
+        } else {
+          pass(call, actions);
+        }
+      }
       case AnswerHead.Failed head -> {
-        if (call.route().repeat().allowsAnother() && maySendAnother(call, Verdict.ran(), now)) {
-          Failure failure =
-              Failure.ran(ErrorCode.ENDPOINT_FAILED, "the endpoint failed: " + head.status());
-          abandon(call, failure, known, now, actions);
+        boolean another =
+            call.route().repeat().allowsAnother() && maySendAnother(call, Verdict.ran(), now);
+        if (another || call.isAnswerPassed()) {
+          abandon(call, failedWith(head.status()), known, now, actions);
         } else {
           pass(call, actions);
         }
@@ -287,6 +294,10 @@
     }
   }
 
+  private static Failure failedWith(int status) {
+    return Failure.ran(ErrorCode.ENDPOINT_FAILED, "the endpoint failed: " + status);
+  }
+
   private static void pass(ForwardedCall call, List<ForwardAction> actions) {
     call.passAnswer();
     actions.add(new ForwardAction.PassAnswer(call.id(), call.attempts()));
--- a/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
+++ b/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
@@ -117,6 +117,20 @@
     }
   }
 
+  @ParameterizedTest(name = "the endpoint that is to go on answers {0}: {1}")
+  @CsvSource({"200, PASSED", "404, CUT", "500, CUT", "502, CUT"})
+  void onlyASuccessGoesOnWithABegunAnswer(int status, Outcome expected) {
+    serve(new Repeat.ResumableStream(), 2, HERE, HERE);
+    open(ID);
+    ForwardAction.Send first = lastSend();
+    play(Step.FINAL, first);
+    play(Step.BROKEN, first);
+    ForwardAction.Send second = lastSend();
+    actions.clear();
+    answer(second, status < 500 ? new AnswerHead.Final(status) : new AnswerHead.Failed(status));
+    assertThat(outcome()).isEqualTo(expected);
+  }
+
   @ParameterizedTest(name = "{0}: {1}")
   @CsvSource({
     "NOTHING,         ",
