--- a/wire/src/main/java/org/cuminwell/wire/ConsensusCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/ConsensusCodec.java
@@ -1,7 +1,5 @@
 package org.cuminwell.wire;
 
-import java.time.Instant;
-import java.time.temporal.ChronoUnit;
 import java.util.OptionalLong;
 import org.cuminwell.core.consensus.ConsensusMessage;
 import org.cuminwell.core.control.AgreementMessage;
@@ -99,7 +97,7 @@
           to.getInstallSnapshotBuilder()
               .setTerm(m.term())
               .setSnapshot(LogCodec.toProto(m.snapshot()))
-              .setSentAtMicros(micros(m.sentAt()));
+              .setSentAtMicros(WireTime.micros(m.sentAt()));
       case ConsensusMessage.JoinRequest<Command, StateSnapshot> m ->
           to.getJoinRequestBuilder().setTerm(m.term()).setIncarnation(m.incarnation());
     }
@@ -114,7 +112,7 @@
             .setPreviousTerm(from.previousTerm())
             .setCommit(from.commit())
             .setAcknowledged(from.acknowledged())
-            .setSentAtMicros(micros(from.sentAt()));
+            .setSentAtMicros(WireTime.micros(from.sentAt()));
     from.entries().forEach(entry -> to.addEntry(LogCodec.toProto(entry)));
     return to;
   }
@@ -126,7 +124,7 @@
             .setTerm(from.term())
             .setMatched(from.matched())
             .setIndex(from.index())
-            .setSentAtMicros(micros(from.sentAt()));
+            .setSentAtMicros(WireTime.micros(from.sentAt()));
     from.learner().ifPresent(to::setLearner);
     return to;
   }
@@ -152,7 +150,7 @@
         from.getEntryList().stream().map(LogCodec::fromProto).toList(),
         from.getCommit(),
         from.getAcknowledged(),
-        instant(from.getSentAtMicros()));
+        WireTime.instant(from.getSentAtMicros()));
   }
 
   private static ConsensusMessage<Command, StateSnapshot> read(AppendReply from) {
@@ -161,23 +159,17 @@
         from.getMatched(),
         from.getIndex(),
         from.hasLearner() ? OptionalLong.of(from.getLearner()) : OptionalLong.empty(),
-        instant(from.getSentAtMicros()));
+        WireTime.instant(from.getSentAtMicros()));
   }
 
   private static ConsensusMessage<Command, StateSnapshot> read(InstallSnapshot from) {
     return new ConsensusMessage.InstallSnapshot<>(
-        from.getTerm(), LogCodec.fromProto(from.getSnapshot()), instant(from.getSentAtMicros()));
+        from.getTerm(),
+        LogCodec.fromProto(from.getSnapshot()),
+        WireTime.instant(from.getSentAtMicros()));
   }
 
   private static ConsensusMessage<Command, StateSnapshot> read(JoinRequest from) {
     return new ConsensusMessage.JoinRequest<>(from.getTerm(), from.getIncarnation());
   }
-
-  private static long micros(Instant instant) {
-    return ChronoUnit.MICROS.between(Instant.EPOCH, instant);
-  }
-
-  private static Instant instant(long micros) {
-    return Instant.EPOCH.plus(micros, ChronoUnit.MICROS);
-  }
 }
