--- a/shell/src/main/java/org/cuminwell/shell/journal/Journal.java
+++ b/shell/src/main/java/org/cuminwell/shell/journal/Journal.java
@@ -116,6 +116,7 @@
   public void sync() {
     try {
       file.force(false);
+      write(file, RecordFrames.mark());
     } catch (IOException e) {
       throw failed(e);
     }
@@ -172,6 +173,7 @@
     file.truncate(end);
     file.position(end);
     file.force(true);
+    write(file, RecordFrames.mark());
     for (Path older : files.subList(0, files.size() - 1)) {
       Files.delete(older);
     }
@@ -196,13 +198,17 @@
       put(file, new JournalRecord.Entry(entry));
     }
     file.force(true);
+    write(file, RecordFrames.mark());
     Files.move(unfinished, path, StandardCopyOption.ATOMIC_MOVE);
     syncFolder(folder);
     return file;
   }
 
   private static void put(FileChannel file, JournalRecord record) throws IOException {
-    ByteBuffer frame = RecordFrames.frame(JournalCodec.encode(record));
+    write(file, RecordFrames.frame(JournalCodec.encode(record)));
+  }
+
+  private static void write(FileChannel file, ByteBuffer frame) throws IOException {
     while (frame.hasRemaining()) {
       file.write(frame);
     }
--- a/shell/src/main/java/org/cuminwell/shell/journal/RecordFrames.java
+++ b/shell/src/main/java/org/cuminwell/shell/journal/RecordFrames.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.function.Consumer;
 import java.util.zip.CRC32C;
 
@@ -9,9 +10,10 @@
  * Frames the records of a file, so that a write cut short is told from damage.
  *
  * <p>A frame is the length of the record, the checksum of that length and the checksum of the
- * record, 4 bytes each, and the record. A file that ends within a frame was cut while it was
- * written; nobody was told that the frame is durable. A whole frame with a wrong checksum is
- * damage, for it may have been promised. Stateless and thread safe.
+ * record, 4 bytes each, and the record. A frame without a record is a mark: all before it was
+ * synced when it was written. A loss of power may leave any of the writes since the last sync out
+ * or whole or torn, so that a damaged frame with no mark behind it was promised to nobody, and the
+ * file ends before it. One with a mark behind it was promised. Stateless and thread safe.
  */
 final class RecordFrames {
 
@@ -19,6 +21,7 @@
   static final int HEADER_BYTES = 12;
 
   private static final int LENGTH_BYTES = 4;
+  private static final byte[] NO_RECORD = {};
 
   private RecordFrames() {}
 
@@ -31,31 +34,53 @@
     return frame.put(record).flip();
   }
 
+  /** Returns the frame that says that all before it was synced. */
+  static ByteBuffer mark() {
+    return frame(NO_RECORD);
+  }
+
   /**
    * Passes on each whole record, and returns the length of the file up to the last of them.
    *
-   * @throws JournalException if a frame is damaged
+   * @throws JournalException if a frame that was synced is damaged
    */
   static int read(Path file, byte[] bytes, Consumer<byte[]> records) {
-    ByteBuffer from = ByteBuffer.wrap(bytes);
-    while (from.remaining() >= HEADER_BYTES && !isZero(bytes, from.position())) {
-      int start = from.position();
-      int length = from.getInt();
-      require(from.getInt() == checksum(bytes, start, LENGTH_BYTES), file, start);
-      int expected = from.getInt();
-      if (length > from.remaining()) {
-        return start;
+    int position = 0;
+    while (isSound(bytes, position)) {
+      int begin = position + HEADER_BYTES;
+      int end = begin + length(bytes, position);
+      if (end > begin) {
+        records.accept(Arrays.copyOfRange(bytes, begin, end));
       }
-      byte[] record = new byte[length];
-      from.get(record);
-      require(expected == checksum(record, 0, length), file, start);
-      records.accept(record);
+      position = end;
+    }
+    requireUnsynced(file, bytes, position);
+    return position;
+  }
+
+  private static boolean isSound(byte[] bytes, int start) {
+    if (bytes.length - start < HEADER_BYTES) {
+      return false;
     }
-    return from.position();
+    ByteBuffer header = ByteBuffer.wrap(bytes, start, HEADER_BYTES);
+    int length = header.getInt();
+    return header.getInt() == checksum(bytes, start, LENGTH_BYTES)
+        && length >= 0
+        && length <= bytes.length - start - HEADER_BYTES
+        && header.getInt() == checksum(bytes, start + HEADER_BYTES, length);
+  }
+
+  private static int length(byte[] bytes, int start) {
+    return ByteBuffer.wrap(bytes, start, LENGTH_BYTES).getInt();
   }
 
-  private static void require(boolean sound, Path file, int position) {
-    if (!sound) {
+  /** Makes sure that no mark follows the position, where no sound frame begins. */
+  private static void requireUnsynced(Path file, byte[] bytes, int position) {
+    byte[] mark = mark().array();
+    for (int i = position; i <= bytes.length - mark.length; i++) {
+      if (!Arrays.equals(bytes, i, i + mark.length, mark, 0, mark.length)) {
+        continue;
+      }
       throw new JournalException(
           file
               + " is damaged at byte "
@@ -65,16 +90,6 @@
     }
   }
 
-  /** Returns whether only zeros follow, which a file system may leave after a loss of power. */
-  private static boolean isZero(byte[] bytes, int start) {
-    for (int i = start; i < bytes.length; i++) {
-      if (bytes[i] != 0) {
-        return false;
-      }
-    }
-    return true;
-  }
-
   private static int checksum(byte[] bytes, int start, int length) {
     CRC32C checksum = new CRC32C();
     checksum.update(bytes, start, length);
