Count the voters of the founding for as long as the data folder

Cause, by reading: a control host took its voters from the seeds of each start. Seeds change when a machine is added or replaced, so that two hosts restarted at different times could count {a,b,c} and {a,b,d}, whose quorums {a,c} and {b,d} do not meet. Ruled out: refusing to start with other seeds, which stops the host for good. Not covered: replacing a voter, and a host that lost its disk, which takes its voters from its settings as before.

--- a/shell/src/main/java/org/cuminwell/shell/control/AgreementSettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/AgreementSettings.java
@@ -18,4 +18,8 @@
   public AgreementSettings {
     voters = Set.copyOf(voters);
   }
+
+  AgreementSettings withVoters(Set<HostId> others) {
+    return new AgreementSettings(data, others, bootstrap);
+  }
 }
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -90,7 +90,8 @@
    *
    * @throws IllegalStateException if an address can't be used
    */
-  public static ControlProcess start(ControlSettings settings) {
+  public static ControlProcess start(ControlSettings given) {
+    ControlSettings settings = FoundingRecord.apply(given);
     ControlProcess process = new ControlProcess(settings);
     process.http.serve(settings.operators(), process.operators::handle);
     for (AddedFront front : settings.fronts()) {
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
@@ -32,4 +32,9 @@
     controls = List.copyOf(controls);
     fronts = List.copyOf(fronts);
   }
+
+  ControlSettings with(List<HostAddress> otherControls, AgreementSettings otherAgreement) {
+    return new ControlSettings(
+        self, operators, peer, otherControls, otherAgreement, access, fronts, tls);
+  }
 }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/ConfigurationStore.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/ConfigurationStore.java
@@ -2,14 +2,11 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.Optional;
 import org.cuminwell.core.config.Configuration;
+import org.cuminwell.shell.journal.SyncedFile;
 import org.cuminwell.wire.ConfigurationFile;
 import org.cuminwell.wire.WireFormatException;
 
@@ -61,38 +58,10 @@
    * @throws UncheckedIOException if it can't be written; what was kept before stays
    */
   void keep(Configuration configuration) {
-    Path written = folder.resolve(NAME + ".new");
     try {
-      write(written, ConfigurationFile.encode(configuration));
-      Files.move(
-          written,
-          folder.resolve(NAME),
-          StandardCopyOption.ATOMIC_MOVE,
-          StandardCopyOption.REPLACE_EXISTING);
-      syncFolder();
+      SyncedFile.replace(folder, NAME, ConfigurationFile.encode(configuration));
     } catch (IOException e) {
       throw new UncheckedIOException("can't keep the configuration in " + folder, e);
     }
   }
-
-  private static void write(Path file, byte[] bytes) throws IOException {
-    try (FileChannel channel =
-        FileChannel.open(
-            file,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.WRITE,
-            StandardOpenOption.TRUNCATE_EXISTING)) {
-      ByteBuffer rest = ByteBuffer.wrap(bytes);
-      while (rest.hasRemaining()) {
-        channel.write(rest);
-      }
-      channel.force(true);
-    }
-  }
-
-  private void syncFolder() throws IOException {
-    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-      channel.force(true);
-    }
-  }
 }
--- a/shell/src/main/java/org/cuminwell/shell/journal/Journal.java
+++ b/shell/src/main/java/org/cuminwell/shell/journal/Journal.java
@@ -200,7 +200,7 @@
     file.force(true);
     write(file, RecordFrames.mark());
     Files.move(unfinished, path, StandardCopyOption.ATOMIC_MOVE);
-    syncFolder(folder);
+    SyncedFile.syncFolder(folder);
     return file;
   }
 
@@ -214,12 +214,6 @@
     }
   }
 
-  private static void syncFolder(Path folder) throws IOException {
-    try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-      channel.force(true);
-    }
-  }
-
   private static FileChannel lock(Path folder) throws IOException {
     FileChannel channel =
         FileChannel.open(
