Choose engines by what they have to read, and refuse where they read all the time

Requests were spread by slots, of which there are plenty, each gateway had a prefix memory of its own, and no request was refused. Change: EngineRouter keeps for each engine what it was sent to read and how fast its answers come (ReadingLoad); the pauses between events tell which part of its time goes to reading. Gateways agree on the engine that keeps a prefix by rendezvous hashing, without messages. Prompts go to another region before they are refused, and are refused as not run where every engine reads too much; less urgent ranks give way first.

--- a/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
+++ b/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
@@ -22,6 +22,8 @@
 import org.cuminwell.core.model.Place;
 import org.cuminwell.core.model.RegionId;
 import org.cuminwell.core.residency.Residency;
+import org.cuminwell.core.routing.EngineChoice;
+import org.cuminwell.core.routing.EngineRouter;
 import org.cuminwell.core.routing.Router;
 import org.jspecify.annotations.Nullable;
 
@@ -41,6 +43,7 @@
   private final EndpointTable endpoints;
   private final HostDirectory directory;
   private final Router router;
+  private final EngineRouter engines;
   private final SplittableRandom random;
   private final Map<EndpointId, Instant> coldSentAt = new HashMap<>();
   private final Map<DataCentreId, Instant> takenBackAt = new HashMap<>();
@@ -51,9 +54,26 @@
    *
    * @param heardAt when the endpoint was last heard
    * @param outOf how many endpoints could have been chosen
+   * @param toRead the tokens of the prompt that the endpoint is expected to read
    */
   record Target(
-      Announcement announcement, Optional<HostAddress> relay, Instant heardAt, int outOf) {}
+      Announcement announcement,
+      Optional<HostAddress> relay,
+      Instant heardAt,
+      int outOf,
+      long toRead) {}
+
+  /** Says what becomes of a request that is to be sent. Immutable and thread safe. */
+  sealed interface Decision {
+    /** The request goes to the target. */
+    record Send(Target target) implements Decision {}
+
+    /** Every endpoint has as much to do as it can bear. */
+    record Busy(Duration retryAfter) implements Decision {}
+
+    /** No endpoint can take the request. */
+    record Nowhere() implements Decision {}
+  }
 
   EndpointChoice(
       Place here, EndpointTable endpoints, HostDirectory directory, SplittableRandom random) {
@@ -61,6 +81,7 @@
     this.endpoints = endpoints;
     this.directory = directory;
     this.router = new Router(here, random);
+    this.engines = new EngineRouter(here, router);
     this.random = random;
   }
 
@@ -74,8 +95,8 @@
     }
   }
 
-  /** Returns where the request goes next, or empty if nothing can take it now. */
-  Optional<Target> choose(ForwardedCall call, Forwarding forwarding, Instant now) {
+  /** Returns where the request goes next. */
+  Decision choose(ForwardedCall call, Forwarding forwarding, Instant now) {
     Residency residency = call.residency();
     String service = call.service();
     List<Entry> open =
@@ -89,24 +110,59 @@
         warm.isEmpty()
             ? open.stream().filter(bearsAnother(forwarding.services().get(service), now)).toList()
             : warm;
+    if (call.isRead()) {
+      return chooseEngine(call, candidates, now);
+    }
     return router
         .choose(candidates, call.query(), now)
-        .map(
-            entry -> {
-              if (isCold(entry, now)) {
-                coldSentAt.put(entry.announcement().endpoint(), now);
-              }
-              return new Target(
-                  entry.announcement(),
-                  relayTo(regionOf(entry)),
-                  entry.heardAt(),
-                  candidates.size());
-            });
+        .<Decision>map(entry -> send(entry, 0, candidates.size(), now))
+        .orElseGet(Decision.Nowhere::new);
+  }
+
+  private Decision chooseEngine(ForwardedCall call, List<Entry> candidates, Instant now) {
+    EngineRouter.Query query =
+        new EngineRouter.Query(
+            call.head().prompt(),
+            call.route().rank(),
+            call.tried(),
+            call.isAnswerPassed(),
+            gatewaysHere());
+    return switch (engines.choose(candidates, query, now)) {
+      case EngineChoice.Chosen c -> send(c.engine(), c.toRead(), candidates.size(), now);
+      case EngineChoice.AllBusy c -> new Decision.Busy(c.retryAfter());
+      case EngineChoice.NoneThere c -> new Decision.Nowhere();
+    };
+  }
+
+  private Decision send(Entry entry, long toRead, int outOf, Instant now) {
+    if (isCold(entry, now)) {
+      coldSentAt.put(entry.announcement().endpoint(), now);
+    }
+    return new Decision.Send(
+        new Target(entry.announcement(), relayTo(regionOf(entry)), entry.heardAt(), outOf, toRead));
   }
 
   /** Counts a request that was sent. */
-  void sent(ForwardedCall call, Announcement target, Instant now) {
-    router.sent(target.endpoint(), call.query(), now);
+  void sent(ForwardedCall call, Target target, Instant now) {
+    EndpointId endpoint = target.announcement().endpoint();
+    router.sent(endpoint, call.query(), now);
+    if (call.isRead()) {
+      engines.sent(endpoint, call.head().prompt(), target.toRead(), now);
+      call.reads(target.toRead());
+    }
+  }
+
+  /** Takes in that an engine has read the prompt of a request, or need not any more. */
+  void read(ForwardedCall call) {
+    call.endpoint().ifPresent(target -> engines.read(target.endpoint(), call.takeToRead()));
+  }
+
+  /** Takes in the mean time between some events of an answer. */
+  void eventsCame(ForwardedCall call, Duration pause, Instant now) {
+    if (call.isRead()) {
+      call.endpoint()
+          .ifPresent(target -> engines.observe(target.endpoint(), pause, gatewaysHere(), now));
+    }
   }
 
   /** Counts an attempt that has ended; {@code blamed} says whether its endpoint is at fault. */
@@ -117,6 +173,7 @@
   /** Forgets what is not needed any more. */
   void tick(Instant now) {
     router.forgetIdle(now);
+    engines.keepOnly(endpoints.ids());
     coldSentAt.keySet().removeIf(id -> endpoints.find(id).isEmpty());
   }
 
@@ -139,6 +196,11 @@
     };
   }
 
+  /** Returns how many gateways take callers in this region. */
+  private int gatewaysHere() {
+    return Math.max(1, relays(here.region()).size());
+  }
+
   private boolean hasRelay(RegionId region) {
     return !relays(region).isEmpty();
   }
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardEvent.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardEvent.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.forward;
 
+import java.time.Duration;
 import org.cuminwell.core.model.RequestId;
 
 /** Is something that happened to a forwarded request. Immutable and thread safe. */
@@ -14,6 +15,13 @@
   /** The first part of the answer's body has gone to the caller. */
   record BodyBegan(RequestId id) implements ForwardEvent {}
 
+  /**
+   * Some events of a streamed answer have come.
+   *
+   * @param pause the mean time between them
+   */
+  record EventsCame(RequestId id, int attempt, Duration pause) implements ForwardEvent {}
+
   /** An attempt has ended. */
   record AttemptEnded(RequestId id, int attempt, ForwardEnd end) implements ForwardEvent {}
 
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardHead.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardHead.java
@@ -2,11 +2,11 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.cuminwell.core.model.KeyHash;
 import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.routing.Prompt;
 
 /**
  * Holds what decisions need of a request that is to be forwarded; its bytes stay with the front
@@ -20,7 +20,7 @@
  * @param arrivedAt when the headers had come
  * @param patience how long the caller waits for the whole answer, if it says so
  * @param tokens what the request is charged, in tokens, if it says so
- * @param promptParts the names of the parts of the prompt that other requests may share, in order
+ * @param prompt what an engine has to read for the request, empty if it does not say
  */
 public record ForwardHead(
     RequestId id,
@@ -31,10 +31,4 @@
     Instant arrivedAt,
     Optional<Duration> patience,
     OptionalLong tokens,
-    List<String> promptParts) {
-
-  /** Copies the list. */
-  public ForwardHead {
-    promptParts = List.copyOf(promptParts);
-  }
-}
+    Prompt prompt) {}
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
@@ -40,6 +40,7 @@
   private boolean passed;
   private int attempts;
   private int runs;
+  private long toRead;
 
   ForwardedCall(ForwardHead head, ForwardRoute route, Optional<Customer> customer) {
     this.head = head;
@@ -112,16 +113,28 @@
   }
 
   RouteQuery query() {
-    OptionalLong prefix =
-        route.cachesPrompts() && head.promptParts().size() > 1
-            ? OptionalLong.of(head.promptParts().subList(0, sharedParts()).hashCode())
-            : OptionalLong.empty();
-    return new RouteQuery(prefix, tried);
+    return new RouteQuery(OptionalLong.empty(), tried);
   }
 
-  /** The last part of a prompt is the request's own. */
-  private int sharedParts() {
-    return head.promptParts().size() - 1;
+  Set<EndpointId> tried() {
+    return Set.copyOf(tried);
+  }
+
+  /** Returns whether an engine reads a prompt for this request. */
+  boolean isRead() {
+    return route.cachesPrompts() && !head.prompt().parts().isEmpty();
+  }
+
+  /** Notes the tokens that the engine of the running attempt is expected to read. */
+  void reads(long tokens) {
+    toRead = tokens;
+  }
+
+  /** Returns the tokens that the engine has still to read, once. */
+  long takeToRead() {
+    long tokens = toRead;
+    toRead = 0;
+    return tokens;
   }
 
   /** Notes that the next attempt goes to the endpoint, and returns the number of the attempt. */
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -114,6 +114,13 @@
         ForwardedCall call = calls.get(e.id());
         if (call != null) {
           call.bodyBegan(now);
+          choice.read(call);
+        }
+      }
+      case ForwardEvent.EventsCame e -> {
+        ForwardedCall call = current(e.id(), e.attempt());
+        if (call != null) {
+          choice.eventsCame(call, e.pause(), now);
         }
       }
       case ForwardEvent.AttemptEnded e -> attemptEnded(e, known, now, actions);
@@ -219,19 +226,29 @@
   }
 
   private void attempt(ForwardedCall call, Known known, Instant now, List<ForwardAction> actions) {
-    Optional<EndpointChoice.Target> target = choice.choose(call, known.forwarding(), now);
-    if (target.isEmpty()) {
-      Failure none = notNow(ErrorCode.NO_ENDPOINT, "no endpoint can take the request; try again");
-      fail(call, none, known, now, actions);
-      return;
+    switch (choice.choose(call, known.forwarding(), now)) {
+      case EndpointChoice.Decision.Send d -> send(call, d.target(), now, actions);
+      case EndpointChoice.Decision.Busy d -> {
+        String message = "every engine has as much to read as it can bear; try again";
+        Failure busy = Failure.notRunRetryAfter(ErrorCode.BUSY, message, d.retryAfter());
+        fail(call, busy, known, now, actions);
+      }
+      case EndpointChoice.Decision.Nowhere d -> {
+        Failure none = notNow(ErrorCode.NO_ENDPOINT, "no endpoint can take the request; try again");
+        fail(call, none, known, now, actions);
+      }
     }
-    Announcement endpoint = target.get().announcement();
+  }
+
+  private void send(
+      ForwardedCall call, EndpointChoice.Target target, Instant now, List<ForwardAction> actions) {
+    Announcement endpoint = target.announcement();
     int attempt = call.begin(endpoint, now);
     if (attempt == 1) {
       budget(call).earn();
     }
-    choice.sent(call, endpoint, now);
-    actions.add(ForwardNotes.sent(call, target.get(), now));
+    choice.sent(call, target, now);
+    actions.add(ForwardNotes.sent(call, target, now));
     Duration left = Duration.between(now, call.deadline());
     boolean another = maySendAnother(call, Verdict.mayHaveRun(), now) && budget(call).hasSome();
     actions.add(
@@ -240,7 +257,7 @@
             attempt,
             endpoint.endpoint(),
             endpoint.address(),
-            target.get().relay(),
+            target.relay(),
             left,
             another ? shorter(patience(call), left) : left,
             LONGEST_SILENCE,
@@ -379,6 +396,7 @@
   private void settleAttempt(ForwardedCall call, boolean blamed, Instant now) {
     if (call.isAttempting()) {
       Duration took = call.attemptTook(now);
+      choice.read(call);
       call.endpoint().ifPresent(target -> choice.ended(target, took, blamed, now));
     }
   }
--- a/core/src/main/java/org/cuminwell/core/membership/EndpointTable.java
+++ b/core/src/main/java/org/cuminwell/core/membership/EndpointTable.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.cuminwell.core.model.EndpointId;
 
@@ -119,6 +120,11 @@
     return gone;
   }
 
+  /** Returns the names of all endpoints that are known. */
+  public Set<EndpointId> ids() {
+    return Set.copyOf(entries.keySet());
+  }
+
   /** Returns the endpoints that may get new work for the service. */
   public List<Entry> serving(String service, Instant now) {
     return entries.values().stream()
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/routing/ReadingLoad.java
@@ -0,0 +1,153 @@
+package org.cuminwell.core.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+
+/**
+ * Estimates how busy one engine is with reading prompts, by what this gateway sends it and sees.
+ *
+ * <p>An engine reads prompts between the tokens that it generates, so that the pauses between the
+ * events of its answers show which part of its time goes to reading. Two estimates are kept: the
+ * planned one, from the tokens sent lately, which is known at once, and the observed one, from
+ * pauses, which covers the work of other gateways too. The observed one teaches the planned one how
+ * fast the engine reads. Not thread safe: the thread of its {@link EngineRouter} owns it.
+ */
+final class ReadingLoad {
+
+  /** How fast an engine is taken to read until its answers tell, in tokens a second. */
+  static final double FIRST_RATE = 30_000;
+
+  /** How long a prefix is expected to stay in an engine's cache after its last use. */
+  static final Duration PREFIX_KEPT = Duration.ofSeconds(8);
+
+  private static final double LEAST_RATE = 3_000;
+  private static final double GREATEST_RATE = 1_000_000;
+  private static final double WINDOW_SECONDS = 1;
+  private static final double LONG_WINDOW_SECONDS = 5;
+  private static final double PAUSE_WEIGHT = 0.08;
+  private static final double RATE_WEIGHT = 0.02;
+  private static final double RATE_LOSS = 0.99;
+  private static final double LEAST_TELLING = 0.3;
+  private static final double SATURATED = 0.9;
+  private static final double SHORTEST_PAUSE_RISE = 1.000_5;
+  private static final double OBSERVED_FOR_SECONDS = 0.7;
+  private static final int MAX_PREFIXES = 4_096;
+
+  private final LinkedHashMap<Long, Instant> prefixes = new LinkedHashMap<>(64, 0.75f, true);
+  private double rate = FIRST_RATE;
+  private double recent;
+  private double longer;
+  private Instant sentAt = Instant.EPOCH;
+  private long unread;
+  private double pauseSeconds;
+  private double shortestPauseSeconds;
+  private Instant observedAt = Instant.EPOCH;
+
+  /** Counts a prompt that was sent, of which the engine must read {@code tokens}. */
+  void sent(Prompt prompt, long tokens, Instant now) {
+    recent = faded(recent, WINDOW_SECONDS, now) + tokens;
+    longer = faded(longer, LONG_WINDOW_SECONDS, now) + tokens;
+    sentAt = now;
+    unread += tokens;
+    for (int count = 1; count <= prompt.sharedParts(); count++) {
+      prefixes.put(prompt.prefix(count), now);
+    }
+    while (prefixes.size() > MAX_PREFIXES) {
+      prefixes.pollFirstEntry();
+    }
+  }
+
+  /** Counts a prompt that was read, or that needs not be read any more. */
+  void read(long tokens) {
+    unread = Math.max(0, unread - tokens);
+  }
+
+  /**
+   * Takes in how fast events of an answer came.
+   *
+   * @param pause the mean time between them
+   * @param hosts how many gateways are taken to send as much as this one
+   */
+  void observe(Duration pause, int hosts, Instant now) {
+    double seconds = pause.toNanos() / 1e9;
+    if (seconds <= 0) {
+      return;
+    }
+    boolean first = shortestPauseSeconds == 0;
+    pauseSeconds = first ? seconds : pauseSeconds + PAUSE_WEIGHT * (seconds - pauseSeconds);
+    shortestPauseSeconds =
+        first ? seconds : Math.min(seconds, shortestPauseSeconds * SHORTEST_PAUSE_RISE);
+    observedAt = now;
+    learnRate(hosts, now);
+  }
+
+  /** Forgets what another life of the engine knew and showed. */
+  void restarted() {
+    prefixes.clear();
+    recent = 0;
+    longer = 0;
+    pauseSeconds = shortestPauseSeconds;
+  }
+
+  /**
+   * Returns how many tokens of the prompt the engine is expected to read.
+   *
+   * @param likely how likely the engine has kept the shared parts though this gateway did not send
+   *     them lately
+   */
+  long toRead(Prompt prompt, double likely, Instant now) {
+    int count = 0;
+    while (count < prompt.sharedParts() && isKept(prompt.prefix(count + 1), now)) {
+      count++;
+    }
+    long own = prompt.tokensAfter(prompt.sharedParts());
+    return own + (long) ((1 - likely) * (double) (prompt.tokensAfter(count) - own));
+  }
+
+  /** Returns the part of the engine's time that goes to reading. */
+  double utilisation(int hosts, Instant now) {
+    return Math.max(planned(hosts, now) / rate, observed(now));
+  }
+
+  /** Returns how long the engine takes to read what this gateway sent and the tokens. */
+  double millisUntilRead(long tokens) {
+    return 1e3 * (double) (unread + tokens) / rate;
+  }
+
+  private boolean isKept(long prefix, Instant now) {
+    Instant used = prefixes.get(prefix);
+    return used != null && now.isBefore(used.plus(PREFIX_KEPT));
+  }
+
+  private void learnRate(int hosts, Instant now) {
+    double observed = observed(now);
+    if (observed >= SATURATED) {
+      rate = Math.max(LEAST_RATE, rate * RATE_LOSS);
+    } else if (observed >= LEAST_TELLING) {
+      double shown = planned(hosts, now) / observed;
+      rate += RATE_WEIGHT * (Math.min(GREATEST_RATE, Math.max(LEAST_RATE, shown)) - rate);
+    }
+  }
+
+  private double observed(Instant now) {
+    if (pauseSeconds <= shortestPauseSeconds) {
+      return 0;
+    }
+    double age = Math.max(0, Duration.between(observedAt, now).toNanos() / 1e9);
+    return (1 - shortestPauseSeconds / pauseSeconds) * Math.exp(-age / OBSERVED_FOR_SECONDS);
+  }
+
+  /**
+   * Returns the tokens sent a second: by this gateway lately, by each other one as it did before.
+   */
+  private double planned(int hosts, Instant now) {
+    return faded(recent, WINDOW_SECONDS, now) / WINDOW_SECONDS
+        + (hosts - 1) * faded(longer, LONG_WINDOW_SECONDS, now) / LONG_WINDOW_SECONDS;
+  }
+
+  private double faded(double sum, double windowSeconds, Instant now) {
+    double age = Math.max(0, Duration.between(sentAt, now).toNanos() / 1e9);
+    return sum * Math.exp(-age / windowSeconds);
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/routing/Router.java
+++ b/core/src/main/java/org/cuminwell/core/routing/Router.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
 import org.cuminwell.core.membership.EndpointTable.Entry;
@@ -56,12 +57,7 @@
 
   /** Returns the endpoint to send to, or empty if there is no candidate. */
   public Optional<Entry> choose(List<Entry> candidates, RouteQuery query, Instant now) {
-    candidates.forEach(entry -> load(entry).observe(entry, now));
-    List<Entry> untried =
-        candidates.stream()
-            .filter(entry -> !query.tried().contains(entry.announcement().endpoint()))
-            .toList();
-    List<Entry> usable = healthy(untried.isEmpty() ? candidates : untried, now);
+    List<Entry> usable = usable(candidates, query.tried(), now);
     if (usable.isEmpty()) {
       return Optional.empty();
     }
@@ -69,6 +65,26 @@
     return warm(shortlist, query, now).or(() -> Optional.of(lesserOfTwo(shortlist, now)));
   }
 
+  /** Returns the candidates without those that were tried or fail, as far as others are left. */
+  List<Entry> usable(List<Entry> candidates, Set<EndpointId> tried, Instant now) {
+    candidates.forEach(entry -> load(entry).observe(entry, now));
+    List<Entry> untried =
+        candidates.stream()
+            .filter(entry -> !tried.contains(entry.announcement().endpoint()))
+            .toList();
+    return healthy(untried.isEmpty() ? candidates : untried, now);
+  }
+
+  /** Returns how many requests the endpoint holds, as far as can be told. */
+  int requests(Entry entry, Instant now) {
+    return load(entry).requests(now);
+  }
+
+  /** Returns the recent failures of the endpoint. */
+  double failures(Entry entry, Instant now) {
+    return load(entry).failures(now);
+  }
+
   /** Counts a request that was sent to the endpoint. */
   public void sent(EndpointId endpoint, RouteQuery query, Instant now) {
     load(endpoint).sent(now);
--- a/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
+++ b/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
@@ -39,6 +39,7 @@
 import org.cuminwell.core.model.RouteId;
 import org.cuminwell.core.model.TokenLimit;
 import org.cuminwell.core.model.VersionId;
+import org.cuminwell.core.routing.Prompt;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -343,7 +344,7 @@
         now,
         Optional.of(Duration.ofSeconds(3)),
         OptionalLong.empty(),
-        List.of());
+        new Prompt(List.of()));
   }
 
   private void serve(Repeat repeat, int attempts, Place... places) {
--- a/shell/src/main/java/org/cuminwell/shell/forward/AnswerReport.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/AnswerReport.java
@@ -1,5 +1,8 @@
 package org.cuminwell.shell.forward;
 
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
 import java.util.function.Consumer;
 import org.apache.pekko.stream.Attributes;
 import org.apache.pekko.stream.FlowShape;
@@ -15,19 +18,35 @@
 import org.cuminwell.core.model.Failure;
 
 /**
- * Reports the first part and the end of an answer that passes through.
+ * Reports the first part, the pace and the end of an answer that passes through.
  *
- * <p>Invariant: the end is reported once. Thread safe; each materialization has a state of its own.
+ * <p>Invariant: the end is reported once; the pace at most once in each {@link #PACE_PERIOD}.
+ * Thread safe; each materialization has a state of its own.
  */
 final class AnswerReport extends GraphStage<FlowShape<ByteString, ByteString>> {
 
+  /** Over how long the pace of an answer is taken. */
+  static final Duration PACE_PERIOD = Duration.ofMillis(200);
+
+  private final InstantSource time;
   private final Runnable began;
+  private final Consumer<Duration> pace;
   private final Consumer<ForwardEnd> ended;
   private final Inlet<ByteString> in = Inlet.create("AnswerReport.in");
   private final Outlet<ByteString> out = Outlet.create("AnswerReport.out");
 
-  AnswerReport(Runnable began, Consumer<ForwardEnd> ended) {
+  /**
+   * Makes a stage.
+   *
+   * @param began is told of the first part
+   * @param pace is told the mean time between later parts
+   * @param ended is told how the answer ended
+   */
+  AnswerReport(
+      InstantSource time, Runnable began, Consumer<Duration> pace, Consumer<ForwardEnd> ended) {
+    this.time = time;
     this.began = began;
+    this.pace = pace;
     this.ended = ended;
   }
 
@@ -43,7 +62,8 @@
 
   private final class Logic extends GraphStageLogic {
 
-    private boolean begun;
+    private Instant pacedFrom = Instant.MIN;
+    private int parts;
     private boolean over;
 
     Logic() {
@@ -53,10 +73,7 @@
           new AbstractInHandler() {
             @Override
             public void onPush() {
-              if (!begun) {
-                begun = true;
-                began.run();
-              }
+              arrived(time.instant());
               push(out, grab(in));
             }
 
@@ -95,6 +112,21 @@
       report(new ForwardEnd.CallerLeft());
     }
 
+    private void arrived(Instant now) {
+      if (pacedFrom.equals(Instant.MIN)) {
+        pacedFrom = now;
+        began.run();
+        return;
+      }
+      parts++;
+      Duration taken = Duration.between(pacedFrom, now);
+      if (taken.compareTo(PACE_PERIOD) >= 0) {
+        pace.accept(taken.dividedBy(parts));
+        pacedFrom = now;
+        parts = 0;
+      }
+    }
+
     private void report(ForwardEnd end) {
       if (!over) {
         over = true;
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
@@ -1,6 +1,7 @@
 package org.cuminwell.shell.forward;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -39,12 +40,15 @@
   private static final int MAX_RESUMPTIONS = 8;
 
   private final HttpSystem http;
+  private final InstantSource time;
   private final ForwardDialect dialect;
   private final Consumer<ForwardEvent> events;
   private final ClientConnectionSettings settings;
 
-  ForwardClient(HttpSystem http, ForwardDialect dialect, Consumer<ForwardEvent> events) {
+  ForwardClient(
+      HttpSystem http, InstantSource time, ForwardDialect dialect, Consumer<ForwardEvent> events) {
     this.http = http;
+    this.time = time;
     this.dialect = dialect;
     this.events = events;
     this.settings = SingleCall.settings(http, CONNECT_TIMEOUT);
@@ -128,11 +132,18 @@
         body(call, attempt, response)
             .via(
                 new AnswerReport(
+                    time,
                     () -> events.accept(new ForwardEvent.BodyBegan(call.head().id())),
+                    pause -> paced(call, attempt, pause),
                     end -> call.attempt().orElse(attempt).ended(end)));
     return head.withEntity(sameShape(response.entity(), bytes));
   }
 
+  private void paced(PendingForward call, ForwardAttempt first, Duration pause) {
+    ForwardAction.Send running = call.attempt().orElse(first).order();
+    events.accept(new ForwardEvent.EventsCame(running.id(), running.attempt(), pause));
+  }
+
   private static ResponseEntity sameShape(ResponseEntity from, Source<ByteString, NotUsed> bytes) {
     OptionalLong length = from.getContentLengthOption();
     return length.isPresent()
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
@@ -61,7 +61,7 @@
     this.dialect = dialect;
     this.offer = offer;
     this.force = force;
-    this.client = new ForwardClient(http, dialect, force);
+    this.client = new ForwardClient(http, time, dialect, force);
   }
 
   /** Returns the handler of a new connection. */
