Let a new leader adopt the shares that gateways hold

Cause: a new leader granted nothing for 2.8 s while the leases of the old one ran out after 2.5 s, so that each change of leader left gateways with floors for about two seconds and their requests were refused (429). Change: the first reports to a new leader list the shares in use; until it may grant anew it books these and lets them go on unchanged. A holder that has let go reports another session, so nothing comes back. Ruled out: a longer lease, after which a lost host's share stays away longer. ShareFaultTest.aNewLeaderLetsSharesGoOn failed before.

--- a/core/src/main/java/org/cuminwell/core/limit/Allotted.java
+++ b/core/src/main/java/org/cuminwell/core/limit/Allotted.java
@@ -25,6 +25,12 @@
     possible.add(new State(0, Share.NONE, 0));
   }
 
+  /** Takes on a share that an earlier leader granted, before any was set here. */
+  void adopt(Share share) {
+    possible.clear();
+    possible.add(new State(0, share, 0));
+  }
+
   Demand demand() {
     return demand;
   }
--- a/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
+++ b/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
@@ -74,6 +74,14 @@
     return holders.computeIfAbsent(holder, id -> new Allotted(customer));
   }
 
+  /**
+   * Lets the holder go on with a share that an earlier leader granted; nothing was set here yet.
+   */
+  void adopt(HostId holder, Share share, Instant poolFrom) {
+    of(holder).adopt(share);
+    fitPool(poolFrom);
+  }
+
   /** Sets holders aside that certainly have nothing and want nothing, so that they cost no time. */
   void park() {
     holders
--- a/core/src/main/java/org/cuminwell/core/limit/HeldLimit.java
+++ b/core/src/main/java/org/cuminwell/core/limit/HeldLimit.java
@@ -99,6 +99,13 @@
     credited = Math.max(credited, allotment.creditTokens());
   }
 
+  /**
+   * Counts tokens that are handed over from none on, since another leader has taken the share on.
+   */
+  void adopted() {
+    credited = 0;
+  }
+
   /** Lets go of the share; what stays counts for a new session. */
   void letGo(Instant at) {
     share = Share.NONE;
--- a/core/src/main/java/org/cuminwell/core/limit/LimitMessage.java
+++ b/core/src/main/java/org/cuminwell/core/limit/LimitMessage.java
@@ -26,23 +26,42 @@
    * @param sequence grows with each report of a session
    * @param acknowledged the highest grant number of this session that is in force
    * @param demands what changed since the last report that was answered
+   * @param held every share that an earlier leader granted and that is still in use, as long as the
+   *     leader that is asked has granted nothing
    */
-  record Report(long epoch, long session, long sequence, long acknowledged, List<Demand> demands)
+  record Report(
+      long epoch,
+      long session,
+      long sequence,
+      long acknowledged,
+      List<Demand> demands,
+      List<Held> held)
       implements LimitMessage {
-    /** Copies the list. */
+    /** Copies the lists. */
     public Report {
       demands = List.copyOf(demands);
+      held = List.copyOf(held);
     }
   }
 
+  /** Tells of a share that an earlier leader granted. Immutable and thread safe. */
+  record Held(CustomerId customer, Share share) {}
+
   /**
    * Sets shares.
    *
    * @param number grows with each grant of a session
    * @param answers the sequence of the last report that was heard; the lease runs from its sending
+   * @param adopts whether the shares that an earlier leader granted go on, as they were reported
    * @param allotments every share that changed since the last grant that was acknowledged
    */
-  record Grant(long epoch, long session, long number, long answers, List<Allotment> allotments)
+  record Grant(
+      long epoch,
+      long session,
+      long number,
+      long answers,
+      boolean adopts,
+      List<Allotment> allotments)
       implements LimitMessage {
     /** Copies the list. */
     public Grant {
--- a/core/src/main/java/org/cuminwell/core/limit/ShareGranter.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareGranter.java
@@ -15,6 +15,7 @@
 import org.cuminwell.core.limit.LimitMessage.Allotment;
 import org.cuminwell.core.limit.LimitMessage.Demand;
 import org.cuminwell.core.limit.LimitMessage.Grant;
+import org.cuminwell.core.limit.LimitMessage.Held;
 import org.cuminwell.core.limit.LimitMessage.Leading;
 import org.cuminwell.core.limit.LimitMessage.Report;
 import org.cuminwell.core.limit.ShareHolder.Addressed;
@@ -25,11 +26,11 @@
 /**
  * Grants gateways their shares of the customers' limits while this control host leads.
  *
- * <p>Nothing here is replicated: a new leader waits until every lease of the one before must have
- * run out. Invariants: a holder's shares count as in use until it has acknowledged a smaller one,
- * has begun another session, or {@link ShareLease#LEASE} and {@link ShareLease#MARGIN} have gone by
- * since its last report came, from whose sending the holder counts. Not thread safe: one thread
- * owns it.
+ * <p>Nothing here is replicated: a new leader grants nothing new until every lease of the one
+ * before must have run out. Until then it only lets holders go on with what they report to hold.
+ * Invariants: a holder's shares count as in use until it has acknowledged a smaller one, has begun
+ * another session, or {@link ShareLease#LEASE} and {@link ShareLease#MARGIN} have gone by since its
+ * last report came, from whose sending the holder counts. Not thread safe: one thread owns it.
  */
 public final class ShareGranter {
 
@@ -54,6 +55,7 @@
     long acknowledged;
     long number;
     boolean unsent;
+    boolean adopted;
     Instant expiresAt;
 
     Holder(long session, Instant expiresAt) {
@@ -148,7 +150,7 @@
   }
 
   private List<Addressed> hear(HostId from, Report report, Instant now) {
-    if (!leading || report.epoch() != epoch || now.isBefore(grantsFrom)) {
+    if (!leading || report.epoch() != epoch) {
       return List.of();
     }
     expire(now);
@@ -178,9 +180,26 @@
     }
     Holder holder = new Holder(report.session(), expiry(now));
     holders.put(from, holder);
+    if (now.isBefore(grantsFrom)) {
+      holder.adopted = true;
+      report.held().forEach(held -> adopt(from, holder, held));
+    }
     return holder;
   }
 
+  private void adopt(HostId from, Holder holder, Held held) {
+    Customer customer = configuration.customers().get(held.customer());
+    if (customer != null) {
+      holder.customers.add(customer.id());
+      book(customer).adopt(from, held.share(), grantsFrom);
+    }
+  }
+
+  private CustomerBook book(Customer customer) {
+    return books.computeIfAbsent(
+        customer.id(), id -> new CustomerBook(id, customer.limit(), grantsFrom));
+  }
+
   private void acknowledge(HostId from, Holder holder, long number) {
     if (number <= holder.acknowledged) {
       return;
@@ -201,18 +220,19 @@
     if (customer == null) {
       return;
     }
-    CustomerBook book =
-        books.computeIfAbsent(
-            customer.id(), id -> new CustomerBook(id, customer.limit(), grantsFrom));
+    CustomerBook book = book(customer);
     holder.customers.add(customer.id());
     long returned = book.of(from).demand(demand);
-    if (holder.acknowledged > 0) {
+    if (holder.acknowledged > 0 && !now.isBefore(grantsFrom)) {
       book.giveBack(returned, now);
     }
     changed.add(customer.id());
   }
 
   private void divideChanged(Instant now) {
+    if (now.isBefore(grantsFrom)) {
+      return;
+    }
     for (CustomerId id : List.copyOf(changed)) {
       CustomerBook book = books.get(id);
       if (book != null) {
@@ -245,7 +265,8 @@
     holder.number++;
     holder.unsent = false;
     return new Addressed(
-        to, new Grant(epoch, holder.session, holder.number, holder.heard, allotments));
+        to,
+        new Grant(epoch, holder.session, holder.number, holder.heard, holder.adopted, allotments));
   }
 
   private void expire(Instant now) {
@@ -261,7 +282,7 @@
     for (CustomerId id : holder.customers) {
       CustomerBook book = books.get(id);
       if (book != null) {
-        book.remove(host, now);
+        book.remove(host, now.isBefore(grantsFrom) ? grantsFrom : now);
         changed.add(id);
       }
     }
--- a/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
@@ -11,6 +11,7 @@
 import org.cuminwell.core.limit.LimitMessage.Allotment;
 import org.cuminwell.core.limit.LimitMessage.Demand;
 import org.cuminwell.core.limit.LimitMessage.Grant;
+import org.cuminwell.core.limit.LimitMessage.Held;
 import org.cuminwell.core.limit.LimitMessage.Leading;
 import org.cuminwell.core.limit.LimitMessage.Report;
 import org.cuminwell.core.model.Customer;
@@ -25,8 +26,9 @@
  * <p>An estimate is charged at admission and settled when the request ends. Invariants: a share is
  * used no longer than {@link ShareLease#LEASE} after the sending of the report that its grant
  * answers; tokens come only from the floor, from the share as time goes by, or with a grant, and
- * each grant counts once. Shares of a leader that was replaced stay in use until their lease ends,
- * and a new leader grants no earlier. Not thread safe: one thread owns it.
+ * each grant counts once. Shares of a leader that was replaced stay in use until their lease ends
+ * or the new leader adopts them, which it does for all that this gateway holds or for nothing. Not
+ * thread safe: one thread owns it.
  */
 public final class ShareHolder {
 
@@ -165,7 +167,7 @@
     sent.removeIf(report -> !now.isBefore(report.at().plus(ShareLease.LEASE)));
     sent.addLast(new SentReport(nextSequence, now));
     long acknowledged = heldEpoch == epoch ? lastGrant : 0;
-    Report report = new Report(epoch, session, nextSequence, acknowledged, demands());
+    Report report = new Report(epoch, session, nextSequence, acknowledged, demands(), held());
     nextSequence++;
     return Optional.of(new Addressed(granter.get(), report));
   }
@@ -202,6 +204,17 @@
         .toList();
   }
 
+  /** Returns the shares of an earlier leader, which the present one may let go on. */
+  private List<Held> held() {
+    if (heldEpoch == epoch || lastGrant == 0) {
+      return List.of();
+    }
+    return limits.values().stream()
+        .filter(limit -> !limit.share().equals(Share.NONE))
+        .map(limit -> new Held(limit.customer().id(), limit.share()))
+        .toList();
+  }
+
   private Demand toReport(Demand demand) {
     return leaving ? new Demand(demand.customer(), 0, 0, 0, demand.returnedTokens()) : demand;
   }
@@ -219,8 +232,7 @@
     boolean fromOther = lastGrant != 0 && grant.epoch() != heldEpoch;
     if (grant.epoch() != epoch
         || grant.session() != session
-        || grant.number() <= lastGrant
-        || fromOther
+        || (fromOther ? !grant.adopts() : grant.number() <= lastGrant)
         || !knowsAll(grant.allotments())) {
       return;
     }
@@ -232,6 +244,9 @@
     if (!end.isAfter(now)) {
       return;
     }
+    if (fromOther) {
+      limits.values().forEach(HeldLimit::adopted);
+    }
     leaseEnd = end.isAfter(leaseEnd) ? end : leaseEnd;
     heldEpoch = grant.epoch();
     lastGrant = grant.number();
--- a/wire/src/main/java/org/cuminwell/wire/LimitCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/LimitCodec.java
@@ -3,6 +3,7 @@
 import org.cuminwell.core.limit.LimitMessage;
 import org.cuminwell.core.limit.LimitMessage.Allotment;
 import org.cuminwell.core.limit.LimitMessage.Demand;
+import org.cuminwell.core.limit.LimitMessage.Held;
 import org.cuminwell.core.limit.Share;
 import org.cuminwell.core.model.CustomerId;
 
@@ -26,6 +27,7 @@
                 .setSequence(m.sequence())
                 .setAcknowledged(m.acknowledged());
         m.demands().forEach(demand -> report.addDemand(toProto(demand)));
+        m.held().forEach(held -> report.addHeld(toProto(held)));
       }
       case LimitMessage.Grant m -> {
         var grant =
@@ -33,7 +35,8 @@
                 .setEpoch(m.epoch())
                 .setSession(m.session())
                 .setNumber(m.number())
-                .setAnswers(m.answers());
+                .setAnswers(m.answers())
+                .setAdopts(m.adopts());
         m.allotments().forEach(allotment -> grant.addAllotment(toProto(allotment)));
       }
     }
@@ -50,7 +53,8 @@
             report.getSession(),
             report.getSequence(),
             report.getAcknowledged(),
-            report.getDemandList().stream().map(LimitCodec::fromProto).toList());
+            report.getDemandList().stream().map(LimitCodec::fromProto).toList(),
+            report.getHeldList().stream().map(LimitCodec::fromProto).toList());
       }
       case GRANT -> {
         var grant = from.getGrant();
@@ -59,12 +63,27 @@
             grant.getSession(),
             grant.getNumber(),
             grant.getAnswers(),
+            grant.getAdopts(),
             grant.getAllotmentList().stream().map(LimitCodec::fromProto).toList());
       }
       case KIND_NOT_SET -> throw new IllegalArgumentException("limit message without a kind");
     };
   }
 
+  private static org.cuminwell.wire.generated.LimitMessage.Held toProto(Held from) {
+    return org.cuminwell.wire.generated.LimitMessage.Held.newBuilder()
+        .setCustomer(from.customer().value())
+        .setTokensPerSecond(from.share().tokensPerSecond())
+        .setBurstTokens(from.share().burstTokens())
+        .build();
+  }
+
+  private static Held fromProto(org.cuminwell.wire.generated.LimitMessage.Held from) {
+    return new Held(
+        new CustomerId(from.getCustomer()),
+        new Share(from.getTokensPerSecond(), from.getBurstTokens()));
+  }
+
   private static org.cuminwell.wire.generated.LimitMessage.Demand toProto(Demand from) {
     return org.cuminwell.wire.generated.LimitMessage.Demand.newBuilder()
         .setCustomer(from.customer().value())
