--- a/app/src/main/java/org/cuminwell/app/PlatformFlags.java
+++ b/app/src/main/java/org/cuminwell/app/PlatformFlags.java
@@ -10,6 +10,7 @@
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.RegionId;
 import org.cuminwell.platform.ControlFront;
+import org.cuminwell.platform.QuotaTolerance;
 import org.cuminwell.platform.Regions;
 import org.cuminwell.shell.control.AddedFront;
 
@@ -31,6 +32,16 @@
       description = "how long an endpoint counts after it was last heard, in milliseconds")
   private long announcementLifeMillis = 10_000;
 
+  @Parameter(
+      names = "--limit-overshoot",
+      description = "by which part of itself a customer's quota may be exceeded")
+  private double limitOvershoot = QuotaTolerance.NONE.overshoot();
+
+  @Parameter(
+      names = "--limit-slack",
+      description = "by how many tokens a customer's quota may be exceeded besides")
+  private double limitSlack = QuotaTolerance.NONE.slackTokens();
+
   /** Returns what serves the platform, if anything does. */
   List<AddedFront> fronts() throws SettingException {
     Regions regions = regions();
@@ -38,16 +49,26 @@
     if (!life.isPositive()) {
       throw new SettingException("--announcement-life-ms", "must be 1 or more");
     }
+    QuotaTolerance tolerance = tolerance();
     List<AddedFront> fronts = new ArrayList<>();
     for (HostAddress address : Settings.addresses("--platform", platform)) {
       fronts.add(
           new AddedFront(
               address,
-              (http, requests) -> new ControlFront(http, requests, regions, life)::handle));
+              (http, requests) ->
+                  new ControlFront(http, requests, regions, tolerance, life)::handle));
     }
     return fronts;
   }
 
+  private QuotaTolerance tolerance() throws SettingException {
+    try {
+      return new QuotaTolerance(limitOvershoot, limitSlack);
+    } catch (IllegalArgumentException e) {
+      throw new SettingException("--limit-overshoot, --limit-slack", e);
+    }
+  }
+
   private Regions regions() throws SettingException {
     Map<DataCentreId, RegionId> regions = new HashMap<>();
     for (String text : dataCentres) {
