--- a/app/src/main/java/org/cuminwell/app/ForwardFlags.java
+++ b/app/src/main/java/org/cuminwell/app/ForwardFlags.java
@@ -7,6 +7,7 @@
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.platform.PlatformDialect;
 import org.cuminwell.shell.forward.ForwardSettings;
+import org.cuminwell.shell.forward.WarmUpSettings;
 
 /** Holds the flags of a gateway that forwards requests unchanged. Not thread safe. */
 final class ForwardFlags {
@@ -41,6 +42,21 @@
       description = "retries that all gateways may make beyond that at once")
   private double retryExtra = ForwardBounds.DEFAULT.retryExtra();
 
+  @Parameter(
+      names = "--warm-up-requests",
+      description = "how many requests this host sends itself before it takes callers")
+  private int warmUpRequests = WarmUpSettings.DEFAULT_REQUESTS;
+
+  @Parameter(
+      names = "--warm-up-callers",
+      description = "loopback HOST:PORT where this host takes its own requests; none: no warm-up")
+  private String warmUpCallers = "";
+
+  @Parameter(
+      names = "--warm-up-endpoint",
+      description = "loopback HOST:PORT where this host answers its own requests")
+  private String warmUpEndpoint = "";
+
   /** Returns the settings, if requests are forwarded. */
   Optional<ForwardSettings> settings() throws SettingException {
     if (forward.isEmpty()) {
@@ -55,7 +71,25 @@
             Settings.checked("--forward", forward, HostAddress::parse),
             readinessAddress,
             new PlatformDialect(),
-            bounds()));
+            bounds(),
+            warmUp()));
+  }
+
+  private Optional<WarmUpSettings> warmUp() throws SettingException {
+    if (warmUpCallers.isEmpty() != warmUpEndpoint.isEmpty()) {
+      throw new SettingException("--warm-up-endpoint", "goes with --warm-up-callers; give both");
+    }
+    if (warmUpCallers.isEmpty()) {
+      return Optional.empty();
+    }
+    HostAddress callers = Settings.checked("--warm-up-callers", warmUpCallers, HostAddress::parse);
+    HostAddress endpoint =
+        Settings.checked("--warm-up-endpoint", warmUpEndpoint, HostAddress::parse);
+    try {
+      return Optional.of(new WarmUpSettings(warmUpRequests, callers, endpoint));
+    } catch (IllegalArgumentException e) {
+      throw new SettingException("--warm-up-requests", e);
+    }
   }
 
   private ForwardBounds bounds() throws SettingException {
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardDialect.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardDialect.java
@@ -42,6 +42,12 @@
   /** Returns the answer that carries a failure. */
   HttpResponse refusal(Optional<ForwardHead> head, Failure failure);
 
+  /** Returns a request as callers send it, for {@link WarmUp}; the number tells them apart. */
+  HttpRequest warmUpRequest(int number);
+
+  /** Returns the answer of an endpoint to a request of {@link #warmUpRequest}. */
+  HttpResponse warmUpAnswer(HttpRequest request);
+
   /** Returns the answer to a question at the readiness address. */
   HttpResponse readiness(HttpRequest request, boolean ready);
 }
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardSettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardSettings.java
@@ -10,9 +10,11 @@
  * @param callers where callers reach it
  * @param readiness where it tells whether it takes callers, if anybody asks
  * @param dialect translates what callers and endpoints say
+ * @param warmUp how it warms up before callers come, if it does
  */
 public record ForwardSettings(
     HostAddress callers,
     Optional<HostAddress> readiness,
     ForwardDialect dialect,
-    ForwardBounds bounds) {}
+    ForwardBounds bounds,
+    Optional<WarmUpSettings> warmUp) {}
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
@@ -0,0 +1,238 @@
+package org.cuminwell.shell.forward;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationIndex;
+import org.cuminwell.core.config.Forwarding;
+import org.cuminwell.core.directory.HostDirectory;
+import org.cuminwell.core.forward.ForwardAction;
+import org.cuminwell.core.forward.ForwardBounds;
+import org.cuminwell.core.forward.ForwardEvent;
+import org.cuminwell.core.forward.Forwarder;
+import org.cuminwell.core.limit.ShareHolder;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.membership.EndpointTable;
+import org.cuminwell.core.model.CallerLimits;
+import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.CustomerId;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.ForwardRoute;
+import org.cuminwell.core.model.ForwardService;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.KeyHash;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.core.model.Repeat;
+import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.model.TokenLimit;
+import org.cuminwell.core.model.VersionId;
+import org.cuminwell.shell.duty.Duty;
+import org.cuminwell.shell.duty.Ring;
+import org.cuminwell.shell.http.HttpSystem;
+import org.cuminwell.shell.http.SingleCall;
+
+/**
+ * Sends requests of its own through the path of forwarded requests before callers come, since code
+ * runs slowly until it has been loaded and compiled.
+ *
+ * <p>The requests go from this process through a front and a forwarder of their own to an endpoint
+ * in this process, over the loopback addresses of the settings; nothing of them reaches what serves
+ * callers. Invariant: everything is closed again when {@link #run} returns. Not thread safe.
+ */
+public final class WarmUp {
+
+  /** The host name that the requests carry. */
+  public static final String HOST = "warm-up.invalid";
+
+  /** The path of requests whose answer is a stream of events. */
+  public static final String STREAM_PATH = "/stream/";
+
+  /** The path of requests whose answer comes at once. */
+  public static final String PLAIN_PATH = "/plain/";
+
+  /** The key that the requests carry. */
+  public static final String KEY = "warm-up";
+
+  private static final System.Logger LOG = System.getLogger(WarmUp.class.getName());
+  private static final int CONCURRENT = 4;
+  private static final Duration TIME_LIMIT = Duration.ofMillis(1_500);
+  private static final Duration LONG = Duration.ofDays(1);
+  private static final int RING = 1_024;
+  private static final int SLOTS = 1_000;
+  private static final Place HERE = new Place(new RegionId("here"), new DataCentreId("here"));
+
+  private final AtomicInteger answered = new AtomicInteger();
+  private final HttpSystem http;
+  private final InstantSource time;
+  private final WarmUpSettings settings;
+  private final ForwardDialect dialect;
+  private final Ring<ForwardEvent> events = new Ring<>(RING);
+  private final ForwardFront front;
+  private final Forwarder forwarder;
+  private final Forwarder.Known known;
+  private final ClientConnectionSettings connections;
+
+  private WarmUp(
+      HttpSystem http, InstantSource time, ForwardDialect dialect, WarmUpSettings settings) {
+    this.http = http;
+    this.time = time;
+    this.settings = settings;
+    this.dialect = dialect;
+    Instant now = time.instant();
+    EndpointTable endpoints = new EndpointTable();
+    endpoints.announce(endpoint(settings.endpoint()), now);
+    forwarder =
+        new Forwarder(
+            HERE, endpoints, new HostDirectory(), ForwardBounds.DEFAULT, new SplittableRandom(1));
+    known =
+        new Forwarder.Known(
+            ConfigurationIndex.of(configuration()), now, new ShareHolder(HERE, 1, now), false);
+    front = new ForwardFront(http, time, dialect, events::offer, events::offer);
+    connections = SingleCall.settings(http, ForwardClient.CONNECT_TIMEOUT);
+  }
+
+  /**
+   * Sends the requests of the settings, or as many as there is time for, and waits for them.
+   *
+   * @return how many were answered with success
+   */
+  public static int run(
+      HttpSystem http, InstantSource time, ForwardDialect dialect, WarmUpSettings settings) {
+    return new WarmUp(http, time, dialect, settings).run();
+  }
+
+  private int run() {
+    Instant begin = time.instant();
+    ServerBinding callers = http.serveConnections(settings.callers(), front::connection);
+    ServerBinding endpoint =
+        http.serve(
+            settings.endpoint(),
+            request -> CompletableFuture.completedFuture(dialect.warmUpAnswer(request)));
+    int sent = 0;
+    try (var _ = Duty.start("warm-up", events, this::decide)) {
+      while (sent < settings.requests() && isTimeLeft(begin)) {
+        send(sent, begin);
+        sent += CONCURRENT;
+      }
+    } catch (CompletionException e) {
+      LOG.log(
+          System.Logger.Level.WARNING, "warm-up ended early; callers are served all the same", e);
+    } finally {
+      callers.unbind().toCompletableFuture().join();
+      endpoint.unbind().toCompletableFuture().join();
+    }
+    long took = Duration.between(begin, time.instant()).toMillis();
+    LOG.log(
+        System.Logger.Level.INFO,
+        "warmed up: " + answered.get() + " of " + sent + " requests answered in " + took + " ms");
+    return answered.get();
+  }
+
+  private boolean isTimeLeft(Instant begin) {
+    return time.instant().isBefore(begin.plus(TIME_LIMIT));
+  }
+
+  /** Sends a few requests at once, and waits until all have been answered. */
+  private void send(int first, Instant begin) {
+    Duration left = Duration.between(time.instant(), begin.plus(TIME_LIMIT));
+    CompletableFuture<?>[] answers =
+        IntStream.range(first, first + CONCURRENT)
+            .mapToObj(number -> send(number).toCompletableFuture())
+            .toArray(CompletableFuture[]::new);
+    CompletableFuture.allOf(answers)
+        .completeOnTimeout(null, Math.max(1, left.toMillis()), TimeUnit.MILLISECONDS)
+        .join();
+  }
+
+  private CompletionStage<?> send(int number) {
+    HttpRequest request = dialect.warmUpRequest(number);
+    return new SingleCall()
+        .send(http, connections, settings.callers(), request)
+        .thenCompose(
+            answer ->
+                answer
+                    .entity()
+                    .toStrict(LONG.toMillis(), http.actors())
+                    .thenAccept(_ -> count(answer)));
+  }
+
+  private void count(HttpResponse answer) {
+    if (answer.status().isSuccess()) {
+      answered.incrementAndGet();
+    }
+  }
+
+  private void decide(ForwardEvent event) {
+    for (ForwardAction action : forwarder.handle(event, known, time.instant())) {
+      if (!(action instanceof ForwardAction.Note)) {
+        front.perform(action);
+      }
+    }
+  }
+
+  private static Announcement endpoint(HostAddress address) {
+    return new Announcement(
+        new EndpointId("warm-up"),
+        1,
+        HERE,
+        address,
+        Set.of("warm-up"),
+        new VersionId("1"),
+        SLOTS,
+        LONG,
+        false);
+  }
+
+  private static Configuration configuration() {
+    CustomerId customer = new CustomerId("warm-up");
+    ForwardRoute stream = route("stream", STREAM_PATH, new Repeat.ResumableStream(), true);
+    ForwardRoute plain = route("plain", PLAIN_PATH, new Repeat.Once(), false);
+    return new Configuration(
+        new Revision(1),
+        Map.of(
+            customer,
+            new Customer(customer, Set.of(KeyHash.of(KEY)), TokenLimit.UNLIMITED, Set.of())),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        new Forwarding(
+            Map.of(stream.id(), stream, plain.id(), plain),
+            Map.of("warm-up", new ForwardService("warm-up", "/", SLOTS, Duration.ZERO, 0)),
+            CallerLimits.DEFAULT,
+            Set.of()));
+  }
+
+  private static ForwardRoute route(String id, String path, Repeat repeat, boolean cachesPrompts) {
+    return new ForwardRoute(
+        new RouteId(id),
+        HOST,
+        path,
+        repeat,
+        LONG,
+        LONG,
+        0,
+        List.of(new ForwardRoute.Weighted("warm-up", 1)),
+        1,
+        false,
+        cachesPrompts,
+        Set.of());
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -29,6 +29,7 @@
 import org.cuminwell.shell.forward.ForwardFront;
 import org.cuminwell.shell.forward.ForwardSettings;
 import org.cuminwell.shell.forward.RelayFront;
+import org.cuminwell.shell.forward.WarmUp;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.OpsPages;
 import org.cuminwell.shell.metrics.Telemetry;
@@ -104,6 +105,7 @@
    */
   public static GatewayProcess start(GatewaySettings settings) {
     GatewayProcess process = new GatewayProcess(settings);
+    settings.forwarding().ifPresent(process::warmUp);
     OpsPages pages = new OpsPages(() -> process.ready, process.telemetry);
     InnerFront inner = new InnerFront(process.http, process.events, pages);
     process.listener =
@@ -218,6 +220,10 @@
         event -> events.force(new GatewayEvent.Forwarded(event)));
   }
 
+  private void warmUp(ForwardSettings settings) {
+    settings.warmUp().ifPresent(how -> WarmUp.run(http, time, settings.dialect(), how));
+  }
+
   private void serveReadiness(ForwardSettings settings) {
     settings
         .readiness()
