Ask for shares ahead where customers are few; read event ids only when needed

And every event of a stream was decoded and split for an id that is used only after a break. Change: a holder names up to 64 customers in its first report of a session, and so gets a part of what nobody wants; EventIds searches the last events when a stream goes on elsewhere.

--- a/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
@@ -32,6 +32,9 @@
  */
 public final class ShareHolder {
 
+  /** Up to how many customers a holder asks for shares before their requests come. */
+  static final int ASKED_AHEAD = 64;
+
   private static final Duration SHORT_WAIT = Duration.ofSeconds(1);
   private static final long FIRST_SEQUENCE = 1;
 
@@ -84,6 +87,27 @@
         limit.configure(customer, floorPart(customer), now);
       }
     }
+    askAhead(now);
+  }
+
+  /**
+   * Has the next report name every customer, where they are few, so that the first requests of each
+   * find a share of what nobody else wants.
+   */
+  private void askAhead(Instant now) {
+    if (configuration.customers().size() > ASKED_AHEAD || leaving) {
+      return;
+    }
+    for (Customer customer : configuration.customers().values()) {
+      if (mayHold(customer)) {
+        limit(customer, now).reportAgain(nextSequence);
+      }
+    }
+  }
+
+  private boolean mayHold(Customer customer) {
+    return !customer.limit().equals(TokenLimit.UNLIMITED)
+        && (customer.boundTo().isEmpty() || customer.boundTo().contains(place.region()));
   }
 
   /**
@@ -302,6 +326,7 @@
     lastGrant = 0;
     sent.clear();
     urgent = true;
+    askAhead(now);
   }
 
   private HeldLimit limit(Customer customer, Instant now) {
--- a/shell/src/main/java/org/cuminwell/shell/forward/EventFraming.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/EventFraming.java
@@ -1,6 +1,5 @@
 package org.cuminwell.shell.forward;
 
-import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 import org.apache.pekko.stream.Attributes;
 import org.apache.pekko.stream.FlowShape;
@@ -17,21 +16,19 @@
  * Passes a stream of server-sent events on by whole events, so that another endpoint can go on
  * after the last one.
  *
- * <p>A stream that ends within an event fails. Invariant: the id of an event is reported before its
- * bytes are passed on. Thread safe; each materialization has a state of its own.
+ * <p>A stream that ends within an event fails. Invariant: events are reported before their bytes
+ * are passed on. Thread safe; each materialization has a state of its own.
  */
 final class EventFraming extends GraphStage<FlowShape<ByteString, ByteString>> {
 
   private static final ByteString EVENT_END = ByteString.fromString("\n\n");
-  private static final String ID_FIELD = "id:";
-
-  private final Consumer<String> eventIds;
+  private final Consumer<ByteString> events;
   private final Inlet<ByteString> in = Inlet.create("EventFraming.in");
   private final Outlet<ByteString> out = Outlet.create("EventFraming.out");
 
-  /** Makes a stage that reports the id of the last event of each part it passes on. */
-  EventFraming(Consumer<String> eventIds) {
-    this.eventIds = eventIds;
+  /** Makes a stage that reports the whole events that it passes on. */
+  EventFraming(Consumer<ByteString> events) {
+    this.events = events;
   }
 
   @Override
@@ -78,28 +75,19 @@
     }
 
     private void pass(ByteString part) {
-      ByteString all = rest.concat(part);
+      ByteString all = rest.isEmpty() ? part : rest.concat(part);
       int end = lastEventEnd(all);
       if (end == 0) {
         rest = all;
         pull(in);
         return;
       }
-      rest = all.drop(end).compact();
-      ByteString whole = all.take(end);
-      reportId(whole);
+      boolean isWhole = end == all.length();
+      rest = isWhole ? ByteString.emptyByteString() : all.drop(end).compact();
+      ByteString whole = isWhole ? all : all.take(end);
+      events.accept(whole);
       push(out, whole);
     }
-
-    private void reportId(ByteString events) {
-      String[] lines = events.decodeString(StandardCharsets.UTF_8).split("\n", -1);
-      for (int i = lines.length - 1; i >= 0; i--) {
-        if (lines[i].startsWith(ID_FIELD)) {
-          eventIds.accept(lines[i].substring(ID_FIELD.length()).strip());
-          return;
-        }
-      }
-    }
   }
 
   /** Returns the index after the last whole event, 0 if there is none. */
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/forward/EventIds.java
@@ -0,0 +1,46 @@
+package org.cuminwell.shell.forward;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.apache.pekko.util.ByteString;
+
+/** Finds the ids in whole server-sent events. Stateless and thread safe. */
+final class EventIds {
+
+  private static final String FIELD = "id:";
+
+  private EventIds() {}
+
+  /** Returns whether one of the events has an id. */
+  static boolean isIn(ByteString events) {
+    byte[] bytes = events.toArrayUnsafe();
+    boolean lineBegins = true;
+    for (int i = 0; i + FIELD.length() <= bytes.length; i++) {
+      if (lineBegins && isField(bytes, i)) {
+        return true;
+      }
+      lineBegins = bytes[i] == '\n';
+    }
+    return false;
+  }
+
+  /** Returns the id of the last event that has one. */
+  static Optional<String> last(ByteString events) {
+    String[] lines = events.decodeString(StandardCharsets.UTF_8).split("\n", -1);
+    for (int i = lines.length - 1; i >= 0; i--) {
+      if (lines[i].startsWith(FIELD)) {
+        return Optional.of(lines[i].substring(FIELD.length()).strip());
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static boolean isField(byte[] bytes, int start) {
+    for (int i = 0; i < FIELD.length(); i++) {
+      if (bytes[start + i] != FIELD.charAt(i)) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/forward/PendingForward.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/PendingForward.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
@@ -24,7 +25,8 @@
   private final CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
   private @Nullable ForwardAttempt attempt;
   private CompletableFuture<Source<ByteString, NotUsed>> next = new CompletableFuture<>();
-  private volatile @Nullable String lastEventId;
+  private final AtomicReference<ByteString> lastEvents =
+      new AtomicReference<>(ByteString.emptyByteString());
   private boolean over;
 
   PendingForward(ForwardHead head, HttpRequest request, ByteString body) {
@@ -49,13 +51,16 @@
     return answer;
   }
 
-  /** Returns the last event that has gone to the caller whole. */
+  /** Returns the id of the last event that has gone to the caller whole. */
   Optional<String> lastEventId() {
-    return Optional.ofNullable(lastEventId);
+    return EventIds.last(lastEvents.get());
   }
 
-  void passed(String eventId) {
-    lastEventId = eventId;
+  /** Notes the latest events that go to the caller; those without an id don't count. */
+  void passed(ByteString events) {
+    if (EventIds.isIn(events)) {
+      lastEvents.set(events);
+    }
   }
 
   /** Notes the attempt that runs, and returns whether it may. */
--- /dev/null
+++ b/shell/src/test/java/org/cuminwell/shell/forward/EventIdsTest.java
@@ -0,0 +1,27 @@
+package org.cuminwell.shell.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.apache.pekko.util.ByteString;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Holds which event a stream goes on after. */
+final class EventIdsTest {
+
+  @ParameterizedTest(name = "{0}: {1}")
+  @CsvSource({
+    "'id: 1|data: x||', 1",
+    "'id: 1|data: x||id: 2|data: y||', 2",
+    "'data: x|id:7||', 7",
+    "'id: 3|data: x||data: y||', 3",
+    "'data: id: 9||', ",
+    "'data: x||', ",
+    "'', ",
+  })
+  void lastIdIsFound(String events, String id) {
+    ByteString bytes = ByteString.fromString(events.replace('|', '\n'));
+    assertThat(EventIds.last(bytes).orElse(null)).isEqualTo(id);
+    assertThat(EventIds.isIn(bytes)).isEqualTo(id != null);
+  }
+}
