Refuse prompts where answers begin too late; keep shares for 5 s without a leader

And a loss of all control hosts for 1.5 s left gateways with floors until 35.3 s, since shares ended after 2.5 s and the next leader grants 5 s after the loss (request lines: 547 refusals share_short from 30 to 36 s). Change: an engine has no room while answers begin later than 0.8 of the target or 0.8 of its time goes to reading; a request's own size doesn't count, so that large ones are not refused for it. The lease is 5 s: with adoption a longer lease no longer delays what gateways have. Ruled out: the class archive (control hosts start within 2.0 s and lead 0.15 s later). Price: a lost gateway's share is free after 5.5 s.

--- a/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
+++ b/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
@@ -126,6 +126,7 @@
             call.route().rank(),
             call.tried(),
             call.isAnswerPassed(),
+            call.route().latencyTarget(),
             gatewaysHere());
     return switch (engines.choose(candidates, query, now)) {
       case EngineChoice.Chosen c -> send(c.engine(), c.toRead(), candidates.size(), now);
@@ -152,7 +153,15 @@
     }
   }
 
-  /** Takes in that an engine has read the prompt of a request, or need not any more. */
+  /** Takes in that an engine has read the prompt of a request. */
+  void began(ForwardedCall call, Instant now) {
+    if (call.isRead() && call.isAttempting()) {
+      EndpointId engine = call.endpoint().orElseThrow().endpoint();
+      engines.began(engine, call.takeToRead(), call.attemptRunsFor(now), now);
+    }
+  }
+
+  /** Takes in that an engine need not read the prompt of a request any more. */
   void read(ForwardedCall call) {
     call.endpoint().ifPresent(target -> engines.read(target.endpoint(), call.takeToRead()));
   }
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
@@ -146,9 +146,14 @@
     return attempts;
   }
 
+  /** Returns how long the attempt has been running. */
+  Duration attemptRunsFor(Instant now) {
+    return sentAt == null ? Duration.ZERO : Duration.between(sentAt, now);
+  }
+
   /** Notes that the running attempt has ended, and returns how long it took. */
   Duration attemptTook(Instant now) {
-    Duration took = sentAt == null ? Duration.ZERO : Duration.between(sentAt, now);
+    Duration took = attemptRunsFor(now);
     sentAt = null;
     return took;
   }
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -114,7 +114,7 @@
         ForwardedCall call = calls.get(e.id());
         if (call != null) {
           call.bodyBegan(now);
-          choice.read(call);
+          choice.began(call, now);
         }
       }
       case ForwardEvent.EventsCame e -> {
--- a/core/src/main/java/org/cuminwell/core/limit/ShareLease.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareLease.java
@@ -6,13 +6,13 @@
 public final class ShareLease {
 
   /** How long a share counts at its holder, from the sending of the report it answers. */
-  public static final Duration LEASE = Duration.ofMillis(2_500);
+  public static final Duration LEASE = Duration.ofSeconds(5);
 
   /**
    * How much longer the granter counts it, from the grant. Covers clocks whose rates differ by up
    * to a tenth.
    */
-  public static final Duration MARGIN = Duration.ofMillis(300);
+  public static final Duration MARGIN = Duration.ofMillis(500);
 
   /** How often a holder reports while it has or wants a share. */
   public static final Duration REPORT_PERIOD = Duration.ofSeconds(1);
--- a/core/src/main/java/org/cuminwell/core/routing/EngineRouter.java
+++ b/core/src/main/java/org/cuminwell/core/routing/EngineRouter.java
@@ -24,7 +24,7 @@
 public final class EngineRouter {
 
   /** The part of an engine's time that prompts of the first rank may take. */
-  static final double MAX_UTILISATION = 0.85;
+  static final double MAX_UTILISATION = 0.8;
 
   /** How much less of it each later rank may take. */
   static final double RANK_STEP = 0.08;
@@ -32,6 +32,9 @@
   /** The last rank that may take less than the one before it. */
   static final int LAST_RANK = 3;
 
+  /** The part of a request's latency target in which an engine must have read what comes before. */
+  static final double MAX_OF_TARGET = 0.8;
+
   /** The part of an engine's slots that is used. */
   static final double MAX_SLOTS = 0.95;
 
@@ -62,9 +65,16 @@
    * @param rank the order in which prompts give way when there is too little room; 0 goes first
    * @param tried engines that the request has failed at already
    * @param mustRun whether the request goes on somewhere however busy the engines are
+   * @param target the time within which the answer should begin
    * @param hosts how many gateways send to the engines of a region
    */
-  public record Query(Prompt prompt, int rank, Set<EndpointId> tried, boolean mustRun, int hosts) {}
+  public record Query(
+      Prompt prompt,
+      int rank,
+      Set<EndpointId> tried,
+      boolean mustRun,
+      Duration target,
+      int hosts) {}
 
   /** Returns where the prompt goes. */
   public EngineChoice choose(List<Entry> candidates, Query query, Instant now) {
@@ -87,7 +97,13 @@
     load(engine).sent(prompt, toRead, now);
   }
 
-  /** Counts a prompt that was read, or that needs not be read any more. */
+  /** Takes in how long an answer took to begin, and that its prompt was read. */
+  public void began(EndpointId engine, long toRead, Duration took, Instant now) {
+    load(engine).read(toRead);
+    load(engine).began(toRead, took, now);
+  }
+
+  /** Counts a prompt that needs not be read any more. */
   public void read(EndpointId engine, long toRead) {
     load(engine).read(toRead);
   }
@@ -120,13 +136,17 @@
     long toRead = load.toRead(query.prompt(), id.equals(keeper) ? KEEPER_KEEPS : 0, now);
     double utilisation = load.utilisation(query.hosts(), now);
     int running = query.hosts() * router.requests(entry, now);
+    boolean isNear = entry.announcement().place().region().equals(here.region());
+    double waits = load.waitMillis(now) + (isNear ? 0 : AWAY_MILLIS);
     boolean hasRoom =
-        utilisation < limit(query.rank()) && running < MAX_SLOTS * entry.announcement().capacity();
+        utilisation < limit(query.rank())
+            && waits < MAX_OF_TARGET * (double) query.target().toMillis()
+            && running < MAX_SLOTS * entry.announcement().capacity();
     double cost =
-        load.millisUntilRead(toRead)
+        waits
+            + load.millisToRead(toRead)
             + BUSY_MILLIS * utilisation * utilisation
-            + FAILURE_MILLIS * router.failures(entry, now)
-            + (entry.announcement().place().region().equals(here.region()) ? 0 : AWAY_MILLIS);
+            + FAILURE_MILLIS * router.failures(entry, now);
     return new Option(entry, toRead, hasRoom, cost);
   }
 
--- a/core/src/main/java/org/cuminwell/core/routing/ReadingLoad.java
+++ b/core/src/main/java/org/cuminwell/core/routing/ReadingLoad.java
@@ -32,6 +32,7 @@
   private static final double SATURATED = 0.9;
   private static final double SHORTEST_PAUSE_RISE = 1.000_5;
   private static final double OBSERVED_FOR_SECONDS = 0.7;
+  private static final double WAIT_WEIGHT = 0.15;
   private static final int MAX_PREFIXES = 4_096;
 
   private final LinkedHashMap<Long, Instant> prefixes = new LinkedHashMap<>(64, 0.75f, true);
@@ -43,6 +44,8 @@
   private double pauseSeconds;
   private double shortestPauseSeconds;
   private Instant observedAt = Instant.EPOCH;
+  private double waitMillis;
+  private Instant waitedAt = Instant.EPOCH;
 
   /** Counts a prompt that was sent, of which the engine must read {@code tokens}. */
   void sent(Prompt prompt, long tokens, Instant now) {
@@ -63,6 +66,18 @@
     unread = Math.max(0, unread - tokens);
   }
 
+  /**
+   * Takes in how long an answer took to begin.
+   *
+   * @param tokens what the engine was expected to read for it
+   */
+  void began(long tokens, Duration took, Instant now) {
+    double beyond = Math.max(0, took.toNanos() / 1e6 - millisToRead(tokens));
+    double before = lateWaitMillis(now);
+    waitMillis = before + WAIT_WEIGHT * (beyond - before);
+    waitedAt = now;
+  }
+
   /**
    * Takes in how fast events of an answer came.
    *
@@ -87,6 +102,7 @@
     prefixes.clear();
     recent = 0;
     longer = 0;
+    waitMillis = 0;
     pauseSeconds = shortestPauseSeconds;
   }
 
@@ -110,9 +126,17 @@
     return Math.max(planned(hosts, now) / rate, observed(now));
   }
 
-  /** Returns how long the engine takes to read what this gateway sent and the tokens. */
-  double millisUntilRead(long tokens) {
-    return 1e3 * (double) (unread + tokens) / rate;
+  /**
+   * Returns how long a prompt waits until the engine reads it, in milliseconds: as long as it takes
+   * to read what this gateway sent before, or as others waited lately.
+   */
+  double waitMillis(Instant now) {
+    return Math.max(lateWaitMillis(now), millisToRead(unread));
+  }
+
+  /** Returns how long the engine takes to read the tokens, in milliseconds. */
+  double millisToRead(long tokens) {
+    return 1e3 * (double) tokens / rate;
   }
 
   private boolean isKept(long prefix, Instant now) {
@@ -130,6 +154,11 @@
     }
   }
 
+  private double lateWaitMillis(Instant now) {
+    double age = Math.max(0, Duration.between(waitedAt, now).toNanos() / 1e9);
+    return waitMillis * Math.exp(-age / OBSERVED_FOR_SECONDS);
+  }
+
   private double observed(Instant now) {
     if (pauseSeconds <= shortestPauseSeconds) {
       return 0;
--- a/core/src/test/java/org/cuminwell/core/routing/EngineRouterTest.java
+++ b/core/src/test/java/org/cuminwell/core/routing/EngineRouterTest.java
@@ -29,6 +29,7 @@
   private static final Place AWAY = place("inland");
   private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
   private static final Duration CALM = Duration.ofMillis(30);
+  private static final Duration TARGET = Duration.ofSeconds(1);
   private static final int SLOTS = 128;
 
   private final EndpointTable endpoints = new EndpointTable();
@@ -65,12 +66,7 @@
   })
   void pausesOfAnswersShowWhetherAnEngineCanReadMore(int pauseMillis, int rank, boolean room) {
     announce(1, HERE);
-    EngineRouter router = router(1);
-    EndpointId only = all().getFirst().announcement().endpoint();
-    router.observe(only, CALM, 1, now);
-    for (int i = 0; i < 100; i++) {
-      router.observe(only, Duration.ofMillis(pauseMillis), 1, now);
-    }
+    EngineRouter router = routerThatSawPauses(pauseMillis);
     EngineChoice choice = router.choose(all(), query("shared", rank, 1), now);
     assertThat(choice instanceof EngineChoice.Chosen).isEqualTo(room);
   }
@@ -79,13 +75,8 @@
   @CsvSource({"400", "2000"})
   void aRequestThatMustGoOnIsNeverRefused(int pauseMillis) {
     announce(1, HERE);
-    EngineRouter router = router(1);
-    EndpointId only = all().getFirst().announcement().endpoint();
-    router.observe(only, CALM, 1, now);
-    for (int i = 0; i < 100; i++) {
-      router.observe(only, Duration.ofMillis(pauseMillis), 1, now);
-    }
-    var query = new EngineRouter.Query(prompt("shared"), 0, Set.of(), true, 1);
+    EngineRouter router = routerThatSawPauses(pauseMillis);
+    var query = new EngineRouter.Query(prompt("shared"), 0, Set.of(), true, TARGET, 1);
     assertThat(router.choose(all(), query, now)).isInstanceOf(EngineChoice.Chosen.class);
   }
 
@@ -112,6 +103,20 @@
         .isEqualTo(refused);
   }
 
+  @ParameterizedTest(name = "answers began after {0} ms: room {1}")
+  @CsvSource({"50, true", "500, true", "1500, false"})
+  void engineWhoseAnswersBeginTooLateGetsNoMore(int millis, boolean room) {
+    announce(1, HERE);
+    EngineRouter router = router(1);
+    EndpointId only = all().getFirst().announcement().endpoint();
+    for (int i = 0; i < 30; i++) {
+      router.began(only, 0, Duration.ofMillis(millis), now);
+    }
+    assertThat(router.choose(all(), own(), now) instanceof EngineChoice.Chosen).isEqualTo(room);
+    now = now.plusSeconds(3);
+    assertThat(router.choose(all(), own(), now)).isInstanceOf(EngineChoice.Chosen.class);
+  }
+
   @ParameterizedTest(name = "the engine starts again: {0}")
   @CsvSource({"true, 9000", "false, 1000"})
   void anEngineThatStartedAgainKeptNothing(boolean again, long toRead) {
@@ -134,7 +139,7 @@
   }
 
   private static EngineRouter.Query query(String shared, int rank, int hosts) {
-    return new EngineRouter.Query(prompt(shared), rank, Set.of(), false, hosts);
+    return new EngineRouter.Query(prompt(shared), rank, Set.of(), false, TARGET, hosts);
   }
 
   private static Prompt prompt(String shared) {
@@ -145,6 +150,17 @@
     return new EngineRouter(HERE, new Router(HERE, new SplittableRandom(seed)));
   }
 
+  /** Returns a router that saw answers of the only engine come fast once, and then as given. */
+  private EngineRouter routerThatSawPauses(int millis) {
+    EngineRouter router = router(1);
+    EndpointId only = all().getFirst().announcement().endpoint();
+    router.observe(only, CALM, 1, now);
+    for (int i = 0; i < 100; i++) {
+      router.observe(only, Duration.ofMillis(millis), 1, now);
+    }
+    return router;
+  }
+
   private static EndpointId engine(EngineChoice choice) {
     return ((EngineChoice.Chosen) choice).engine().announcement().endpoint();
   }
