--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -27,7 +27,6 @@
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.model.Verdict;
-import org.cuminwell.core.retry.RetryBudget;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -39,18 +38,8 @@
  */
 public final class Forwarder {
 
-  /** How often one request is sent at most, whatever became of it. */
-  static final int MAX_SENDS = 4;
-
-  /** How many latency targets an attempt may take before another is made beside it. */
-  private static final int PATIENCE_TARGETS = 3;
-
-  /** The part of the bounds that is used, since gateways do not know each other's retries. */
-  private static final double BUDGET_PART = 0.7;
-
   private static final int OK = 200;
   private static final Duration UNKNOWN_AGE = Duration.ofDays(1);
-  private static final Duration LEAST_PATIENCE = Duration.ofSeconds(1);
   private static final Duration LONGEST_SILENCE = Duration.ofMillis(1_500);
   private static final Duration RETRY_SOON = Duration.ofMillis(300);
 
@@ -60,10 +49,9 @@
   private final ForwardBounds bounds;
   private final EndpointTable endpoints;
   private final EndpointChoice choice;
-  private final HostDirectory directory;
+  private final Resends resends;
   private final Map<RequestId, ForwardedCall> calls = new HashMap<>();
   private final AwaitedShares<ForwardedCall> awaited = new AwaitedShares<>();
-  private final Map<String, RetryBudget> budgets = new HashMap<>();
 
   /** Makes a forwarder of a gateway at {@code here}; the random source makes its draws. */
   public Forwarder(
@@ -74,7 +62,7 @@
       SplittableRandom random) {
     this.bounds = bounds;
     this.endpoints = endpoints;
-    this.directory = directory;
+    this.resends = new Resends(bounds, directory);
     this.choice = new EndpointChoice(here, endpoints, directory, random);
   }
 
@@ -245,12 +233,12 @@
     Announcement endpoint = target.announcement();
     int attempt = call.begin(endpoint, now);
     if (attempt == 1) {
-      budget(call).earn();
+      resends.firstSent(call);
     }
     choice.sent(call, target, now);
     actions.add(ForwardNotes.sent(call, target, now));
     Duration left = Duration.between(now, call.deadline());
-    boolean another = maySendAnother(call, Verdict.mayHaveRun(), now) && budget(call).hasSome();
+    boolean another = resends.couldFollow(call, Verdict.mayHaveRun(), now);
     actions.add(
         new ForwardAction.Send(
             call.id(),
@@ -259,7 +247,7 @@
             endpoint.address(),
             target.relay(),
             left,
-            another ? shorter(patience(call), left) : left,
+            another ? shorter(Resends.patience(call), left) : left,
             LONGEST_SILENCE,
             call.customerIfAny().map(Customer::id),
             call.isAnswerPassed(),
@@ -282,7 +270,7 @@
       }
       case AnswerHead.Failed head -> {
         boolean another =
-            call.route().repeat().allowsAnother() && maySendAnother(call, Verdict.ran(), now);
+            call.route().repeat().allowsAnother() && resends.isAllowed(call, Verdict.ran(), now);
         if (another || call.isAnswerPassed()) {
           abandon(call, failedWith(head.status()), known, now, actions);
         } else {
@@ -354,7 +342,7 @@
     call.judge(failure.verdict());
     settleAttempt(call, failure.code() != ErrorCode.BUSY, now);
     boolean resumes = !call.isAnswerPassed() || isResumable(call);
-    if (resumes && maySendAnother(call, failure.verdict(), now) && budget(call).trySpend()) {
+    if (resumes && resends.spend(call, failure.verdict(), now)) {
       attempt(call, known, now, actions);
     } else {
       fail(call, failure, known, now, actions);
@@ -384,15 +372,6 @@
     fail(call, late, known, now, actions);
   }
 
-  private boolean maySendAnother(ForwardedCall call, Verdict last, Instant now) {
-    boolean harmless = last instanceof Verdict.NotRun || call.route().repeat().allowsAnother();
-    int runs = call.isAttempting() && !(last instanceof Verdict.NotRun) ? 1 : 0;
-    return harmless
-        && call.attempts() < MAX_SENDS
-        && call.runs() + runs < call.route().maxAttempts()
-        && now.isBefore(call.deadline());
-  }
-
   private void settleAttempt(ForwardedCall call, boolean blamed, Instant now) {
     if (call.isAttempting()) {
       Duration took = call.attemptTook(now);
@@ -451,22 +430,6 @@
     return call != null && call.isAttempting() && call.attempts() == attempt ? call : null;
   }
 
-  private RetryBudget budget(ForwardedCall call) {
-    return budgets.computeIfAbsent(
-        call.service(),
-        _ -> {
-          double gateways = Math.max(1, directory.all().size());
-          return new RetryBudget(
-              bounds.retryRatio() * BUDGET_PART,
-              Math.max(1, bounds.retryExtra() * BUDGET_PART / gateways));
-        });
-  }
-
-  private static Duration patience(ForwardedCall call) {
-    Duration targets = call.route().latencyTarget().multipliedBy(PATIENCE_TARGETS);
-    return targets.compareTo(LEAST_PATIENCE) > 0 ? targets : LEAST_PATIENCE;
-  }
-
   private static boolean isResumable(ForwardedCall call) {
     return call.route().repeat() instanceof Repeat.ResumableStream;
   }
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.cuminwell.core.config.Configuration;
-import org.cuminwell.core.config.ConfigurationIndex;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.directory.HostDirectory;
 import org.cuminwell.core.distribution.ConfigurationHolder;
@@ -41,7 +40,6 @@
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostId;
-import org.cuminwell.core.model.KeyHash;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.model.Route;
@@ -71,6 +69,7 @@
 
   private final HostDescription self;
   private final ConfigurationHolder configuration = new ConfigurationHolder();
+  private final CallRules rules;
   private final HostDirectory directory = new HostDirectory();
   private final EndpointTable endpoints = new EndpointTable();
   private final int floorSlots;
@@ -106,6 +105,7 @@
   public Gateway(
       HostDescription self, int floorSlots, ForwardBounds bounds, SplittableRandom random) {
     this.self = self;
+    rules = new CallRules(self.place(), configuration);
     claims = new ClaimTracker(self.id());
     this.floorSlots = floorSlots;
     attempts = new Attempts(self.place(), random);
@@ -206,7 +206,7 @@
       actions.add(new Refuse(head.id(), refusal.get()));
       return;
     }
-    Customer customer = customerOf(head).orElseThrow();
+    Customer customer = rules.customerOf(head).orElseThrow();
     calls.put(head.id(), new RunningCall(head, customer, now));
     actions.add(new ReadBody(head.id()));
   }
@@ -222,83 +222,7 @@
           Failure.notRunRetryAfter(
               ErrorCode.NOT_READY, "this host has no configuration yet; try again", RETRY_SOON));
     }
-    Optional<Route> route = routeOf(head.target());
-    if (namesRoute(head.target()) && route.isEmpty()) {
-      return Optional.of(Failure.notRun(ErrorCode.UNKNOWN_ROUTE, "there is no such route"));
-    }
-    Optional<Customer> customer = customerOf(head);
-    if (customer.isEmpty()) {
-      return Optional.of(keyFailure(head.key()));
-    }
-    Residency residency = Residency.of(customer.get()).and(readableFor(route));
-    return residency.allows(self.place().region())
-        ? Optional.empty()
-        : Optional.of(wrongRegion(residency));
-  }
-
-  /**
-   * Returns where the body may be read. While the route is unknown, every model route counts, so
-   * that a bound body is never read in the wrong region.
-   */
-  private Residency readableFor(Optional<Route> route) {
-    if (route.isPresent()) {
-      return Residency.of(route.get().boundTo());
-    }
-    return configuration.index().configuration().routes().values().stream()
-        .filter(r -> r.service() instanceof Service.Model)
-        .map(r -> Residency.of(r.boundTo()))
-        .reduce(new Residency.Unbound(), Residency::and);
-  }
-
-  private Optional<Route> routeOf(CallHead.Target target) {
-    ConfigurationIndex index = configuration.index();
-    return switch (target) {
-      case CallHead.Target.Completion c ->
-          c.route().flatMap(index::route).filter(r -> r.service() instanceof Service.Model);
-      case CallHead.Target.Plain p ->
-          index.route(p.route()).filter(r -> r.service() instanceof Service.Plain);
-    };
-  }
-
-  private static boolean namesRoute(CallHead.Target target) {
-    return switch (target) {
-      case CallHead.Target.Completion c -> c.route().isPresent();
-      case CallHead.Target.Plain p -> true;
-    };
-  }
-
-  private Optional<Customer> customerOf(CallHead head) {
-    ConfigurationIndex index = configuration.index();
-    return head.key()
-        .map(index::customerByKey)
-        .orElseGet(
-            () ->
-                routeOf(head.target())
-                    .flatMap(Route::openAs)
-                    .map(id -> index.configuration().customers().get(id)));
-  }
-
-  private static Failure keyFailure(Optional<KeyHash> key) {
-    return key.isPresent()
-        ? Failure.notRun(ErrorCode.INVALID_KEY, "the key does not work; ask for a new one")
-        : Failure.notRun(
-            ErrorCode.MISSING_KEY, "send the key in the header 'Authorization: Bearer KEY'");
-  }
-
-  private static Failure wrongRegion(Residency residency) {
-    String regions =
-        residency.regionsIfBound().stream()
-            .flatMap(r -> r.stream())
-            .sorted()
-            .map(Object::toString)
-            .reduce((a, b) -> a + ", " + b)
-            .orElse("none");
-    return Failure.notRun(
-        ErrorCode.WRONG_REGION,
-        "this request is bound to region "
-            + regions
-            + "; ask GET /v1/entry-hosts?route=ROUTE, and for completions name the route in the"
-            + " header Cuminwell-Route");
+    return rules.refusal(head);
   }
 
   private void admit(CallBody body, Instant now, List<GatewayAction> actions) {
@@ -306,7 +230,7 @@
     if (call == null) {
       return;
     }
-    Optional<Route> route = routeOf(call.head().target(), body);
+    Optional<Route> route = rules.routeOf(call.head().target(), body);
     if (route.isEmpty()) {
       refuse(
           call, Failure.notRun(ErrorCode.UNKNOWN_ROUTE, "no route serves the model"), now, actions);
@@ -324,7 +248,7 @@
     }
     Residency residency = Residency.of(call.customer(), route.get());
     if (!residency.allows(self.place().region())) {
-      refuse(call, wrongRegion(residency), now, actions);
+      refuse(call, CallRules.wrongRegion(residency), now, actions);
       return;
     }
     Admission admission = limits(now).admit(call.customer(), estimate, now);
@@ -468,17 +392,6 @@
         .ifPresent(m -> actions.add(new TellPeer(m.to(), new PeerMessage.Limits(m.message()))));
   }
 
-  private Optional<Route> routeOf(CallHead.Target target, CallBody body) {
-    return switch (body) {
-      case CallBody.Completion c -> {
-        Optional<Route> byModel = configuration.index().routeByModel(c.model());
-        Optional<Route> byHeader = routeOf(target);
-        yield namesRoute(target) ? byHeader.filter(r -> byModel.equals(byHeader)) : byModel;
-      }
-      case CallBody.Plain p -> routeOf(target);
-    };
-  }
-
   private static long estimate(CallBody body) {
     return switch (body) {
       case CallBody.Completion c -> c.promptTokens() + c.maxCompletionTokens();
@@ -598,7 +511,7 @@
 
   private void listModels(GatewayEvent.ModelsAsked event, List<GatewayAction> actions) {
     if (event.key().flatMap(configuration.index()::customerByKey).isEmpty()) {
-      actions.add(new Refuse(event.id(), keyFailure(event.key())));
+      actions.add(new Refuse(event.id(), CallRules.keyFailure(event.key())));
       return;
     }
     List<String> models =
@@ -613,7 +526,7 @@
   private void listEntryHosts(GatewayEvent.EntryHostsAsked event, List<GatewayAction> actions) {
     Optional<Customer> customer = event.key().flatMap(configuration.index()::customerByKey);
     if (event.key().isPresent() && customer.isEmpty()) {
-      actions.add(new Refuse(event.id(), keyFailure(event.key())));
+      actions.add(new Refuse(event.id(), CallRules.keyFailure(event.key())));
       return;
     }
     Optional<Route> route = event.route().flatMap(configuration.index()::route);
@@ -665,7 +578,8 @@
         calls.values().stream()
             .filter(
                 call ->
-                    customerOf(call.head())
+                    rules
+                        .customerOf(call.head())
                         .filter(customer -> customer.id().equals(call.customer().id()))
                         .isEmpty())
             .toList();
