--- a/app/src/main/java/org/cuminwell/app/ForwardFlags.java
+++ b/app/src/main/java/org/cuminwell/app/ForwardFlags.java
@@ -47,6 +47,11 @@
       description = "how many requests this host sends itself before it takes callers")
   private int warmUpRequests = WarmUpSettings.DEFAULT_REQUESTS;
 
+  @Parameter(
+      names = "--warm-up-ms",
+      description = "how long that may put off the start, in milliseconds")
+  private long warmUpMillis = WarmUpSettings.DEFAULT_TIME_LIMIT.toMillis();
+
   @Parameter(
       names = "--warm-up-callers",
       description = "loopback HOST:PORT where this host takes its own requests; none: no warm-up")
@@ -86,9 +91,10 @@
     HostAddress endpoint =
         Settings.checked("--warm-up-endpoint", warmUpEndpoint, HostAddress::parse);
     try {
-      return Optional.of(new WarmUpSettings(warmUpRequests, callers, endpoint));
+      return Optional.of(
+          new WarmUpSettings(warmUpRequests, Duration.ofMillis(warmUpMillis), callers, endpoint));
     } catch (IllegalArgumentException e) {
-      throw new SettingException("--warm-up-requests", e);
+      throw new SettingException("--warm-up-requests, --warm-up-ms", e);
     }
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
@@ -73,7 +73,6 @@
 
   private static final System.Logger LOG = System.getLogger(WarmUp.class.getName());
   private static final int CONCURRENT = 4;
-  private static final Duration TIME_LIMIT = Duration.ofMillis(1_500);
   private static final Duration LONG = Duration.ofDays(1);
   private static final int RING = 1_024;
   private static final int SLOTS = 1_000;
@@ -147,12 +146,12 @@
   }
 
   private boolean isTimeLeft(Instant begin) {
-    return time.instant().isBefore(begin.plus(TIME_LIMIT));
+    return time.instant().isBefore(begin.plus(settings.timeLimit()));
   }
 
   /** Sends a few requests at once, and waits until all have been answered. */
   private void send(int first, Instant begin) {
-    Duration left = Duration.between(time.instant(), begin.plus(TIME_LIMIT));
+    Duration left = Duration.between(time.instant(), begin.plus(settings.timeLimit()));
     CompletableFuture<?>[] answers =
         IntStream.range(first, first + CONCURRENT)
             .mapToObj(number -> send(number).toCompletableFuture())
--- a/shell/src/main/java/org/cuminwell/shell/forward/WarmUpSettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/WarmUpSettings.java
@@ -1,27 +1,33 @@
 package org.cuminwell.shell.forward;
 
+import java.time.Duration;
 import org.cuminwell.core.model.HostAddress;
 
 /**
  * Says how a gateway warms up before callers come. Immutable and thread safe.
  *
  * @param requests how many requests it sends itself
+ * @param timeLimit how long it may take
  * @param callers where it listens for them, and for nobody else's
  * @param endpoint where it answers them
  */
-public record WarmUpSettings(int requests, HostAddress callers, HostAddress endpoint) {
+public record WarmUpSettings(
+    int requests, Duration timeLimit, HostAddress callers, HostAddress endpoint) {
 
   /** How many requests suffice for the path of requests to be compiled. */
   public static final int DEFAULT_REQUESTS = 400;
 
+  /** How long a start may be put off. */
+  public static final Duration DEFAULT_TIME_LIMIT = Duration.ofMillis(1_500);
+
   /**
-   * Checks the number.
+   * Checks the numbers.
    *
-   * @throws IllegalArgumentException if it is negative
+   * @throws IllegalArgumentException if one is negative
    */
   public WarmUpSettings {
-    if (requests < 0) {
-      throw new IllegalArgumentException("the number of requests must be 0 or more");
+    if (requests < 0 || timeLimit.isNegative()) {
+      throw new IllegalArgumentException("requests and time limit must be 0 or more");
     }
   }
 }
