--- a/core/src/main/java/org/cuminwell/core/consensus/Replica.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Replica.java
@@ -14,12 +14,8 @@
 import org.cuminwell.core.consensus.ConsensusMessage.JoinRequest;
 import org.cuminwell.core.consensus.ConsensusMessage.VoteReply;
 import org.cuminwell.core.consensus.ConsensusMessage.VoteRequest;
-import org.cuminwell.core.consensus.ReplicaAction.Append;
-import org.cuminwell.core.consensus.ReplicaAction.Apply;
 import org.cuminwell.core.consensus.ReplicaAction.NotPlaced;
 import org.cuminwell.core.consensus.ReplicaAction.Placed;
-import org.cuminwell.core.consensus.ReplicaAction.Replace;
-import org.cuminwell.core.consensus.ReplicaAction.Restore;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 
@@ -41,14 +37,13 @@
   private final HostId self;
   private final Set<HostId> others;
   private final SplittableRandom random;
-  private final ReplicaLog<C, S> log;
   private final Outbox<C, S> outbox = new Outbox<>();
+  private final ReplicaStore<C, S> store;
+  private final ReplicaLog<C, S> log;
+  private final CommitProgress<C, S> progress;
   private final LeaderDuties<C, S> duties;
 
-  private HardState hard;
   private Role role = new Role.Follower(Optional.empty());
-  private long commit;
-  private long applied;
   private Instant leaderHeard;
   private Instant electionAt;
   private Instant joinAt;
@@ -69,11 +64,10 @@
     this.others = new TreeSet<>(voters);
     this.others.remove(self);
     this.random = random;
-    this.log = new ReplicaLog<>(durable);
+    this.store = new ReplicaStore<>(durable, outbox);
+    this.log = store.log();
+    this.progress = new CommitProgress<>(self, store, outbox);
     this.duties = new LeaderDuties<>(log, outbox);
-    this.hard = durable.hard();
-    this.commit = log.baseIndex();
-    this.applied = commit;
     // A leader that this host heard just before it stopped may still hold its lease.
     this.leaderHeard = now;
     this.electionAt = now.plus(electionTimeout());
@@ -88,15 +82,15 @@
       case ReplicaEvent.Heard<C, S> e -> hear(e.from(), e.message(), now);
       case ReplicaEvent.Persisted<C, S> e -> persisted(e.sequence(), now);
       case ReplicaEvent.Propose<C, S> e -> propose(e.id(), e.command(), now);
-      case ReplicaEvent.Compact<C, S> e -> compact(e.state());
+      case ReplicaEvent.Compact<C, S> e -> progress.compact(e.state());
     }
-    applyCommitted();
+    progress.apply();
     return outbox.drain();
   }
 
   /** Returns the latest term seen; a leader's term serves as a fencing number. */
   public long term() {
-    return hard.term();
+    return hard().term();
   }
 
   /** Returns whether this host leads and its lease holds. */
@@ -118,24 +112,24 @@
    * this host does not lead, or may not know yet all that earlier leaders committed.
    */
   public Optional<Instant> confirmedAt(Instant now) {
-    return role instanceof Role.Leader leader && log.termAt(commit) == hard.term()
+    return role instanceof Role.Leader leader && log.termAt(progress.commit()) == hard().term()
         ? Optional.of(leader.quorumContact(now, quorum()))
         : Optional.empty();
   }
 
   /** Returns whether this host votes and counts. */
   public Standing standing() {
-    return hard.standing();
+    return hard().standing();
   }
 
   /** Returns the last index that is known to be committed. */
   public long commitIndex() {
-    return commit;
+    return progress.commit();
   }
 
   /** Returns the last index that was applied. */
   public long appliedIndex() {
-    return applied;
+    return progress.applied();
   }
 
   /** Returns how many entries the log holds after the snapshot. */
@@ -145,14 +139,14 @@
 
   private void tick(Instant now) {
     switch (role) {
-      case Role.Leader leader -> duties.heartbeat(leader, hard.term(), commit, now);
+      case Role.Leader leader -> duties.heartbeat(leader, hard().term(), progress.commit(), now);
       case Role.Follower f -> tickWithoutLead(now);
       case Role.Candidate c -> tickWithoutLead(now);
     }
   }
 
   private void tickWithoutLead(Instant now) {
-    if (hard.standing() instanceof Standing.Learner learner) {
+    if (hard().standing() instanceof Standing.Learner learner) {
       askToJoin(learner, now);
     } else if (!now.isBefore(electionAt)) {
       campaign(true, now);
@@ -165,7 +159,7 @@
         && !now.isBefore(joinAt)) {
       joinAt = now.plus(ConsensusTimes.JOIN);
       outbox.sendWhenDurable(
-          follower.leader().get(), new JoinRequest<>(hard.term(), learner.incarnation()));
+          follower.leader().get(), new JoinRequest<>(hard().term(), learner.incarnation()));
     }
   }
 
@@ -188,16 +182,15 @@
   private void campaign(boolean preVote, Instant now) {
     electionAt = now.plus(electionTimeout());
     if (!preVote) {
-      hard = hard.inTerm(hard.term() + 1).votingFor(self);
-      write(List.of());
+      store.change(hard().inTerm(hard().term() + 1).votingFor(self));
     }
     Role.Candidate candidate = Role.Candidate.starting(preVote, self, now);
     role = candidate;
     VoteRequest<C, S> request =
         new VoteRequest<>(
-            preVote ? hard.term() + 1 : hard.term(),
+            preVote ? hard().term() + 1 : hard().term(),
             preVote,
-            hard.standing() instanceof Standing.Founding,
+            hard().standing() instanceof Standing.Founding,
             log.lastIndex(),
             log.lastTerm());
     others.forEach(host -> outbox.sendWhenDurable(host, request));
@@ -206,9 +199,12 @@
 
   private void answerVote(HostId from, VoteRequest<C, S> request, Instant now) {
     boolean quiet = !now.isBefore(leaderHeard.plus(ConsensusTimes.VOTE_PAUSE));
-    boolean willing = quiet && !(role instanceof Role.Leader) && mayElect(from, request);
+    boolean willing =
+        quiet
+            && !(role instanceof Role.Leader)
+            && VoteRules.mayElect(hard().standing(), log, from, request);
     if (request.preVote()) {
-      boolean granted = willing && request.term() > hard.term();
+      boolean granted = willing && request.term() > hard().term();
       replyToVote(from, request, granted);
       return;
     }
@@ -218,31 +214,20 @@
     }
     adopt(request.term());
     boolean granted =
-        willing && request.term() == hard.term() && hard.votedFor().map(from::equals).orElse(true);
+        willing
+            && request.term() == hard().term()
+            && hard().votedFor().map(from::equals).orElse(true);
     if (granted) {
-      hard = hard.votingFor(from);
       electionAt = now.plus(electionTimeout());
-      write(List.of());
+      store.change(hard().votingFor(from));
     }
     replyToVote(from, request, granted);
   }
 
   private void replyToVote(HostId from, VoteRequest<C, S> request, boolean granted) {
     outbox.sendWhenDurable(
-        from, new VoteReply<>(granted ? request.term() : hard.term(), request.preVote(), granted));
-  }
-
-  /** Returns whether this host may vote, and whether the candidate's log is at least as new. */
-  private boolean mayElect(HostId candidate, VoteRequest<C, S> request) {
-    boolean allowed =
-        switch (hard.standing()) {
-          case Standing.Voter v -> !request.founding();
-          case Standing.Founding f -> request.founding() || f.votedFor().contains(candidate);
-          case Standing.Learner l -> false;
-        };
-    return allowed
-        && (request.lastTerm() > log.lastTerm()
-            || (request.lastTerm() == log.lastTerm() && request.lastIndex() >= log.lastIndex()));
+        from,
+        new VoteReply<>(granted ? request.term() : hard().term(), request.preVote(), granted));
   }
 
   private void countVote(HostId from, VoteReply<C, S> reply, Instant now) {
@@ -252,19 +237,14 @@
     }
     if (role instanceof Role.Candidate candidate
         && candidate.preVote() == reply.preVote()
-        && reply.term() == (reply.preVote() ? hard.term() + 1 : hard.term())) {
+        && reply.term() == (reply.preVote() ? hard().term() + 1 : hard().term())) {
       candidate.granted().add(from);
       countGranted(candidate, now);
     }
   }
 
   private void countGranted(Role.Candidate candidate, Instant now) {
-    int needed =
-        switch (hard.standing()) {
-          case Standing.Founding f -> others.size() + 1;
-          case Standing.Voter v -> quorum();
-          case Standing.Learner l -> Integer.MAX_VALUE;
-        };
+    int needed = VoteRules.needed(hard().standing(), others.size() + 1);
     if (candidate.granted().size() < needed) {
       return;
     }
@@ -277,16 +257,14 @@
 
   private void lead(Instant since, Instant now) {
     role = Role.Leader.of(others, log.lastIndex() + 1, since);
-    hard = hard.with(new Standing.Voter());
-    appendOwn(new EntryContent.NoOp<>(), now);
+    appendOwn(hard().with(new Standing.Voter()), new EntryContent.NoOp<>(), now);
   }
 
   /** Takes on a later term and gives up any lead of an earlier one. */
   private void adopt(long term) {
-    if (term > hard.term()) {
-      hard = hard.inTerm(term);
+    if (term > hard().term()) {
       role = new Role.Follower(Optional.empty());
-      write(List.of());
+      store.change(hard().inTerm(term));
     }
   }
 
@@ -301,7 +279,7 @@
     }
     if (!log.holds(request.previousIndex(), request.previousTerm())) {
       long retry = Math.min(log.lastIndex(), request.previousIndex() - 1);
-      reply(from, false, Math.max(retry, commit), request.sentAt());
+      reply(from, false, Math.max(retry, progress.commit()), request.sentAt());
       return;
     }
     List<LogEntry<C>> news =
@@ -309,14 +287,14 @@
             .dropWhile(entry -> log.holds(entry.index(), entry.term()))
             .toList();
     if (!news.isEmpty()) {
-      if (news.getFirst().index() <= commit) {
+      if (news.getFirst().index() <= progress.commit()) {
         throw new IllegalStateException(
             "leader " + from + " replaces committed entry " + news.getFirst().index());
       }
-      write(news);
+      store.append(news);
     }
     long match = request.previousIndex() + request.entries().size();
-    commit = Math.max(commit, Math.min(request.commit(), match));
+    progress.advance(Math.min(request.commit(), match));
     reply(from, true, match, request.sentAt());
   }
 
@@ -324,31 +302,23 @@
     if (!follow(from, request.term(), request.sentAt(), now)) {
       return;
     }
-    Snapshot<S> snapshot = request.snapshot();
-    if (snapshot.index() > commit) {
-      log.install(snapshot);
-      commit = snapshot.index();
-      applied = snapshot.index();
-      outbox.add(new Restore<>(snapshot));
-      replaceDisk();
-    }
-    reply(from, true, snapshot.index(), request.sentAt());
+    progress.install(request.snapshot());
+    reply(from, true, request.snapshot().index(), request.sentAt());
   }
 
   /** Follows the sender if its term is current, and returns whether it is. */
   private boolean follow(HostId from, long term, Instant sentAt, Instant now) {
-    if (term < hard.term()) {
-      reply(from, false, commit, sentAt);
+    if (term < hard().term()) {
+      reply(from, false, progress.commit(), sentAt);
       return false;
     }
     adopt(term);
     role = new Role.Follower(Optional.of(from));
     leaderHeard = now;
     electionAt = now.plus(electionTimeout());
-    if (hard.standing() instanceof Standing.Founding founding) {
+    if (hard().standing() instanceof Standing.Founding founding) {
       if (founding.votedFor().contains(from)) {
-        hard = hard.with(new Standing.Voter());
-        write(List.of());
+        store.change(hard().with(new Standing.Voter()));
       } else {
         becomeLearner();
       }
@@ -357,23 +327,22 @@
   }
 
   private void becomeLearner() {
-    if (hard.standing().learner().isEmpty()) {
-      hard = hard.with(new Standing.Learner(random.nextLong()));
-      write(List.of());
+    if (hard().standing().learner().isEmpty()) {
+      store.change(hard().with(new Standing.Learner(random.nextLong())));
     }
   }
 
   private void reply(HostId to, boolean matched, long index, Instant sentAt) {
     outbox.sendWhenDurable(
-        to, new AppendReply<>(hard.term(), matched, index, hard.standing().learner(), sentAt));
+        to, new AppendReply<>(hard().term(), matched, index, hard().standing().learner(), sentAt));
   }
 
   // Leading.
 
   private void acknowledge(HostId from, AppendReply<C, S> reply, Instant now) {
     adopt(reply.term());
-    if (role instanceof Role.Leader leader && reply.term() == hard.term()) {
-      duties.acknowledge(leader, from, reply, hard.term(), commit, now);
+    if (role instanceof Role.Leader leader && reply.term() == hard().term()) {
+      duties.acknowledge(leader, from, reply, hard().term(), progress.commit(), now);
       advanceCommit(leader, now);
     }
   }
@@ -381,7 +350,7 @@
   private void admit(HostId from, JoinRequest<C, S> request, Instant now) {
     if (role instanceof Role.Leader leader) {
       Progress follower = leader.followers().get(from);
-      if (follower != null && follower.admitIndex <= commit) {
+      if (follower != null && follower.admitIndex <= progress.commit()) {
         follower.joins(OptionalLong.of(request.incarnation()), log.lastIndex());
         follower.admitIndex = log.lastIndex() + 1;
         appendOwn(new EntryContent.Admit<>(from, request.incarnation()), now);
@@ -391,7 +360,7 @@
 
   private void propose(RequestId id, C command, Instant now) {
     if (role instanceof Role.Leader) {
-      outbox.add(new Placed<>(id, log.lastIndex() + 1, hard.term()));
+      outbox.add(new Placed<>(id, log.lastIndex() + 1, hard().term()));
       appendOwn(new EntryContent.Proposed<>(command), now);
     } else {
       outbox.add(new NotPlaced<>(id));
@@ -399,22 +368,24 @@
   }
 
   private void appendOwn(EntryContent<C> content, Instant now) {
+    appendOwn(hard(), content, now);
+  }
+
+  private void appendOwn(HardState hard, EntryContent<C> content, Instant now) {
     Instant at = Instant.ofEpochMilli(now.toEpochMilli());
     Instant last = log.lastTime();
-    write(
-        List.of(
-            new LogEntry<>(
-                log.lastIndex() + 1, hard.term(), at.isBefore(last) ? last : at, content)));
+    Instant ordered = at.isBefore(last) ? last : at;
+    store.append(hard, List.of(new LogEntry<>(log.lastIndex() + 1, hard.term(), ordered, content)));
     if (role instanceof Role.Leader leader) {
-      duties.sendAll(leader, hard.term(), commit, now);
+      sendAll(leader, now);
     }
   }
 
   private void advanceCommit(Role.Leader leader, Instant now) {
     long index = leader.quorumIndex(log.durableIndex(), quorum());
-    if (index > commit && log.termAt(index) == hard.term()) {
-      commit = index;
-      duties.sendAll(leader, hard.term(), commit, now);
+    if (index > progress.commit() && log.termAt(index) == hard().term()) {
+      progress.advance(index);
+      sendAll(leader, now);
     }
   }
 
@@ -429,11 +400,12 @@
     return now.isBefore(leader.quorumContact(now, quorum()).plus(ConsensusTimes.LEASE));
   }
 
-  // The disk and the replicated state.
+  private void sendAll(Role.Leader leader, Instant now) {
+    duties.sendAll(leader, hard().term(), progress.commit(), now);
+  }
 
   private void persisted(long sequence, Instant now) {
-    log.persisted(sequence);
-    outbox.persisted(sequence);
+    store.persisted(sequence);
     switch (role) {
       case Role.Leader leader -> advanceCommit(leader, now);
       case Role.Candidate candidate -> countGranted(candidate, now);
@@ -441,53 +413,12 @@
     }
   }
 
-  private void compact(S state) {
-    if (applied > log.baseIndex()) {
-      log.compact(new Snapshot<>(applied, log.termAt(applied), log.get(applied).at(), state));
-      replaceDisk();
-    }
-  }
-
-  private void applyCommitted() {
-    long end = Math.min(commit, log.durableIndex());
-    while (applied < end) {
-      applied++;
-      LogEntry<C> entry = log.get(applied);
-      if (hard.standing() instanceof Standing.Learner learner && admits(entry, learner)) {
-        hard = hard.with(new Standing.Voter());
-        write(List.of());
-      }
-      outbox.add(new Apply<>(entry));
-    }
-  }
-
-  private boolean admits(LogEntry<C> entry, Standing.Learner learner) {
-    return entry.content() instanceof EntryContent.Admit<C> admit
-        && admit.host().equals(self)
-        && admit.incarnation() == learner.incarnation();
-  }
-
-  private void write(List<LogEntry<C>> entries) {
-    if (!entries.isEmpty()) {
-      log.put(entries);
-    }
-    long sequence = outbox.nextSequence();
-    log.written(sequence);
-    outbox.write(new Append<>(sequence, hard, entries));
-  }
-
-  private void replaceDisk() {
-    long sequence = outbox.nextSequence();
-    log.written(sequence);
-    outbox.write(
-        new Replace<>(
-            sequence,
-            new DurableState<>(
-                hard, log.snapshot(), log.from(log.baseIndex() + 1, Integer.MAX_VALUE))));
+  private HardState hard() {
+    return store.hard();
   }
 
   private int quorum() {
-    return (others.size() + 1) / 2 + 1;
+    return VoteRules.quorum(others.size() + 1);
   }
 
   private Duration electionTimeout() {
