Count frames between processes by kind, and tell how long each step of a start took

PeerTraffic counts messages and bytes by kind and direction (peer_messages_sent_membership, peer_bytes_received_limits and so on); the sums keep their names. StartSteps writes one line with wall and processor time of each step once a gateway is ready or a control host knows a leader.

--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -23,6 +23,7 @@
 import org.cuminwell.shell.http.OpsPages;
 import org.cuminwell.shell.journal.Journal;
 import org.cuminwell.shell.journal.JournalDuty;
+import org.cuminwell.shell.metrics.StartSteps;
 import org.cuminwell.shell.metrics.Telemetry;
 import org.cuminwell.shell.peer.PeerListener;
 import org.cuminwell.shell.peer.PeerNode;
@@ -47,6 +48,7 @@
   private final Journal journal;
   private final JournalDuty journalDuty;
   private final Control control;
+  private final StartSteps steps = StartSteps.ofThisProcess();
   private volatile AgreementStatus status;
   private final HttpSystem http;
   private final Optional<PeerTls> tls;
@@ -59,17 +61,18 @@
   private final TimerDuty certificates;
 
   private ControlProcess(ControlSettings settings) {
+    steps.ended("command_line");
     journal = Journal.open(settings.agreement().data(), () -> fresh(settings.agreement()));
     Set<HostAddress> controls = new HashSet<>(settings.controls());
     controls.add(settings.peer());
     control = new Control(settings.self(), controls, agreement(settings));
     status = control.agreement(time.instant());
+    steps.ended("journal");
     http = HttpSystem.start("control");
+    steps.ended("actor_system");
     tls = settings.tls().map(PeerTls::orFail);
     peers = new PeerNode(settings.self(), listener(), tls);
-    telemetry.gauge("peer_sent_bytes", peers::sentBytes);
-    telemetry.gauge("peer_received_bytes", peers::receivedBytes);
-    telemetry.gauge("peer_refused_connections", peers::refusedConnections);
+    peers.show(telemetry);
     telemetry.gauge("agreement_term", () -> status.term());
     telemetry.gauge("agreement_applied_index", () -> status.appliedIndex());
     telemetry.gauge("agreement_leads", () -> status.leads() ? 1L : 0L);
@@ -93,6 +96,7 @@
   public static ControlProcess start(ControlSettings given) {
     ControlSettings settings = FoundingRecord.apply(given);
     ControlProcess process = new ControlProcess(settings);
+    process.steps.ended("duties");
     process.http.serve(settings.operators(), process.operators::handle);
     for (AddedFront front : settings.fronts()) {
       process.http.serve(front.address(), front.maker().make(process.http, process.requests));
@@ -101,6 +105,7 @@
     settings.controls().stream()
         .filter(address -> dials(settings, address))
         .forEach(process.peers::dial);
+    process.steps.ended("listen");
     LOG.log(System.Logger.Level.INFO, "control host started at " + settings.operators());
     return process;
   }
@@ -132,6 +137,9 @@
       LOG.log(System.Logger.Level.INFO, "agreement: " + latest);
     }
     status = latest;
+    if (latest.leader().isPresent()) {
+      steps.finished("ready");
+    }
   }
 
   /**
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -32,6 +32,7 @@
 import org.cuminwell.shell.forward.WarmUp;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.OpsPages;
+import org.cuminwell.shell.metrics.StartSteps;
 import org.cuminwell.shell.metrics.Telemetry;
 import org.cuminwell.shell.peer.PeerListener;
 import org.cuminwell.shell.peer.PeerNode;
@@ -56,6 +57,7 @@
   private final EventSink events = new EventSink();
   private final Ring<GatewayAction> actions = new Ring<>(DISPATCH_RING);
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private final StartSteps steps = StartSteps.ofThisProcess();
   private final Gateway gateway;
   private final HttpSystem http;
   private final Optional<PeerTls> tls;
@@ -72,6 +74,7 @@
   private volatile @Nullable ServerBinding listener;
 
   private GatewayProcess(GatewaySettings settings) {
+    steps.ended("command_line");
     gateway =
         new Gateway(
             settings.self(),
@@ -82,11 +85,10 @@
     store.flatMap(ConfigurationStore::load).ifPresent(gateway::restore);
     keeper = new ConfigurationKeeper(store);
     http = HttpSystem.start("gateway");
+    steps.ended("actor_system");
     tls = settings.tls().map(PeerTls::orFail);
     peers = new PeerNode(settings.self().id(), listener(), tls);
-    telemetry.gauge("peer_sent_bytes", peers::sentBytes);
-    telemetry.gauge("peer_received_bytes", peers::receivedBytes);
-    telemetry.gauge("peer_refused_connections", peers::refusedConnections);
+    peers.show(telemetry);
     callers = new CallerFront(http, calls, events);
     endpoints = new EndpointClient(http, events::force);
     forwarding = settings.forwarding().map(this::forwardFront);
@@ -105,7 +107,9 @@
    */
   public static GatewayProcess start(GatewaySettings settings) {
     GatewayProcess process = new GatewayProcess(settings);
+    process.steps.ended("duties");
     settings.forwarding().ifPresent(process::warmUp);
+    process.steps.ended("warm_up");
     OpsPages pages = new OpsPages(() -> process.ready, process.telemetry);
     InnerFront inner = new InnerFront(process.http, process.events, pages);
     process.listener =
@@ -120,6 +124,7 @@
     process.peers.listen(settings.self().peer());
     settings.controls().forEach(process.peers::dial);
     settings.neighbours().forEach(process.peers::dial);
+    process.steps.ended("listen");
     LOG.log(System.Logger.Level.INFO, "gateway started at " + settings.self().callers());
     return process;
   }
@@ -149,11 +154,17 @@
 
   private void decide(GatewayEvent event) {
     for (GatewayAction action : gateway.handle(event, time.instant())) {
+      if (action instanceof GatewayAction.KeepConfiguration) {
+        steps.ended("first_configuration");
+      }
       if (!actions.offer(action)) {
         undo(action);
       }
     }
     ready = gateway.isReady();
+    if (ready) {
+      steps.finished("ready");
+    }
   }
 
   /** Answers an action that finds no room, so that nothing is left waiting. */
--- a/shell/src/main/java/org/cuminwell/shell/peer/PeerFrameHandler.java
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerFrameHandler.java
@@ -47,9 +47,11 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     ByteBuf buffer = (ByteBuf) message;
-    node.countReceived(buffer.readableBytes());
+    int bytes = buffer.readableBytes();
     try {
-      handle(context, PeerFrameCodec.decode(ByteBufUtil.getBytes(buffer)));
+      PeerFrame frame = PeerFrameCodec.decode(ByteBufUtil.getBytes(buffer));
+      node.countReceived(frame, bytes);
+      handle(context, frame);
     } catch (WireFormatException e) {
       LOG.log(
           System.Logger.Level.WARNING,
@@ -62,9 +64,9 @@
 
   @Override
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-    byte[] frame = (byte[]) message;
-    node.countSent(frame.length);
-    var _ = context.write(Unpooled.wrappedBuffer(frame), promise);
+    EncodedFrame frame = (EncodedFrame) message;
+    node.countSent(frame.frame(), frame.bytes().length);
+    var _ = context.write(Unpooled.wrappedBuffer(frame.bytes()), promise);
   }
 
   @Override
@@ -124,8 +126,6 @@
 
   private static void send(ChannelHandlerContext context, PeerFrame frame) {
     var _ =
-        context
-            .channel()
-            .writeAndFlush(PeerFrameCodec.encode(frame), context.channel().voidPromise());
+        context.channel().writeAndFlush(EncodedFrame.of(frame), context.channel().voidPromise());
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
+++ b/shell/src/main/java/org/cuminwell/shell/peer/PeerNode.java
@@ -23,14 +23,13 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Function;
 import java.util.stream.Stream;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.shell.metrics.Telemetry;
 import org.cuminwell.wire.PeerFrame;
-import org.cuminwell.wire.PeerFrameCodec;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -62,8 +61,8 @@
   private final Map<HostId, List<Channel>> links = new ConcurrentHashMap<>();
   private final Map<HostAddress, Boolean> dialled = new ConcurrentHashMap<>();
   private final AtomicLong refused = new AtomicLong();
-  private final LongAdder sentBytes = new LongAdder();
-  private final LongAdder receivedBytes = new LongAdder();
+  private final PeerTraffic sent = new PeerTraffic();
+  private final PeerTraffic received = new PeerTraffic();
   private volatile boolean closed;
 
   /**
@@ -118,9 +117,7 @@
       return false;
     }
     Channel link = open.getLast();
-    var _ =
-        link.writeAndFlush(
-            PeerFrameCodec.encode(new PeerFrame.Message(message)), link.voidPromise());
+    var _ = link.writeAndFlush(EncodedFrame.of(message), link.voidPromise());
     return true;
   }
 
@@ -129,14 +126,11 @@
     return refused.get();
   }
 
-  /** Returns the bytes of all frames sent, without TLS. */
-  public long sentBytes() {
-    return sentBytes.sum();
-  }
-
-  /** Returns the bytes of all frames received, without TLS. */
-  public long receivedBytes() {
-    return receivedBytes.sum();
+  /** Shows what is sent and received, by kind of frame, among the metrics of the process. */
+  public void show(Telemetry telemetry) {
+    sent.show(telemetry, "sent");
+    received.show(telemetry, "received");
+    telemetry.gauge("peer_refused_connections", this::refusedConnections);
   }
 
   /** Closes every connection, and returns when the address is free again. */
@@ -166,12 +160,12 @@
     }
   }
 
-  void countSent(int bytes) {
-    sentBytes.add(LENGTH_BYTES + bytes);
+  void countSent(PeerFrame frame, int bytes) {
+    sent.count(frame, LENGTH_BYTES + bytes);
   }
 
-  void countReceived(int bytes) {
-    receivedBytes.add(LENGTH_BYTES + bytes);
+  void countReceived(PeerFrame frame, int bytes) {
+    received.count(frame, LENGTH_BYTES + bytes);
   }
 
   void refused() {
