Reckon what other gateways send by what this one sends to all engines

Callers saw prompts refused as busy, or begun late, though the engines of their region had room, the more so the more gateways there are.

Cause: each gateway took the others of its region to send to each engine what it had sent there itself. With two gateways that is an estimate; with 22 of them one prompt counts 22 times, fills the plan of its engine for five seconds and drives the next prompt with the same shared parts to another engine, which reads them again. The same sample of one stood in the slots taken, in the reading rate (learnt for each engine from answers that one gateway of many sees too seldom) and in the pauses (averaged by their number, not by their age). Class: a figure for the fleet that is multiplied up from one member's sample.

Change: what one gateway sent to an engine is an observation against the mean over the engines of the region (Extrapolation); an engine's reading rate starts at that of all; a pause weighs more the longer ago the last one was seen; engines that cost the same are taken in the order of the hash of the shared parts, where all gateways took the first of a list. A prompt's prefixes are hashed once. The sums that fade, written twice, are FadingSum.

EngineRouterTest: observe() has lost its argument `hosts`; no check is changed.

--- a/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
+++ b/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
@@ -169,8 +169,7 @@
   /** Takes in the mean time between some events of an answer. */
   void eventsCame(ForwardedCall call, Duration pause, Instant now) {
     if (call.isRead()) {
-      call.endpoint()
-          .ifPresent(target -> engines.observe(target.endpoint(), pause, gatewaysHere(), now));
+      call.endpoint().ifPresent(target -> engines.observe(target.endpoint(), pause, now));
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/routing/EndpointLoad.java
+++ b/core/src/main/java/org/cuminwell/core/routing/EndpointLoad.java
@@ -32,8 +32,7 @@
   private int reported;
   private Instant reportedAt = Instant.MIN;
   private int outstanding;
-  private double failures;
-  private Instant failuresAt = Instant.MIN;
+  private final FadingSum failures = FadingSum.ofHalfLife(FAILURE_HALF_LIFE);
   private double serviceMillis;
 
   private record Step(Instant at, int change) {}
@@ -53,7 +52,7 @@
   private void restarted() {
     sequence = UNKNOWN;
     reportedAt = Instant.MIN;
-    failures = 0;
+    failures.clear();
     changed = 0;
     steps.clear();
   }
@@ -68,8 +67,7 @@
     outstanding = Math.max(0, outstanding - 1);
     step(now, -1);
     if (failed) {
-      failures = failures(now) + 1;
-      failuresAt = now;
+      failures.add(1, now);
     } else {
       double millis = took.toNanos() / 1e6;
       serviceMillis =
@@ -79,6 +77,11 @@
     }
   }
 
+  /** Returns how many requests of this gateway the endpoint holds. */
+  int outstanding() {
+    return outstanding;
+  }
+
   /** Returns how many requests the endpoint holds, as far as can be told. */
   int requests(Instant now) {
     if (reportedAt.equals(Instant.MIN) || now.isAfter(reportedAt.plus(REPORT_MAX_AGE))) {
@@ -89,12 +92,7 @@
 
   /** Returns the recent failures, halved every five seconds. */
   double failures(Instant now) {
-    if (failures == 0) {
-      return 0;
-    }
-    double halves =
-        Duration.between(failuresAt, now).toNanos() / (double) FAILURE_HALF_LIFE.toNanos();
-    return failures * Math.pow(0.5, Math.max(0, halves));
+    return failures.at(now);
   }
 
   /** Returns the mean time that a request takes here, in milliseconds, or 0 if none has ended. */
--- a/core/src/main/java/org/cuminwell/core/routing/EngineRouter.java
+++ b/core/src/main/java/org/cuminwell/core/routing/EngineRouter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.membership.EndpointTable.Entry;
 import org.cuminwell.core.model.EndpointId;
@@ -18,8 +19,8 @@
  * <p>While an engine reads, the answers that it is generating wait. So it gets no more prompts than
  * take a part of its time, less for routes that give way to others. Gateways don't tell each other
  * what they send: for each prefix all of them take the same engine to have kept it, by rendezvous
- * hashing, and each takes the others of its region to send as much as itself. Not thread safe: one
- * thread owns it.
+ * hashing, and each takes the others of its region to send as much as itself, as {@link
+ * Extrapolation} says. Not thread safe: one thread owns it.
  */
 public final class EngineRouter {
 
@@ -44,6 +45,7 @@
   /** How likely an engine has kept a prefix that all gateways would send to it. */
   private static final double KEEPER_KEEPS = 0.7;
 
+  private static final double SENT_WINDOW_SECONDS = ReadingLoad.LONG_WINDOW_SECONDS;
   private static final double BUSY_MILLIS = 300;
   private static final double FAILURE_MILLIS = 200;
   private static final Duration RETRY_AFTER = Duration.ofMillis(300);
@@ -52,6 +54,9 @@
   private final Router router;
   private final Map<EndpointId, ReadingLoad> loads = new HashMap<>();
   private final Map<EndpointId, Long> incarnations = new HashMap<>();
+  private final ReadingRate rate = new ReadingRate();
+  private final FadingSum sentTokens = new FadingSum(SENT_WINDOW_SECONDS);
+  private final FadingSum sentSquares = new FadingSum(SENT_WINDOW_SECONDS);
 
   /** Makes the router of a gateway at {@code here}; {@code router} knows what fails. */
   public EngineRouter(Place here, Router router) {
@@ -83,11 +88,13 @@
     if (usable.isEmpty()) {
       return new EngineChoice.NoneThere();
     }
-    EndpointId keeper = keeper(candidates, query.prompt());
+    expectOthers(usable, query.hosts() - 1, now);
+    long prefix = query.prompt().sharedPrefix();
+    EndpointId keeper = keeper(candidates, prefix);
     List<Option> options = usable.stream().map(e -> option(e, keeper, query, now)).toList();
     return options.stream()
         .filter(option -> option.hasRoom() || query.mustRun())
-        .min(Comparator.comparingDouble(Option::cost))
+        .min(Option.order(prefix))
         .<EngineChoice>map(option -> new EngineChoice.Chosen(option.entry(), option.toRead()))
         .orElseGet(() -> new EngineChoice.AllBusy(RETRY_AFTER));
   }
@@ -95,6 +102,8 @@
   /** Counts a prompt that was sent, of which the engine is expected to read {@code toRead}. */
   public void sent(EndpointId engine, Prompt prompt, long toRead, Instant now) {
     load(engine).sent(prompt, toRead, now);
+    sentTokens.add((double) toRead, now);
+    sentSquares.add((double) toRead * (double) toRead, now);
   }
 
   /** Takes in how long an answer took to begin, and that its prompt was read. */
@@ -113,8 +122,8 @@
    *
    * @param pause the mean time between them
    */
-  public void observe(EndpointId engine, Duration pause, int hosts, Instant now) {
-    load(engine).observe(pause, hosts, now);
+  public void observe(EndpointId engine, Duration pause, Instant now) {
+    load(engine).observe(pause, now);
   }
 
   /** Returns how many tokens of the prompt the engine must read, as far as this gateway knows. */
@@ -128,14 +137,50 @@
     incarnations.keySet().retainAll(there);
   }
 
-  private record Option(Entry entry, long toRead, boolean hasRoom, double cost) {}
+  private record Option(Entry entry, long toRead, boolean hasRoom, double cost) {
+
+    /** All gateways take engines that cost the same in the same order for a prefix. */
+    static Comparator<Option> order(long prefix) {
+      return Comparator.comparingDouble(Option::cost)
+          .thenComparing(
+              Comparator.comparingLong((Option o) -> score(o.entry(), prefix)).reversed());
+    }
+  }
+
+  /** Takes the other gateways of this region to do what this one does, spread more evenly. */
+  private void expectOthers(List<Entry> engines, int others, Instant now) {
+    engines.stream()
+        .collect(Collectors.groupingBy(e -> e.announcement().place().region()))
+        .values()
+        .forEach(region -> expectOthersIn(region, others, now));
+  }
+
+  private void expectOthersIn(List<Entry> engines, int others, Instant now) {
+    var sent =
+        Extrapolation.of(
+            engines.stream().mapToDouble(e -> load(e).sentPerSecond(now)),
+            promptTokens(now) / SENT_WINDOW_SECONDS);
+    var held = Extrapolation.of(engines.stream().mapToDouble(router::outstanding), 1);
+    for (Entry engine : engines) {
+      ReadingLoad load = load(engine);
+      load.expectOthers(
+          others * sent.ofAnother(load.sentPerSecond(now)),
+          others * held.ofAnother(router.outstanding(engine)));
+    }
+  }
+
+  /** Returns how much an engine reads for one prompt, with large ones weighing most. */
+  private double promptTokens(Instant now) {
+    double tokens = sentTokens.at(now);
+    return tokens > 0 ? sentSquares.at(now) / tokens : 0;
+  }
 
   private Option option(Entry entry, EndpointId keeper, Query query, Instant now) {
     EndpointId id = entry.announcement().endpoint();
-    ReadingLoad load = load(id);
+    ReadingLoad load = load(entry);
     long toRead = load.toRead(query.prompt(), id.equals(keeper) ? KEEPER_KEEPS : 0, now);
-    double utilisation = load.utilisation(query.hosts(), now);
-    int running = query.hosts() * router.requests(entry, now);
+    double utilisation = load.utilisation(now);
+    double running = router.requests(entry, now) + load.othersRunning();
     boolean isNear = entry.announcement().place().region().equals(here.region());
     double waits = load.waitMillis(now) + (isNear ? 0 : AWAY_MILLIS);
     boolean hasRoom =
@@ -155,8 +200,7 @@
   }
 
   /** Returns the engine of this region that all its gateways take to have kept the prefix. */
-  private EndpointId keeper(List<Entry> candidates, Prompt prompt) {
-    long prefix = prompt.prefix(prompt.sharedParts());
+  private EndpointId keeper(List<Entry> candidates, long prefix) {
     Comparator<Entry> byHash = Comparator.comparingLong(e -> score(e, prefix));
     Comparator<Entry> order =
         Comparator.comparing((Entry e) -> e.announcement().place().region().equals(here.region()))
@@ -179,7 +223,11 @@
     }
   }
 
+  private ReadingLoad load(Entry engine) {
+    return load(engine.announcement().endpoint());
+  }
+
   private ReadingLoad load(EndpointId engine) {
-    return loads.computeIfAbsent(engine, _ -> new ReadingLoad());
+    return loads.computeIfAbsent(engine, _ -> new ReadingLoad(rate));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/routing/Prompt.java
+++ b/core/src/main/java/org/cuminwell/core/routing/Prompt.java
@@ -9,11 +9,29 @@
  * <p>Every part but the last is expected to come again with other requests. Immutable and thread
  * safe.
  */
-public record Prompt(List<PromptPart> parts) {
+public final class Prompt {
+
+  private static final int HASH_FACTOR = 31;
+
+  private final List<PromptPart> parts;
+  private final long[] prefixes;
+  private final long[] tokensBefore;
 
   /** Copies the list. */
-  public Prompt {
-    parts = List.copyOf(parts);
+  public Prompt(List<PromptPart> parts) {
+    this.parts = List.copyOf(parts);
+    prefixes = new long[parts.size() + 1];
+    tokensBefore = new long[parts.size() + 1];
+    prefixes[0] = 1;
+    for (int i = 0; i < parts.size(); i++) {
+      prefixes[i + 1] = HASH_FACTOR * prefixes[i] + parts.get(i).hashCode();
+      tokensBefore[i + 1] = tokensBefore[i] + parts.get(i).tokens();
+    }
+  }
+
+  /** Returns the parts, in order. */
+  public List<PromptPart> parts() {
+    return parts;
   }
 
   /** Returns how many parts other requests may share. */
@@ -23,11 +41,16 @@
 
   /** Returns a hash that stands for the first {@code count} parts. */
   long prefix(int count) {
-    return parts.subList(0, count).hashCode();
+    return prefixes[count];
+  }
+
+  /** Returns a hash that stands for all parts that other requests may share. */
+  long sharedPrefix() {
+    return prefix(sharedParts());
   }
 
   /** Returns the tokens of the prompt after its first {@code count} parts. */
   long tokensAfter(int count) {
-    return parts.stream().skip(count).mapToLong(PromptPart::tokens).sum();
+    return tokensBefore[parts.size()] - tokensBefore[count];
   }
 }
--- a/core/src/main/java/org/cuminwell/core/routing/ReadingLoad.java
+++ b/core/src/main/java/org/cuminwell/core/routing/ReadingLoad.java
@@ -15,19 +15,14 @@
  */
 final class ReadingLoad {
 
-  /** How fast an engine is taken to read until its answers tell, in tokens a second. */
-  static final double FIRST_RATE = 30_000;
+  /** Over how long it is averaged what this gateway sends to an engine. */
+  static final double LONG_WINDOW_SECONDS = 5;
 
   /** How long a prefix is expected to stay in an engine's cache after its last use. */
   static final Duration PREFIX_KEPT = Duration.ofSeconds(8);
 
-  private static final double LEAST_RATE = 3_000;
-  private static final double GREATEST_RATE = 1_000_000;
   private static final double WINDOW_SECONDS = 1;
-  private static final double LONG_WINDOW_SECONDS = 5;
   private static final double PAUSE_WEIGHT = 0.08;
-  private static final double RATE_WEIGHT = 0.02;
-  private static final double RATE_LOSS = 0.99;
   private static final double LEAST_TELLING = 0.3;
   private static final double SATURATED = 0.9;
   private static final double SHORTEST_PAUSE_RISE = 1.000_5;
@@ -36,22 +31,27 @@
   private static final int MAX_PREFIXES = 4_096;
 
   private final LinkedHashMap<Long, Instant> prefixes = new LinkedHashMap<>(64, 0.75f, true);
-  private double rate = FIRST_RATE;
-  private double recent;
-  private double longer;
-  private Instant sentAt = Instant.EPOCH;
+  private final ReadingRate rate = new ReadingRate();
+  private final ReadingRate rateOfAll;
+  private final FadingSum recent = new FadingSum(WINDOW_SECONDS);
+  private final FadingSum longer = new FadingSum(LONG_WINDOW_SECONDS);
+  private double othersPerSecond;
+  private double othersRunning;
   private long unread;
   private double pauseSeconds;
   private double shortestPauseSeconds;
   private Instant observedAt = Instant.EPOCH;
-  private double waitMillis;
-  private Instant waitedAt = Instant.EPOCH;
+  private final FadingSum lateWait = new FadingSum(OBSERVED_FOR_SECONDS);
+
+  /** Makes the load of an engine of which nothing is known; {@code rateOfAll} learns with it. */
+  ReadingLoad(ReadingRate rateOfAll) {
+    this.rateOfAll = rateOfAll;
+  }
 
   /** Counts a prompt that was sent, of which the engine must read {@code tokens}. */
   void sent(Prompt prompt, long tokens, Instant now) {
-    recent = faded(recent, WINDOW_SECONDS, now) + tokens;
-    longer = faded(longer, LONG_WINDOW_SECONDS, now) + tokens;
-    sentAt = now;
+    recent.add((double) tokens, now);
+    longer.add((double) tokens, now);
     unread += tokens;
     for (int count = 1; count <= prompt.sharedParts(); count++) {
       prefixes.put(prompt.prefix(count), now);
@@ -61,6 +61,27 @@
     }
   }
 
+  /** Returns the tokens a second that this gateway sent over some seconds. */
+  double sentPerSecond(Instant now) {
+    return longer.perSecond(now);
+  }
+
+  /**
+   * Takes in what the other gateways are expected to do.
+   *
+   * @param tokensPerSecond what they send a second
+   * @param running how many requests of theirs run here
+   */
+  void expectOthers(double tokensPerSecond, double running) {
+    othersPerSecond = tokensPerSecond;
+    othersRunning = running;
+  }
+
+  /** Returns how many requests of other gateways are expected to run here. */
+  double othersRunning() {
+    return othersRunning;
+  }
+
   /** Counts a prompt that was read, or that needs not be read any more. */
   void read(long tokens) {
     unread = Math.max(0, unread - tokens);
@@ -73,36 +94,35 @@
    */
   void began(long tokens, Duration took, Instant now) {
     double beyond = Math.max(0, took.toNanos() / 1e6 - millisToRead(tokens));
-    double before = lateWaitMillis(now);
-    waitMillis = before + WAIT_WEIGHT * (beyond - before);
-    waitedAt = now;
+    lateWait.add(WAIT_WEIGHT * (beyond - lateWait.at(now)), now);
   }
 
   /**
    * Takes in how fast events of an answer came.
    *
    * @param pause the mean time between them
-   * @param hosts how many gateways are taken to send as much as this one
    */
-  void observe(Duration pause, int hosts, Instant now) {
+  void observe(Duration pause, Instant now) {
     double seconds = pause.toNanos() / 1e9;
     if (seconds <= 0) {
       return;
     }
     boolean first = shortestPauseSeconds == 0;
-    pauseSeconds = first ? seconds : pauseSeconds + PAUSE_WEIGHT * (seconds - pauseSeconds);
+    pauseSeconds = first ? seconds : pauseSeconds + pauseWeight(now) * (seconds - pauseSeconds);
     shortestPauseSeconds =
         first ? seconds : Math.min(seconds, shortestPauseSeconds * SHORTEST_PAUSE_RISE);
     observedAt = now;
-    learnRate(hosts, now);
+    learnRate(now);
   }
 
   /** Forgets what another life of the engine knew and showed. */
   void restarted() {
     prefixes.clear();
-    recent = 0;
-    longer = 0;
-    waitMillis = 0;
+    recent.clear();
+    longer.clear();
+    othersPerSecond = 0;
+    othersRunning = 0;
+    lateWait.clear();
     pauseSeconds = shortestPauseSeconds;
   }
 
@@ -122,8 +142,8 @@
   }
 
   /** Returns the part of the engine's time that goes to reading. */
-  double utilisation(int hosts, Instant now) {
-    return Math.max(planned(hosts, now) / rate, observed(now));
+  double utilisation(Instant now) {
+    return Math.max(planned(now) / tokensPerSecond(), observed(now));
   }
 
   /**
@@ -131,12 +151,16 @@
    * to read what this gateway sent before, or as others waited lately.
    */
   double waitMillis(Instant now) {
-    return Math.max(lateWaitMillis(now), millisToRead(unread));
+    return Math.max(lateWait.at(now), millisToRead(unread));
   }
 
   /** Returns how long the engine takes to read the tokens, in milliseconds. */
   double millisToRead(long tokens) {
-    return 1e3 * (double) tokens / rate;
+    return 1e3 * (double) tokens / tokensPerSecond();
+  }
+
+  private double tokensPerSecond() {
+    return rate.tokensPerSecond(rateOfAll);
   }
 
   private boolean isKept(long prefix, Instant now) {
@@ -144,21 +168,24 @@
     return used != null && now.isBefore(used.plus(PREFIX_KEPT));
   }
 
-  private void learnRate(int hosts, Instant now) {
+  /** Weighs a pause the more, the longer ago the one before was seen. */
+  private double pauseWeight(Instant now) {
+    double age = Math.max(0, Duration.between(observedAt, now).toNanos() / 1e9);
+    return Math.max(PAUSE_WEIGHT, 1 - Math.exp(-age / OBSERVED_FOR_SECONDS));
+  }
+
+  private void learnRate(Instant now) {
     double observed = observed(now);
     if (observed >= SATURATED) {
-      rate = Math.max(LEAST_RATE, rate * RATE_LOSS);
+      rate.lower();
+      rateOfAll.lower();
     } else if (observed >= LEAST_TELLING) {
-      double shown = planned(hosts, now) / observed;
-      rate += RATE_WEIGHT * (Math.min(GREATEST_RATE, Math.max(LEAST_RATE, shown)) - rate);
+      double shown = planned(now) / observed;
+      rate.learn(shown);
+      rateOfAll.learn(shown);
     }
   }
 
-  private double lateWaitMillis(Instant now) {
-    double age = Math.max(0, Duration.between(waitedAt, now).toNanos() / 1e9);
-    return waitMillis * Math.exp(-age / OBSERVED_FOR_SECONDS);
-  }
-
   private double observed(Instant now) {
     if (pauseSeconds <= shortestPauseSeconds) {
       return 0;
@@ -167,16 +194,8 @@
     return (1 - shortestPauseSeconds / pauseSeconds) * Math.exp(-age / OBSERVED_FOR_SECONDS);
   }
 
-  /**
-   * Returns the tokens sent a second: by this gateway lately, by each other one as it did before.
-   */
-  private double planned(int hosts, Instant now) {
-    return faded(recent, WINDOW_SECONDS, now) / WINDOW_SECONDS
-        + (hosts - 1) * faded(longer, LONG_WINDOW_SECONDS, now) / LONG_WINDOW_SECONDS;
-  }
-
-  private double faded(double sum, double windowSeconds, Instant now) {
-    double age = Math.max(0, Duration.between(sentAt, now).toNanos() / 1e9);
-    return sum * Math.exp(-age / windowSeconds);
+  /** Returns the tokens sent a second, by this gateway lately and by the others as expected. */
+  private double planned(Instant now) {
+    return recent.perSecond(now) + othersPerSecond;
   }
 }
--- a/core/src/main/java/org/cuminwell/core/routing/Router.java
+++ b/core/src/main/java/org/cuminwell/core/routing/Router.java
@@ -80,6 +80,11 @@
     return load(entry).requests(now);
   }
 
+  /** Returns how many requests of this gateway the endpoint holds. */
+  int outstanding(Entry entry) {
+    return load(entry).outstanding();
+  }
+
   /** Returns the recent failures of the endpoint. */
   double failures(Entry entry, Instant now) {
     return load(entry).failures(now);
--- a/core/src/test/java/org/cuminwell/core/routing/EngineRouterTest.java
+++ b/core/src/test/java/org/cuminwell/core/routing/EngineRouterTest.java
@@ -154,9 +154,9 @@
   private EngineRouter routerThatSawPauses(int millis) {
     EngineRouter router = router(1);
     EndpointId only = all().getFirst().announcement().endpoint();
-    router.observe(only, CALM, 1, now);
+    router.observe(only, CALM, now);
     for (int i = 0; i < 100; i++) {
-      router.observe(only, Duration.ofMillis(millis), 1, now);
+      router.observe(only, Duration.ofMillis(millis), now);
     }
     return router;
   }
