End streams that go on without events or with more than asked for

Callers would see: a stream that stops after its last whole event and is cut at the deadline, though another endpoint could have gone on with it; and a gateway whose heap fills, since each such stream was held whole.

Cause: EventFraming held bytes until an event ended, without a bound, and copied and searched all of them with each new piece. Nothing compared the events of a stream with what its request declared.

Evidence: EndlessBytesTest on with the head bound: an event without end, its lines without end, comments without end and empty events without end each lasted to the deadline of 4 s, were not gone on with, blamed no endpoint and left no line; events that nobody asked for went on to the deadline as well.

Change: EventCounter looks at each byte once. More than 64 KB without an event that has an id, or more events than the request is charged tokens and 16, end the attempt with a reason of its own, which the log line shows. The first is gone on with at another endpoint; after the second nothing can be (answer_too_long), and the caller's stream is broken off.

--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -341,7 +341,7 @@
     actions.add(ForwardNotes.attemptFailed(call, failure));
     call.judge(failure.verdict());
     settleAttempt(call, failure.code() != ErrorCode.BUSY, now);
-    boolean resumes = !call.isAnswerPassed() || isResumable(call);
+    boolean resumes = !call.isAnswerPassed() || (isResumable(call) && isCutShort(failure));
     if (resumes && resends.spend(call, failure.verdict(), now)) {
       attempt(call, known, now, actions);
     } else {
@@ -430,6 +430,11 @@
     return call != null && call.isAttempting() && call.attempts() == attempt ? call : null;
   }
 
+  /** Returns whether what came before the failure can be gone on with. */
+  private static boolean isCutShort(Failure failure) {
+    return failure.code() != ErrorCode.ANSWER_TOO_LONG;
+  }
+
   private static boolean isResumable(ForwardedCall call) {
     return call.route().repeat() instanceof Repeat.ResumableStream;
   }
--- a/core/src/main/java/org/cuminwell/core/model/ErrorCode.java
+++ b/core/src/main/java/org/cuminwell/core/model/ErrorCode.java
@@ -3,6 +3,7 @@
 /** Names each way in which a request can fail, with the HTTP status that callers see. */
 public enum ErrorCode {
   ANSWER_NOT_KEPT("answer_not_kept", 409),
+  ANSWER_TOO_LONG("answer_too_long", 502),
   BAD_REQUEST("bad_request", 400),
   BODY_TOO_LARGE("body_too_large", 413),
   BUSY("busy", 503),
--- a/shell/src/main/java/org/cuminwell/shell/forward/AnswerReport.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/AnswerReport.java
@@ -14,8 +14,6 @@
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.forward.ForwardEnd;
-import org.cuminwell.core.model.ErrorCode;
-import org.cuminwell.core.model.Failure;
 
 /**
  * Reports the first part, the pace and the end of an answer that passes through.
@@ -85,9 +83,7 @@
 
             @Override
             public void onUpstreamFailure(Throwable error) {
-              report(
-                  new ForwardEnd.Broken(
-                      Failure.ran(ErrorCode.INCOMPLETE_ANSWER, "the answer broke off")));
+              report(new ForwardEnd.Broken(AnswerFailures.of(error)));
               failStage(error);
             }
           });
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/forward/EventCounter.java
@@ -0,0 +1,68 @@
+package org.cuminwell.shell.forward;
+
+/**
+ * Finds the ends of server-sent events as their bytes come, and counts those that have an id.
+ *
+ * <p>Each byte is looked at once. Not thread safe: one stream owns it.
+ */
+final class EventCounter {
+
+  private static final String ID_FIELD = "id:";
+
+  private long events;
+  private int quietBytes;
+  private int column;
+  private boolean lineIsId;
+  private boolean eventHasId;
+
+  /** Returns how many events with an id have ended. */
+  long events() {
+    return events;
+  }
+
+  /** Returns how many bytes have come since the last event with an id. */
+  int quietBytes() {
+    return quietBytes;
+  }
+
+  /**
+   * Reads the bytes from an index on, and returns the index after the last event that ends in them,
+   * 0 if none does.
+   */
+  int read(byte[] bytes, int from) {
+    int end = 0;
+    for (int i = from; i < bytes.length; i++) {
+      quietBytes++;
+      if (bytes[i] != '\n') {
+        readInLine(bytes[i]);
+      } else if (column > 0) {
+        endLine();
+      } else {
+        endEvent();
+        end = i + 1;
+      }
+    }
+    return end;
+  }
+
+  private void readInLine(byte next) {
+    if (column < ID_FIELD.length()) {
+      lineIsId = (column == 0 || lineIsId) && next == ID_FIELD.charAt(column);
+    }
+    column++;
+  }
+
+  private void endLine() {
+    eventHasId |= lineIsId && column >= ID_FIELD.length();
+    column = 0;
+    lineIsId = false;
+  }
+
+  private void endEvent() {
+    if (eventHasId) {
+      events++;
+      quietBytes = 0;
+      eventHasId = false;
+    }
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/forward/EventFraming.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/EventFraming.java
@@ -10,25 +10,36 @@
 import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
+import org.cuminwell.shell.http.BadAnswerException;
 import org.cuminwell.shell.http.CallOverException;
 
 /**
  * Passes a stream of server-sent events on by whole events, so that another endpoint can go on
  * after the last one.
  *
- * <p>A stream that ends within an event fails. Invariant: events are reported before their bytes
- * are passed on. Thread safe; each materialization has a state of its own.
+ * <p>A stream that ends within an event fails, and so does one that goes on without events or with
+ * more of them than were asked for. Invariants: events are reported before their bytes are passed
+ * on; at most {@link #MAX_QUIET_BYTES} and one part are held. Thread safe; each materialization has
+ * a state of its own.
  */
 final class EventFraming extends GraphStage<FlowShape<ByteString, ByteString>> {
 
-  private static final ByteString EVENT_END = ByteString.fromString("\n\n");
+  /** The most that may come without an event that has an id. */
+  static final int MAX_QUIET_BYTES = 64 * 1024;
+
   private final Consumer<ByteString> events;
+  private final long maxEvents;
   private final Inlet<ByteString> in = Inlet.create("EventFraming.in");
   private final Outlet<ByteString> out = Outlet.create("EventFraming.out");
 
-  /** Makes a stage that reports the whole events that it passes on. */
-  EventFraming(Consumer<ByteString> events) {
+  /**
+   * Makes a stage that reports the whole events that it passes on.
+   *
+   * @param maxEvents how many events with an id an answer may have
+   */
+  EventFraming(Consumer<ByteString> events, long maxEvents) {
     this.events = events;
+    this.maxEvents = maxEvents;
   }
 
   @Override
@@ -43,6 +54,7 @@
 
   private final class Logic extends GraphStageLogic {
 
+    private final EventCounter counter = new EventCounter();
     private ByteString rest = ByteString.emptyByteString();
 
     Logic() {
@@ -76,28 +88,21 @@
 
     private void pass(ByteString part) {
       ByteString all = rest.isEmpty() ? part : rest.concat(part);
-      int end = lastEventEnd(all);
-      if (end == 0) {
+      int end = counter.read(all.toArrayUnsafe(), rest.length());
+      if (counter.events() > maxEvents) {
+        failStage(new OverlongAnswerException());
+      } else if (counter.quietBytes() > MAX_QUIET_BYTES) {
+        failStage(new BadAnswerException("the endpoint sent a stream without events"));
+      } else if (end == 0) {
         rest = all;
         pull(in);
-        return;
-      }
-      boolean isWhole = end == all.length();
-      rest = isWhole ? ByteString.emptyByteString() : all.drop(end).compact();
-      ByteString whole = isWhole ? all : all.take(end);
-      events.accept(whole);
-      push(out, whole);
-    }
-  }
-
-  /** Returns the index after the last whole event, 0 if there is none. */
-  private static int lastEventEnd(ByteString bytes) {
-    byte[] all = bytes.toArrayUnsafe();
-    for (int i = all.length - EVENT_END.length(); i >= 0; i--) {
-      if (all[i] == '\n' && all[i + 1] == '\n') {
-        return i + EVENT_END.length();
+      } else {
+        boolean isWhole = end == all.length();
+        rest = isWhole ? ByteString.emptyByteString() : all.drop(end).compact();
+        ByteString whole = isWhole ? all : all.take(end);
+        events.accept(whole);
+        push(out, whole);
       }
     }
-    return 0;
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
@@ -16,16 +16,21 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.ResponseEntity;
 import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
+import org.apache.pekko.japi.pf.PFBuilder;
+import org.apache.pekko.stream.Graph;
+import org.apache.pekko.stream.SourceShape;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardEnd;
 import org.cuminwell.core.forward.ForwardEvent;
+import org.cuminwell.core.forward.ForwardHead;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.SingleCall;
+import scala.PartialFunction;
 
 /**
  * Carries attempts to endpoints, over another gateway where need be, and passes answers on.
@@ -38,6 +43,7 @@
   static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
   private static final int MAX_RESUMPTIONS = 8;
+  private static final int EXTRA_EVENTS = 16;
 
   private final HttpSystem http;
   private final InstantSource time;
@@ -163,21 +169,34 @@
       return bytes;
     }
     Source<ByteString, NotUsed> events =
-        bytes.idleTimeout(attempt.order().silenceWithin()).via(new EventFraming(call::passed));
+        bytes
+            .idleTimeout(attempt.order().silenceWithin())
+            .via(new EventFraming(call::passed, maxEvents(call.head())));
     return attempt.order().resumes()
         ? events
-        : events.recoverWithRetries(MAX_RESUMPTIONS, Throwable.class, () -> rest(call));
+        : events.recoverWithRetries(MAX_RESUMPTIONS, resumption(call));
+  }
+
+  /** Returns how many events may come; an event holds a token at least, or opens or closes. */
+  private static long maxEvents(ForwardHead head) {
+    long tokens = head.tokens().orElse(0);
+    return tokens > 0 ? tokens + EXTRA_EVENTS : Long.MAX_VALUE;
+  }
+
+  private static PartialFunction<Throwable, Graph<SourceShape<ByteString>, NotUsed>> resumption(
+      PendingForward call) {
+    return new PFBuilder<Throwable, Graph<SourceShape<ByteString>, NotUsed>>()
+        .match(
+            Throwable.class,
+            error -> !(error instanceof OverlongAnswerException),
+            error -> rest(call, AnswerFailures.of(error)))
+        .build();
   }
 
   /** Reports that the running attempt broke off, and waits for what goes on after it. */
-  private static Source<ByteString, NotUsed> rest(PendingForward call) {
+  private static Source<ByteString, NotUsed> rest(PendingForward call, Failure why) {
     CompletableFuture<Source<ByteString, NotUsed>> rest = call.awaitRest();
-    call.attempt()
-        .ifPresent(
-            attempt ->
-                attempt.ended(
-                    new ForwardEnd.Broken(
-                        Failure.ran(ErrorCode.INCOMPLETE_ANSWER, "the stream broke off"))));
+    call.attempt().ifPresent(attempt -> attempt.ended(new ForwardEnd.Broken(why)));
     return Source.completionStageSource(rest).mapMaterializedValue(_ -> NotUsed.getInstance());
   }
 }
--- a/shell/src/test/java/org/cuminwell/shell/forward/EndlessBytesTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/forward/EndlessBytesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.io.InputStream;
 import java.net.http.HttpResponse;
 import java.util.List;
@@ -22,8 +23,11 @@
 
   private static final String HEAD = "HTTP/1.1 200 OK\r\n";
   private static final String LENGTH_HEAD = HEAD + "Content-Length: 2\r\n\r\n";
+  private static final String EVENTS =
+      HEAD + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
   private static final String WHOLE = "{}";
   private static final Script WHOLE_ANSWER = x -> x.write(LENGTH_HEAD + WHOLE);
+  private static final Script LAST_EVENT = x -> x.write(EVENTS + "id: 3\ndata: c\n\n");
 
   /** The most that may be taken of a head, the buffers of both sockets included, in bytes. */
   private static final long MOST_HEAD_BYTES = 16L * 1024 * 1024;
@@ -68,6 +72,15 @@
         new Endless("early hints without end", "", "HTTP/1.1 103 Early Hints\r\n\r\n"));
   }
 
+  static Stream<Case> streams() {
+    return direct(
+        new Endless("an event without end", EVENTS + "id: 1\ndata: a\n\nid: 2\ndata: ", "x"),
+        new Endless("lines of an event without end", EVENTS + "id: 1\ndata: a\n\n", "data: x\n"),
+        new Endless("comments without end", EVENTS + "id: 1\ndata: a\n\n", ": x\n"),
+        new Endless("events that nobody asked for", EVENTS, "id: 1\ndata: a\n\n"),
+        new Endless("empty events", EVENTS + "id: 1\ndata: a\n\n", "\n\n"));
+  }
+
   @ParameterizedTest(name = "{0}")
   @MethodSource("heads")
   void headWithoutEndLeavesRoomForAnotherAttempt(Case c) throws Exception {
@@ -97,6 +110,29 @@
     }
   }
 
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("streams")
+  void streamWithoutEndIsNeverPassedOnAsComplete(Case c) throws Exception {
+    try (FakeEndpoint endpoint = FakeEndpoint.start(List.of(c.endless().script()));
+        var forward = ForwardFixture.start(endpoint, new Repeat.ResumableStream(), c.relayed())) {
+      assertThat(isComplete(forward.send(TOKENS))).isFalse();
+      assertIsClosedAndBlamed(endpoint, forward);
+      assertThat(endpoint.endlessBytes.get()).isLessThan(MOST_HEAD_BYTES * 3);
+    }
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("streams")
+  void streamWithoutEndIsGoneOnWithElsewhere(Case c) throws Exception {
+    try (FakeEndpoint endpoint = FakeEndpoint.start(List.of(c.endless().script(), LAST_EVENT));
+        var forward = ForwardFixture.start(endpoint, new Repeat.ResumableStream(), c.relayed())) {
+      boolean complete = isComplete(forward.send(TOKENS));
+
+      boolean overlong = c.endless().name().equals("events that nobody asked for");
+      assertThat(complete).isEqualTo(!overlong);
+    }
+  }
+
   private static void assertIsClosedAndBlamed(FakeEndpoint endpoint, ForwardFixture forward)
       throws InterruptedException {
     assertThat(endpoint.closed.await(20, TimeUnit.SECONDS)).isTrue();
@@ -112,6 +148,15 @@
     return skipped ? MOST_SKIPPED_BYTES : MOST_HEAD_BYTES;
   }
 
+  private static boolean isComplete(HttpResponse<InputStream> answer) {
+    try (InputStream body = answer.body()) {
+      body.transferTo(java.io.OutputStream.nullOutputStream());
+      return answer.statusCode() == 200;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private static Stream<Case> direct(Endless... endless) {
     return Stream.of(true, false)
         .flatMap(relayed -> Stream.of(endless).map(e -> new Case(e, relayed)));
