Close an attempt's connection at its end; answer bodies that never begin

Callers would see: a closed connection in place of a final answer, where the body of an answer failed before its first part; and endpoints that go on sending after a whole answer kept a connection for up to 300 s.

Cause: the head was passed on alone, and the server side drops a head that it has not yet flushed when the body fails. An attempt that had ended closed its connection only if it was given up.

Change: every end of an attempt closes its connection. The head goes to the caller with the first part of the body; an attempt that fails before it is answered with the decision's failure. The order of events is as before.

A failure right after the first part can still reach the caller as a closed connection; it does so then without a head, too.

--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
@@ -72,10 +72,14 @@
     }
   }
 
-  /** Reports how the attempt ended, unless that is known. */
+  /**
+   * Reports how the attempt ended, unless that is known, and closes its connection, since an
+   * endpoint may go on sending after a whole answer.
+   */
   void ended(ForwardEnd end) {
     if (state.getAndSet(State.ENDED) != State.ENDED) {
       report(end);
+      close();
     }
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
@@ -19,6 +19,7 @@
 import org.apache.pekko.japi.pf.PFBuilder;
 import org.apache.pekko.stream.Graph;
 import org.apache.pekko.stream.SourceShape;
+import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.forward.ForwardAction;
@@ -96,7 +97,37 @@
     HttpResponse response = attempt.response();
     if (attempt.order().resumes()) {
       call.rest(body(call, attempt, response));
-    } else if (!call.answer().complete(answer(call, attempt, response))) {
+    } else if (response.entity() instanceof HttpEntity.Strict whole) {
+      events.accept(new ForwardEvent.BodyBegan(call.head().id()));
+      complete(call, attempt, head(response).withEntity(whole));
+      attempt.ended(new ForwardEnd.Completed());
+    } else {
+      passWithFirstPart(call, attempt, response);
+    }
+  }
+
+  /**
+   * Passes the answer on with the first part of its body, since one that fails before it would end
+   * the caller's connection without a byte; the decision about the failure answers the caller then.
+   */
+  private void passWithFirstPart(
+      PendingForward call, ForwardAttempt attempt, HttpResponse response) {
+    var _ =
+        reported(call, attempt, response)
+            .prefixAndTail(1)
+            .runWith(Sink.head(), http.actors())
+            .thenAccept(
+                parts -> {
+                  Source<ByteString, NotUsed> bytes =
+                      Source.from(parts.first()).concat(parts.second());
+                  HttpResponse answer =
+                      head(response).withEntity(sameShape(response.entity(), bytes));
+                  complete(call, attempt, answer);
+                });
+  }
+
+  private static void complete(PendingForward call, ForwardAttempt attempt, HttpResponse answer) {
+    if (!call.answer().complete(answer)) {
       attempt.abandon();
     }
   }
@@ -126,23 +157,21 @@
             http.actors().dispatcher());
   }
 
-  private HttpResponse answer(PendingForward call, ForwardAttempt attempt, HttpResponse response) {
+  private static HttpResponse head(HttpResponse response) {
     List<HttpHeader> headers = HopByHop.endToEnd(response.getHeaders());
-    HttpResponse head = HttpResponse.create().withStatus(response.status()).addHeaders(headers);
-    if (response.entity() instanceof HttpEntity.Strict whole) {
-      events.accept(new ForwardEvent.BodyBegan(call.head().id()));
-      attempt.ended(new ForwardEnd.Completed());
-      return head.withEntity(whole);
-    }
-    Source<ByteString, NotUsed> bytes =
-        body(call, attempt, response)
-            .via(
-                new AnswerReport(
-                    time,
-                    () -> events.accept(new ForwardEvent.BodyBegan(call.head().id())),
-                    pause -> paced(call, attempt, pause),
-                    end -> call.attempt().orElse(attempt).ended(end)));
-    return head.withEntity(sameShape(response.entity(), bytes));
+    return HttpResponse.create().withStatus(response.status()).addHeaders(headers);
+  }
+
+  /** Returns the body, whose begin, pace and end are reported as it passes. */
+  private Source<ByteString, NotUsed> reported(
+      PendingForward call, ForwardAttempt attempt, HttpResponse response) {
+    return body(call, attempt, response)
+        .via(
+            new AnswerReport(
+                time,
+                () -> events.accept(new ForwardEvent.BodyBegan(call.head().id())),
+                pause -> paced(call, attempt, pause),
+                end -> call.attempt().orElse(attempt).ended(end)));
   }
 
   private void paced(PendingForward call, ForwardAttempt first, Duration pause) {
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
@@ -88,7 +88,13 @@
                 call.answer().complete(dialect.refusal(Optional.of(call.head()), a.failure()));
                 calls.remove(a.id());
               });
-      case ForwardAction.Cut a -> with(a.id(), PendingForward::cut);
+      case ForwardAction.Cut a ->
+          with(
+              a.id(),
+              call -> {
+                call.answer().complete(dialect.refusal(Optional.of(call.head()), a.failure()));
+                call.cut();
+              });
       case ForwardAction.Note a -> log.write(a);
       case ForwardAction.Ended a -> calls.remove(a.id());
     }
--- a/shell/src/test/java/org/cuminwell/shell/forward/EndlessBytesTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/forward/EndlessBytesTest.java
@@ -23,6 +23,7 @@
 
   private static final String HEAD = "HTTP/1.1 200 OK\r\n";
   private static final String LENGTH_HEAD = HEAD + "Content-Length: 2\r\n\r\n";
+  private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
   private static final String EVENTS =
       HEAD + "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
   private static final String WHOLE = "{}";
@@ -72,6 +73,17 @@
         new Endless("early hints without end", "", "HTTP/1.1 103 Early Hints\r\n\r\n"));
   }
 
+  static Stream<Case> bodies() {
+    return direct(
+        new Endless("a chunk size without end", CHUNKED, "0"),
+        new Endless("a chunk extension without end", CHUNKED + "1;", "x"),
+        new Endless("no chunk", CHUNKED, "x"),
+        new Endless("chunks without end", CHUNKED, "1\r\nx\r\n"),
+        new Endless("trailers without end", CHUNKED + "0\r\n", "X: y\r\n"),
+        new Endless("a trailer without end", CHUNKED + "0\r\nX: ", "y"),
+        new Endless("a body without length", HEAD + "Connection: close\r\n\r\n", "x"));
+  }
+
   static Stream<Case> streams() {
     return direct(
         new Endless("an event without end", EVENTS + "id: 1\ndata: a\n\nid: 2\ndata: ", "x"),
@@ -81,6 +93,13 @@
         new Endless("empty events", EVENTS + "id: 1\ndata: a\n\n", "\n\n"));
   }
 
+  static Stream<Case> afterwards() {
+    return direct(
+        new Endless("bytes after an answer of known length", LENGTH_HEAD + WHOLE, "x"),
+        new Endless("answers after an answer", LENGTH_HEAD + WHOLE, LENGTH_HEAD + WHOLE),
+        new Endless("bytes after the last chunk", CHUNKED + "2\r\n{}\r\n0\r\n\r\n", "x"));
+  }
+
   @ParameterizedTest(name = "{0}")
   @MethodSource("heads")
   void headWithoutEndLeavesRoomForAnotherAttempt(Case c) throws Exception {
@@ -110,6 +129,16 @@
     }
   }
 
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("bodies")
+  void bodyWithoutEndIsNeverPassedOnAsComplete(Case c) throws Exception {
+    try (FakeEndpoint endpoint = FakeEndpoint.start(List.of(c.endless().script()));
+        var forward = ForwardFixture.start(endpoint, new Repeat.Idempotent(), c.relayed())) {
+      assertThat(isComplete(forward.send(TOKENS))).isFalse();
+      assertThat(endpoint.closed.await(20, TimeUnit.SECONDS)).isTrue();
+    }
+  }
+
   @ParameterizedTest(name = "{0}")
   @MethodSource("streams")
   void streamWithoutEndIsNeverPassedOnAsComplete(Case c) throws Exception {
@@ -133,6 +162,19 @@
     }
   }
 
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("afterwards")
+  void bytesAfterAnAnswerCloseTheConnection(Case c) throws Exception {
+    try (FakeEndpoint endpoint = FakeEndpoint.start(List.of(c.endless().script()));
+        var forward = ForwardFixture.start(endpoint, new Repeat.Idempotent(), c.relayed())) {
+      HttpResponse<InputStream> answer = forward.send(TOKENS);
+
+      assertThat(answer.body().readAllBytes()).asString().isEqualTo(WHOLE);
+      assertThat(endpoint.closed.await(20, TimeUnit.SECONDS)).isTrue();
+      assertThat(endpoint.endlessBytes.get()).isLessThan(MOST_HEAD_BYTES);
+    }
+  }
+
   private static void assertIsClosedAndBlamed(FakeEndpoint endpoint, ForwardFixture forward)
       throws InterruptedException {
     assertThat(endpoint.closed.await(20, TimeUnit.SECONDS)).isTrue();
