Leave the lead when the disk takes nothing, and follow what others proved

Callers would see: no ticket, configuration or evacuation accepted for as long as the leader's disk is full or stalled, and every submission at a host with such a disk end as "the fate is unknown", though two other hosts had agreed on it. Reads there were refused for as long.

Cause: a host applied an entry only once its own disk had it, also when a quorum without it had committed the entry; and a leader with such a disk went on leading, since heartbeats need no disk.

Change: entries are applied once committed. That promises nothing: votes, acknowledgements and a leader's own part of a quorum still wait for the disk, and what is committed is durable at a quorum without this host. A leader resigns after 1.5 s without a sync; it can't be elected before its disk works, since its vote waits for it. An admitted learner votes only after both the admission and its new standing are durable, as before.

--- a/core/src/main/java/org/cuminwell/core/consensus/ConsensusTimes.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/ConsensusTimes.java
@@ -26,6 +26,9 @@
   /** What chance may add to {@link #MIN_ELECTION}. */
   public static final Duration ELECTION_SPREAD = Duration.ofMillis(800);
 
+  /** How long a leader's disk may take nothing before another host should lead. */
+  public static final Duration SYNC_PATIENCE = Duration.ofMillis(1_500);
+
   /** How often a learner asks to be admitted. */
   public static final Duration JOIN = Duration.ofMillis(300);
 
--- a/core/src/main/java/org/cuminwell/core/consensus/Outbox.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Outbox.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.consensus;
 
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -21,6 +22,7 @@
   private List<ReplicaAction<C, S>> actions = new ArrayList<>();
   private long lastSequence;
   private long persisted;
+  private final SyncWatch syncs = new SyncWatch();
 
   /** Returns the sequence number for the next write. */
   long nextSequence() {
@@ -54,6 +56,11 @@
     return persisted >= lastSequence;
   }
 
+  /** Returns whether the disk has taken nothing for too long. */
+  boolean isStalled(Instant now) {
+    return syncs.isStalled(lastSequence, persisted, now);
+  }
+
   /** Releases what waited for the write. */
   void persisted(long sequence) {
     persisted = Math.max(persisted, sequence);
--- a/core/src/main/java/org/cuminwell/core/consensus/Replica.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Replica.java
@@ -29,9 +29,8 @@
  *
  * <p>Follows the Raft algorithm with pre-votes and a leader lease. Invariants: the term never goes
  * down; a host votes once a term; a committed entry is never replaced; entries are applied in
- * order, once, and only when committed and durable here; nothing is promised to another host before
- * it is durable. A host that is no voter neither votes nor counts. Not thread safe: one thread owns
- * it.
+ * order, once, and only when committed; nothing is promised to another host before it is durable
+ * here. A host that is no voter neither votes nor counts. Not thread safe: one thread owns it.
  *
  * @param <C> the commands
  * @param <S> the replicated state as snapshots hold it
@@ -144,6 +143,10 @@
   }
 
   private void tick(Instant now) {
+    boolean isStalled = outbox.isStalled(now);
+    if (isStalled && role instanceof Role.Leader) {
+      resign(now);
+    }
     switch (role) {
       case Role.Leader leader -> duties.heartbeat(leader, hard.term(), commit, now);
       case Role.Follower f -> tickWithoutLead(now);
@@ -420,11 +423,15 @@
 
   private void expireLease(Instant now) {
     if (role instanceof Role.Leader leader && !leaseHolds(leader, now)) {
-      role = new Role.Follower(Optional.empty());
-      electionAt = now.plus(electionTimeout());
+      resign(now);
     }
   }
 
+  private void resign(Instant now) {
+    role = new Role.Follower(Optional.empty());
+    electionAt = now.plus(electionTimeout());
+  }
+
   private boolean leaseHolds(Role.Leader leader, Instant now) {
     return now.isBefore(leader.quorumContact(now, quorum()).plus(ConsensusTimes.LEASE));
   }
@@ -449,8 +456,7 @@
   }
 
   private void applyCommitted() {
-    long end = Math.min(commit, log.durableIndex());
-    while (applied < end) {
+    while (applied < commit) {
       applied++;
       LogEntry<C> entry = log.get(applied);
       if (hard.standing() instanceof Standing.Learner learner && admits(entry, learner)) {
--- a/core/src/test/java/org/cuminwell/core/control/AgreementHost.java
+++ b/core/src/test/java/org/cuminwell/core/control/AgreementHost.java
@@ -36,6 +36,9 @@
   /** Until when the process is stopped without knowing it. */
   Instant frozenUntil = Instant.MIN;
 
+  /** Until when the disk takes nothing. */
+  Instant stalledUntil = Instant.MIN;
+
   long lastRevision;
 
   AgreementHost(HostId id, Set<HostId> voters, SplittableRandom random) {
