--- a/core/src/main/java/org/cuminwell/core/consensus/CommitProgress.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/CommitProgress.java
@@ -7,8 +7,8 @@
 /**
  * Keeps count of what is committed, and applies it.
  *
- * <p>Invariants: entries are applied in order, once, and only when committed and durable here;
- * neither count goes down. Not thread safe: its replica owns it.
+ * <p>Invariants: entries are applied in order, once, and only when committed; neither count goes
+ * down. Not thread safe: its replica owns it.
  */
 final class CommitProgress<C, S> {
 
@@ -59,10 +59,12 @@
     }
   }
 
-  /** Applies what is committed and durable here. */
+  /**
+   * Applies what is committed. It need not be durable here: applying promises nothing, and a quorum
+   * without this host may hold it.
+   */
   void apply() {
-    long end = Math.min(commit, store.log().durableIndex());
-    while (applied < end) {
+    while (applied < commit) {
       applied++;
       LogEntry<C> entry = store.log().get(applied);
       if (store.hard().standing() instanceof Standing.Learner learner && admits(entry, learner)) {
