Renew endpoints all at once, so that control traffic no longer grows with endpoints

Seen: a gateway that nobody calls is told by each control host of each endpoint each second. By IdleFleet (the cores of control hosts and gateways, simulated time) that is 1,155 bytes a second at a gateway for 49 endpoints, 4,242 for 196, and 21,285 with all its other messages for 1,000, where a daemon may spend 9,000 for control and 5,000 endpoints are to come.

Cause: what was merely renewed was listed one by one; bytes and decoding grew with gateways x endpoints. Ruled out as the main cost before traffic at today's size: 1,884 messages a second in the whole grown deployment (76 gateways, 6 control hosts, 49 endpoints) are 25 a process; 888 of them are what gateways tell their neighbours, which grows with the square of gateways a centre.

Change: one item says that everything told of and not called quiet was heard at most so long ago; what was silent for half its time to live, or has run out, is named as quiet and left out. A receiver that missed a message renews nothing of that peer until it has everything again, so no life is lengthened. Gateways of an earlier version don't know the item: upgrade gateways first.

IdleFleetTest failed before at 1,000 endpoints (21,285 of 9,000 bytes). Not at 5,000: EndpointTable.hear looks through all entries at each renewal, so a run takes minutes.

--- a/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
+++ b/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,10 +22,10 @@
  * Exchanges what endpoints said between the processes that they may speak to.
  *
  * <p>Each process tells its audience only what it heard itself, by differences between versions:
- * what is new at once, what was merely renewed every {@link #RENEW_PERIOD}. Who misses a version
- * asks for everything. Invariant: news that is passed on never lengthens a life beyond what its
- * source heard; a message that is older than one already taken is dropped. Not thread safe: one
- * thread owns it.
+ * what is new at once, and every {@link #RENEW_PERIOD} that all the rest was renewed, so that a
+ * message does not grow with the number of endpoints. Who misses a version asks for everything.
+ * Invariant: news that is passed on never lengthens a life beyond what its source heard; a message
+ * that is older than one already taken is dropped. Not thread safe: one thread owns it.
  */
 public final class MembershipExchange {
 
@@ -39,16 +40,43 @@
   private final TreeMap<EndpointId, Own> own = new TreeMap<>();
   private final TreeMap<EndpointId, OwnLeft> left = new TreeMap<>();
   private final Map<HostId, Version> seen = new HashMap<>();
+  private final Map<HostId, Renewable> renewable = new HashMap<>();
   private long start;
   private long version;
   private Instant renewedAt = Instant.MIN;
 
-  /** Holds what this gateway heard itself of one endpoint. */
+  /**
+   * Holds what this gateway heard itself of one endpoint.
+   *
+   * @param isNew whether the audience has yet to be told of it
+   * @param isQuiet whether the audience was last told that it is quiet
+   */
   private record Own(
-      Announcement announcement, Instant heardAt, Optional<LoadReport> load, boolean isNew) {
+      Announcement announcement,
+      Instant heardAt,
+      Optional<LoadReport> load,
+      boolean isNew,
+      boolean isQuiet) {
+
+    Duration age(Instant now) {
+      return Duration.between(heardAt, now);
+    }
 
     Duration remaining(Instant now) {
-      return announcement.timeToLive().minus(Duration.between(heardAt, now));
+      return announcement.timeToLive().minus(age(now));
+    }
+
+    /** Returns whether it has been silent for half of its time to live. */
+    boolean isSilent(Instant now) {
+      return age(now).multipliedBy(2).compareTo(announcement.timeToLive()) > 0;
+    }
+
+    Own reporting(LoadReport report) {
+      return new Own(announcement, heardAt, Optional.of(report), isNew, isQuiet);
+    }
+
+    Own told(boolean asQuiet) {
+      return new Own(announcement, heardAt, load, false, asQuiet);
     }
   }
 
@@ -85,7 +113,7 @@
     if (old != null && isLater(old.announcement(), news)) {
       return;
     }
-    own.put(news.endpoint(), new Own(news, now, load, isNew));
+    own.put(news.endpoint(), new Own(news, now, load, isNew, old != null && old.isQuiet()));
   }
 
   /** Takes in a load report that an endpoint made to this gateway. */
@@ -94,9 +122,7 @@
     own.computeIfPresent(
         report.endpoint(),
         (id, old) ->
-            old.announcement().incarnation() == report.incarnation()
-                ? new Own(old.announcement(), old.heardAt(), Optional.of(report), old.isNew())
-                : old);
+            old.announcement().incarnation() == report.incarnation() ? old.reporting(report) : old);
   }
 
   /** Takes in that an endpoint said to this gateway that it leaves. */
@@ -108,6 +134,7 @@
   /** Takes in that a peer can't be reached; its versions may begin anew. */
   public void lost(HostId peer) {
     seen.remove(peer);
+    renewable.remove(peer);
   }
 
   /** Returns what to say to a neighbour that has just been reached. */
@@ -128,14 +155,16 @@
     if (start == 0) {
       start = now.toEpochMilli();
     }
-    own.values().removeIf(entry -> !entry.remaining(now).isPositive());
+    List<Item> items = new ArrayList<>();
+    dropExpired(now, items);
     left.values().removeIf(entry -> !now.isBefore(entry.at().plus(LEFT_PERIOD)));
     boolean renew = renewedAt.equals(Instant.MIN) || !now.isBefore(renewedAt.plus(RENEW_PERIOD));
-    List<Item> items = renew ? renewals(now) : news(now);
     if (renew) {
       renewedAt = now;
+      addRenewals(now, items);
+    } else {
+      addNews(now, items);
     }
-    own.replaceAll((id, o) -> new Own(o.announcement(), o.heardAt(), o.load(), false));
     left.replaceAll((id, l) -> new OwnLeft(l.incarnation(), l.at(), false));
     if (items.isEmpty()) {
       return List.of();
@@ -155,18 +184,25 @@
       return List.of();
     }
     boolean isGap = news.from() != 0 && (news.start() != old.start() || news.from() != old.to());
+    Renewable known = renewable.computeIfAbsent(peer, _ -> new Renewable());
+    if (isGap) {
+      known.missed();
+    } else if (!isLate && news.from() == 0) {
+      known.begin();
+    }
     if (!isLate) {
       seen.put(peer, new Version(news.start(), news.to()));
+      news.items().forEach(known::take);
     }
     boolean unknown = false;
     for (Item item : news.items()) {
-      unknown |= !take(item, now);
+      unknown |= !take(item, known, now);
     }
     return isGap || unknown ? List.of(tell(peer, new AskAll())) : List.of();
   }
 
   /** Takes one item in, and returns whether it could be understood. */
-  private boolean take(Item item, Instant now) {
+  private boolean take(Item item, Renewable known, Instant now) {
     return switch (item) {
       case Item.Announced i -> {
         hear(i.announcement(), i.remaining(), now);
@@ -174,17 +210,15 @@
         yield true;
       }
       case Item.Renewed i -> {
-        Optional<Announcement> known =
-            table
-                .find(i.endpoint())
-                .map(EndpointTable.Entry::announcement)
-                .filter(a -> a.incarnation() >= i.incarnation());
-        known
+        Optional<Announcement> announcement = find(i.endpoint(), i.incarnation());
+        announcement
             .filter(a -> a.incarnation() == i.incarnation())
             .ifPresent(a -> hear(a, i.remaining(), now));
         i.load().ifPresent(table::report);
-        yield known.isPresent();
+        yield announcement.isPresent();
       }
+      case Item.AllRenewed i -> known.renewAll(life -> renew(life, now.minus(i.age())));
+      case Item.Quiet i -> true;
       case Item.Left i -> {
         table.leave(i.endpoint(), i.incarnation(), now);
         yield true;
@@ -192,6 +226,21 @@
     };
   }
 
+  /** Renews a life that was heard at the time, and returns whether it is known. */
+  private boolean renew(Renewable.Life life, Instant heardAt) {
+    Optional<Announcement> known = find(life.endpoint(), life.incarnation());
+    known.filter(a -> a.incarnation() == life.incarnation()).ifPresent(a -> table.hear(a, heardAt));
+    return known.isPresent();
+  }
+
+  /** Returns what is known of this life of the endpoint or a later one. */
+  private Optional<Announcement> find(EndpointId endpoint, long incarnation) {
+    return table
+        .find(endpoint)
+        .map(EndpointTable.Entry::announcement)
+        .filter(a -> a.incarnation() >= incarnation);
+  }
+
   private void hear(Announcement news, Duration remaining, Instant now) {
     Duration left = remaining.compareTo(news.timeToLive()) < 0 ? remaining : news.timeToLive();
     table.hear(news, now.minus(news.timeToLive().minus(left)));
@@ -199,30 +248,77 @@
 
   private List<Item> everything(Instant now) {
     List<Item> items = new ArrayList<>();
-    own.values().stream()
-        .filter(o -> o.remaining(now).isPositive())
-        .forEach(o -> items.add(new Item.Announced(o.announcement(), o.remaining(now), o.load())));
+    for (Own o : own.values()) {
+      if (o.remaining(now).isPositive()) {
+        items.add(announced(o, now));
+        if (o.isQuiet()) {
+          items.add(quiet(o));
+        }
+      }
+    }
     left.forEach((id, l) -> items.add(new Item.Left(id, l.incarnation())));
     return items;
   }
 
-  private List<Item> renewals(Instant now) {
-    List<Item> items = new ArrayList<>();
-    own.values().forEach(o -> items.add(o.isNew() ? announced(o, now) : renewed(o, now)));
+  /** Drops what has run out; the audience must no longer take it for renewed. */
+  private void dropExpired(Instant now, List<Item> items) {
+    own.values()
+        .removeIf(
+            o -> {
+              boolean expired = !o.remaining(now).isPositive();
+              if (expired && !o.isQuiet()) {
+                items.add(quiet(o));
+              }
+              return expired;
+            });
+  }
+
+  private void addRenewals(Instant now, List<Item> items) {
+    own.replaceAll(
+        (_, o) -> {
+          addRenewal(o, now, items);
+          return o.told(o.isSilent(now));
+        });
+    own.values().stream()
+        .filter(o -> !o.isQuiet())
+        .map(o -> o.age(now))
+        .max(Comparator.naturalOrder())
+        .ifPresent(age -> items.add(new Item.AllRenewed(age)));
     left.forEach((id, l) -> items.add(new Item.Left(id, l.incarnation())));
-    return items;
   }
 
-  private List<Item> news(Instant now) {
-    List<Item> items = new ArrayList<>();
-    own.values().stream().filter(Own::isNew).forEach(o -> items.add(announced(o, now)));
+  /** Adds what the renewal of all does not tell of one endpoint. */
+  private static void addRenewal(Own o, Instant now, List<Item> items) {
+    boolean isSilent = o.isSilent(now);
+    if (o.isNew()) {
+      items.add(announced(o, now));
+    } else if (!isSilent && (o.isQuiet() || o.load().isPresent())) {
+      items.add(renewed(o, now));
+    }
+    if (isSilent && (o.isNew() || !o.isQuiet())) {
+      items.add(quiet(o));
+    }
+  }
+
+  private void addNews(Instant now, List<Item> items) {
+    own.replaceAll(
+        (_, o) -> {
+          if (!o.isNew()) {
+            return o;
+          }
+          items.add(announced(o, now));
+          return o.told(false);
+        });
     left.forEach(
         (id, l) -> {
           if (l.isNew()) {
             items.add(new Item.Left(id, l.incarnation()));
           }
         });
-    return items;
+  }
+
+  private static Item quiet(Own o) {
+    return new Item.Quiet(o.announcement().endpoint(), o.announcement().incarnation());
   }
 
   private static Item announced(Own o, Instant now) {
--- a/core/src/main/java/org/cuminwell/core/membership/MembershipMessage.java
+++ b/core/src/main/java/org/cuminwell/core/membership/MembershipMessage.java
@@ -43,6 +43,17 @@
         EndpointId endpoint, long incarnation, Duration remaining, Optional<LoadReport> load)
         implements Item {}
 
+    /**
+     * Every endpoint that the sender has told of has announced itself again, unchanged, but for
+     * those that are {@link Quiet}, have left or stand in the same message.
+     *
+     * @param age how long ago at most it heard each of them
+     */
+    record AllRenewed(Duration age) implements Item {}
+
+    /** An endpoint has not announced itself for a while, so later renewals leave it out. */
+    record Quiet(EndpointId endpoint, long incarnation) implements Item {}
+
     /** An endpoint has said that it leaves. */
     record Left(EndpointId endpoint, long incarnation) implements Item {}
   }
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/membership/Renewable.java
@@ -0,0 +1,69 @@
+package org.cuminwell.core.membership;
+
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.cuminwell.core.membership.MembershipMessage.Item;
+import org.cuminwell.core.model.EndpointId;
+
+/**
+ * Holds the endpoints that one peer renews together.
+ *
+ * <p>Invariant: while it is complete it holds exactly the endpoints of which the peer has told and
+ * that it has not called quiet since; while it is not, it holds none. Not thread safe: the exchange
+ * owns it.
+ */
+final class Renewable {
+
+  private final Map<EndpointId, Long> incarnations = new HashMap<>();
+  private boolean isComplete;
+
+  /** Begins anew with a message that tells everything. */
+  void begin() {
+    incarnations.clear();
+    isComplete = true;
+  }
+
+  /** Takes in that a message was missed. */
+  void missed() {
+    incarnations.clear();
+    isComplete = false;
+  }
+
+  /** Takes in an item of the next message. */
+  void take(Item item) {
+    if (!isComplete) {
+      return;
+    }
+    switch (item) {
+      case Item.Announced i ->
+          incarnations.put(i.announcement().endpoint(), i.announcement().incarnation());
+      case Item.Renewed i -> incarnations.put(i.endpoint(), i.incarnation());
+      case Item.Quiet i -> incarnations.remove(i.endpoint(), i.incarnation());
+      case Item.AllRenewed i -> {}
+      case Item.Left i -> {}
+    }
+  }
+
+  /**
+   * Renews each endpoint, forgetting those that can't be, and returns whether all were renewed.
+   *
+   * @param renewal renews one life and returns whether it was known
+   */
+  boolean renewAll(Predicate<Life> renewal) {
+    boolean renewed = isComplete;
+    Iterator<Map.Entry<EndpointId, Long>> all = incarnations.entrySet().iterator();
+    while (all.hasNext()) {
+      Map.Entry<EndpointId, Long> next = all.next();
+      if (!renewal.test(new Life(next.getKey(), next.getValue()))) {
+        all.remove();
+        renewed = false;
+      }
+    }
+    return renewed;
+  }
+
+  /** Names one life of an endpoint. */
+  record Life(EndpointId endpoint, long incarnation) {}
+}
--- a/core/src/test/java/org/cuminwell/core/membership/MembershipExchangeTest.java
+++ b/core/src/test/java/org/cuminwell/core/membership/MembershipExchangeTest.java
@@ -26,6 +26,7 @@
 import org.cuminwell.core.peer.PeerMessage;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Holds that gateways of a data centre agree on endpoints and that lives are never lengthened. */
@@ -122,17 +123,25 @@
       }
     }
 
+    long knowing(String endpoint) {
+      return tables.stream().filter(t -> t.find(new EndpointId(endpoint)).isPresent()).count();
+    }
+
     long serving(String service) {
       return tables.stream().filter(t -> !t.serving(service, now).isEmpty()).count();
     }
   }
 
   static Announcement announcement(String endpoint, long incarnation) {
+    return announcement(endpoint, incarnation, 1);
+  }
+
+  static Announcement announcement(String endpoint, long incarnation, int port) {
     return new Announcement(
         new EndpointId(endpoint),
         incarnation,
         PLACE,
-        ADDRESS,
+        new HostAddress(ADDRESS.host(), port),
         Set.of("chat"),
         new VersionId("v1"),
         4,
@@ -166,6 +175,23 @@
     assertThat(centre.serving("chat")).isEqualTo(servedBy);
   }
 
+  @ParameterizedTest(name = "every {0} steps")
+  @CsvSource({"1", "5", "10", "14", "20"})
+  void anEndpointThatGoesOnAnnouncingItselfStaysKnownWhileAnotherFallsSilent(int period) {
+    Centre centre = new Centre(1);
+    centre.announce(0, announcement("silent", 1, 2));
+    for (int step = 0; step < 10 * SECOND; step++) {
+      if (step % period == 0) {
+        centre.announce(0, announcement("lasting", 1));
+      }
+      centre.run(1);
+      if (step > SECOND) {
+        assertThat(centre.knowing("lasting")).isEqualTo(GATEWAYS);
+      }
+    }
+    assertThat(centre.knowing("silent")).isZero();
+  }
+
   static LongStream seeds() {
     return LongStream.range(0, 300);
   }
--- a/wire/src/main/java/org/cuminwell/wire/MembershipCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/MembershipCodec.java
@@ -12,11 +12,13 @@
 import org.cuminwell.core.membership.MembershipMessage.Item;
 import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.VersionId;
+import org.cuminwell.wire.generated.MembershipMessage.AllRenewed;
 import org.cuminwell.wire.generated.MembershipMessage.Announced;
 import org.cuminwell.wire.generated.MembershipMessage.AskAll;
 import org.cuminwell.wire.generated.MembershipMessage.Heard;
 import org.cuminwell.wire.generated.MembershipMessage.Left;
 import org.cuminwell.wire.generated.MembershipMessage.Load;
+import org.cuminwell.wire.generated.MembershipMessage.Quiet;
 import org.cuminwell.wire.generated.MembershipMessage.Renewed;
 
 /**
@@ -25,6 +27,8 @@
  */
 final class MembershipCodec {
 
+  private static final Duration ALMOST_A_MILLISECOND = Duration.ofNanos(999_999);
+
   private MembershipCodec() {}
 
   static org.cuminwell.wire.generated.MembershipMessage toProto(MembershipMessage from) {
@@ -50,6 +54,13 @@
       switch (item) {
         case Item.Announced i -> to.addAnnounced(toProto(i));
         case Item.Renewed i -> to.addRenewed(toProto(i));
+        case Item.AllRenewed i ->
+            to.setAllRenewed(AllRenewed.newBuilder().setAgeMillis(roundedUp(i.age())));
+        case Item.Quiet i ->
+            to.addQuiet(
+                Quiet.newBuilder()
+                    .setEndpoint(i.endpoint().value())
+                    .setIncarnation(i.incarnation()));
         case Item.Left i ->
             to.addLeft(
                 Left.newBuilder()
@@ -64,6 +75,14 @@
     List<Item> items = new ArrayList<>();
     from.getAnnouncedList().forEach(item -> items.add(fromProto(item)));
     from.getRenewedList().forEach(item -> items.add(fromProto(item)));
+    from.getQuietList()
+        .forEach(
+            item ->
+                items.add(
+                    new Item.Quiet(new EndpointId(item.getEndpoint()), item.getIncarnation())));
+    if (from.hasAllRenewed()) {
+      items.add(new Item.AllRenewed(Duration.ofMillis(from.getAllRenewed().getAgeMillis())));
+    }
     from.getLeftList()
         .forEach(
             item ->
@@ -72,6 +91,11 @@
     return new MembershipMessage.Heard(from.getStart(), from.getFrom(), from.getTo(), items);
   }
 
+  /** Returns whole milliseconds, so that no age seems less than it is. */
+  private static long roundedUp(Duration age) {
+    return age.plus(ALMOST_A_MILLISECOND).toMillis();
+  }
+
   private static Announced toProto(Item.Announced from) {
     Announcement a = from.announcement();
     var to =
