Look gateways up once for a choice, not once for each endpoint

Cause: for every endpoint of another region EndpointChoice copied the directory and went through all of it to see whether a gateway there could pass the request on.

Change: the gateways that take requests are grouped by region once for a choice. A gateway that is not yet in its own directory counts as one.

No behaviour changes, so there is no test that failed before.

--- a/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
+++ b/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.cuminwell.core.config.Forwarding;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.directory.HostDirectory;
@@ -99,11 +100,12 @@
   Decision choose(ForwardedCall call, Forwarding forwarding, Instant now) {
     Residency residency = call.residency();
     String service = call.service();
+    Map<RegionId, List<HostDescription>> relays = relays();
     List<Entry> open =
         endpoints.serving(service, now).stream()
             .filter(entry -> residency.allows(regionOf(entry)))
             .filter(entry -> !evacuated.contains(dataCentreOf(entry)))
-            .filter(entry -> isNear(entry) || hasRelay(regionOf(entry)))
+            .filter(entry -> isNear(entry) || relays.containsKey(regionOf(entry)))
             .toList();
     List<Entry> warm = open.stream().filter(entry -> !isCold(entry, now)).toList();
     List<Entry> candidates =
@@ -111,15 +113,19 @@
             ? open.stream().filter(bearsAnother(forwarding.services().get(service), now)).toList()
             : warm;
     if (call.isRead()) {
-      return chooseEngine(call, candidates, now);
+      return chooseEngine(call, candidates, relays, now);
     }
     return router
         .choose(candidates, call.query(), now)
-        .<Decision>map(entry -> send(entry, 0, candidates.size(), now))
+        .<Decision>map(entry -> send(entry, 0, candidates.size(), relays, now))
         .orElseGet(Decision.Nowhere::new);
   }
 
-  private Decision chooseEngine(ForwardedCall call, List<Entry> candidates, Instant now) {
+  private Decision chooseEngine(
+      ForwardedCall call,
+      List<Entry> candidates,
+      Map<RegionId, List<HostDescription>> relays,
+      Instant now) {
     EngineRouter.Query query =
         new EngineRouter.Query(
             call.head().prompt(),
@@ -127,20 +133,30 @@
             call.tried(),
             call.isAnswerPassed(),
             call.route().latencyTarget(),
-            gatewaysHere());
+            relays.getOrDefault(here.region(), List.of()).size());
     return switch (engines.choose(candidates, query, now)) {
-      case EngineChoice.Chosen c -> send(c.engine(), c.toRead(), candidates.size(), now);
+      case EngineChoice.Chosen c -> send(c.engine(), c.toRead(), candidates.size(), relays, now);
       case EngineChoice.AllBusy c -> new Decision.Busy(c.retryAfter());
       case EngineChoice.NoneThere c -> new Decision.Nowhere();
     };
   }
 
-  private Decision send(Entry entry, long toRead, int outOf, Instant now) {
+  private Decision send(
+      Entry entry,
+      long toRead,
+      int outOf,
+      Map<RegionId, List<HostDescription>> relays,
+      Instant now) {
     if (isCold(entry, now)) {
       coldSentAt.put(entry.announcement().endpoint(), now);
     }
     return new Decision.Send(
-        new Target(entry.announcement(), relayTo(regionOf(entry)), entry.heardAt(), outOf, toRead));
+        new Target(
+            entry.announcement(),
+            relayTo(regionOf(entry), relays),
+            entry.heardAt(),
+            outOf,
+            toRead));
   }
 
   /** Counts a request that was sent. */
@@ -204,27 +220,20 @@
     };
   }
 
-  /** Returns how many gateways take callers in this region. */
-  private int gatewaysHere() {
-    return Math.max(1, relays(here.region()).size());
-  }
-
-  private boolean hasRelay(RegionId region) {
-    return !relays(region).isEmpty();
-  }
-
-  private Optional<HostAddress> relayTo(RegionId region) {
+  private Optional<HostAddress> relayTo(
+      RegionId region, Map<RegionId, List<HostDescription>> relays) {
     if (region.equals(here.region())) {
       return Optional.empty();
     }
-    List<HostDescription> relays = relays(region);
-    return Optional.of(relays.get(random.nextInt(relays.size())).inner());
+    List<HostDescription> there = relays.getOrDefault(region, List.of());
+    return Optional.of(there.get(random.nextInt(there.size())).inner());
   }
 
-  private List<HostDescription> relays(RegionId region) {
+  /** Returns the gateways that take requests, by region; none has an empty list. */
+  private Map<RegionId, List<HostDescription>> relays() {
     return directory.all().stream()
-        .filter(host -> !host.stopping() && host.place().region().equals(region))
-        .toList();
+        .filter(host -> !host.stopping())
+        .collect(Collectors.groupingBy(host -> host.place().region()));
   }
 
   private boolean isNear(Entry entry) {
--- a/core/src/main/java/org/cuminwell/core/routing/EngineRouter.java
+++ b/core/src/main/java/org/cuminwell/core/routing/EngineRouter.java
@@ -88,7 +88,7 @@
     if (usable.isEmpty()) {
       return new EngineChoice.NoneThere();
     }
-    expectOthers(usable, query.hosts() - 1, now);
+    expectOthers(usable, Math.max(0, query.hosts() - 1), now);
     long prefix = query.prompt().sharedPrefix();
     EndpointId keeper = keeper(candidates, prefix);
     List<Option> options = usable.stream().map(e -> option(e, keeper, query, now)).toList();
