Break off completions whose stream goes on without a part

A caller that keeps the answer whole can run out of memory.

Cause: AnswerCheck bounded a line and cleared every line that is no part.

Change: 64 KB of lines without a part end the answer as not whole. Lines before the first part are held back with it and leave room for another attempt.

--- a/shell/src/main/java/org/cuminwell/shell/gateway/AnswerCheck.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/AnswerCheck.java
@@ -17,7 +17,9 @@
  *
  * <p>Only lines that have been checked are cleared for the caller. The terminal marker is held back
  * until the engine has ended its answer after it, so that a caller who sees the marker has a whole
- * answer. Not thread safe: one stream owns it.
+ * answer. Lines before the first part are held back with it, since an answer that has no part yet
+ * leaves room for another attempt. Invariant: at most {@link #MAX_QUIET_BYTES} come without a part.
+ * Not thread safe: one stream owns it.
  */
 final class AnswerCheck {
 
@@ -29,11 +31,16 @@
   private static final byte[] NOTHING = {};
   private static final int MAX_LINE_BYTES = 1 << 20;
 
+  /** The most that may come in lines that hold no part. */
+  static final int MAX_QUIET_BYTES = 64 * 1024;
+
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream opening = new ByteArrayOutputStream();
   private @Nullable String answerId;
   private @Nullable String fault;
   private boolean marked;
   private long chunks;
+  private int quietBytes;
   private Usage reported = Usage.NONE;
 
   /** Reads the next bytes of the stream and returns those that may be passed on. */
@@ -102,11 +109,27 @@
       return;
     }
     if (text.startsWith(DATA)) {
+      quietBytes = 0;
       readData(text.substring(DATA.length()).strip());
+    } else {
+      quietBytes += bytes.length;
+      if (quietBytes > MAX_QUIET_BYTES) {
+        fault = "the endpoint sent lines without a part";
+      }
     }
     if (fault == null && !marked) {
-      cleared.writeBytes(bytes);
+      clear(bytes, cleared);
+    }
+  }
+
+  private void clear(byte[] bytes, ByteArrayOutputStream cleared) {
+    if (chunks == 0) {
+      opening.writeBytes(bytes);
+      return;
     }
+    cleared.writeBytes(opening.toByteArray());
+    opening.reset();
+    cleared.writeBytes(bytes);
   }
 
   private void readData(String data) {
