Close what answers said would be closed: send Connection: close as the library takes it

Callers saw: at a host that stops, answers on kept connections without Connection: close, so that they went on using them until the host refused or was gone. Cause: the header was made as a raw header, which the HTTP library leaves out of answers. Change: one typed header for both fronts.

--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
@@ -12,7 +12,6 @@
 import java.util.function.Predicate;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardEvent;
@@ -21,6 +20,7 @@
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.shell.http.BodyReader;
+import org.cuminwell.shell.http.HttpAnswers;
 import org.cuminwell.shell.http.HttpConnection;
 import org.cuminwell.shell.http.HttpSystem;
 
@@ -157,7 +157,7 @@
 
   private static HttpResponse last(HttpResponse answer) {
     return answer.getHeader("Connection").isEmpty()
-        ? answer.addHeader(RawHeader.create("Connection", "close"))
+        ? answer.addHeader(HttpAnswers.LAST_ON_CONNECTION)
         : answer;
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/CallerFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/CallerFront.java
@@ -204,7 +204,7 @@
 
   private HttpResponse lastIfClosing(HttpResponse answer) {
     return closing && answer.getHeader("Connection").isEmpty()
-        ? answer.addHeader(RawHeader.create("Connection", "close"))
+        ? answer.addHeader(HttpAnswers.LAST_ON_CONNECTION)
         : answer;
   }
 
@@ -269,7 +269,7 @@
   private CompletionStage<HttpResponse> refuse(RequestId id, HttpRequest request, Failure failure) {
     BodyReader.leaveUnread(request, http.actors());
     return CompletableFuture.completedFuture(
-        HttpAnswers.failure(id, failure).addHeader(RawHeader.create("Connection", "close")));
+        HttpAnswers.failure(id, failure).addHeader(HttpAnswers.LAST_ON_CONNECTION));
   }
 
   private static Failure busy() {
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpAnswers.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpAnswers.java
@@ -6,8 +6,10 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.RequestId;
@@ -21,6 +23,12 @@
   /** The header that carries the id of the request. */
   public static final String REQUEST_ID_HEADER = "Cuminwell-Request-Id";
 
+  /**
+   * Says that the connection closes after this answer; the library sends it only in this type, not
+   * as a raw header.
+   */
+  public static final HttpHeader LAST_ON_CONNECTION = Connection.create("close");
+
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private HttpAnswers() {}
