End a stopping gateway inside its grace, with every request answered and no relay cut

Three processes were killed at the end of the grace: each held a stream until its stop timeout, which was the whole grace.

Cause: a stopping gateway took everything for 3 s, whatever it would take to answer; nothing of the time was kept for closing; relayed requests counted as nothing; and a request without an answer was closed instead of answered when the time was up. Lines logged after SIGTERM could be lost, since the exit of the virtual machine closes the log beside the stop.

For 3 s, or half of the time, requests are taken whose route's answers are expected to end in time (mean and four mean deviations, as TCP's timeouts); others are refused as not run. At the end what runs is answered by its verdict, or cut if its answer has begun. Relayed answers are awaited; new ones are failed as not run once the host refuses. Connections end by themselves before the HTTP system does. Each step is logged (org.cuminwell.stop). SIGHUP ended a process that was still starting; it is handled before the start. A process that ends by itself now writes why before it halts.

ForwarderTest: the STOPPING case now passes Intake.None where it passed stopping = true.

--- a/app/src/main/java/org/cuminwell/app/ControlCommand.java
+++ b/app/src/main/java/org/cuminwell/app/ControlCommand.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -57,6 +58,11 @@
           "file of lines NAME SHA256 of those who may operate; without it anyone who reaches --http")
   private String operatorsFile = "";
 
+  @Parameter(
+      names = "--stop-timeout-s",
+      description = "how long the process may take to end after SIGTERM, in seconds")
+  private double stopTimeoutSeconds = 10;
+
   @ParametersDelegate private final TlsFlags tls = new TlsFlags();
 
   @ParametersDelegate private final SeedFlags seeds = new SeedFlags();
@@ -66,12 +72,16 @@
   @Override
   public int run() throws SettingException, InterruptedException {
     ControlProcess process = ControlProcess.start(settings());
-    Shutdown.awaitSignal(process::close);
+    Shutdown.awaitSignal(
+        () -> process.stop(Duration.ofMillis((long) (stopTimeoutSeconds * 1_000))));
     return OK;
   }
 
   @Override
   public ControlSettings settings() throws SettingException {
+    if (stopTimeoutSeconds < 0) {
+      throw new SettingException("--stop-timeout-s", "must be 0 or more");
+    }
     HostAddress peerAddress = Settings.checked("--peer", peer, HostAddress::parse);
     return new ControlSettings(
         Settings.checked("--host-id", hostId, HostId::new),
--- a/app/src/main/java/org/cuminwell/app/GatewayCommand.java
+++ b/app/src/main/java/org/cuminwell/app/GatewayCommand.java
@@ -73,7 +73,7 @@
 
   @Parameter(
       names = "--stop-timeout-s",
-      description = "how long running requests may take after SIGTERM, in seconds")
+      description = "how long the process may take to end after SIGTERM, in seconds")
   private double stopTimeoutSeconds = 120;
 
   @Override
--- a/app/src/main/java/org/cuminwell/app/Main.java
+++ b/app/src/main/java/org/cuminwell/app/Main.java
@@ -19,6 +19,7 @@
  */
 public final class Main {
 
+  private static final System.Logger LOG = System.getLogger(Main.class.getName());
   private static final String CHECK = "check";
   private static final String HELP = "--help";
 
@@ -35,8 +36,39 @@
 
   /** Runs the program and exits with the code of its subcommand. */
   public static void main(String[] args) throws InterruptedException {
-    StructuredLog.install();
-    System.exit(run(args));
+    handleHangUps(Main::noteHangUp, args);
+    StructuredLog log = StructuredLog.install();
+    int code = runOrTell(args);
+    log.flush();
+    System.exit(code);
+  }
+
+  /**
+   * Calls the handler at each SIGHUP, which else ends a process, from before its start on.
+   *
+   * @return whether the arguments name a long-lived process
+   */
+  static boolean handleHangUps(Runnable handler, String... args) {
+    boolean isProcess =
+        args.length > 0 && new Main().commands.get(args[0]) instanceof ProcessCommand;
+    if (isProcess) {
+      Signals.handle("HUP", handler);
+    }
+    return isProcess;
+  }
+
+  private static void noteHangUp() {
+    LOG.log(System.Logger.Level.INFO, "changed settings are read at the next start");
+  }
+
+  /** Ends a process that can't go on with a line that says why. */
+  private static int runOrTell(String... args) throws InterruptedException {
+    try {
+      return run(args);
+    } catch (RuntimeException | Error e) {
+      LOG.log(System.Logger.Level.ERROR, "the process ends, since it can't go on", e);
+      return Command.FAILED;
+    }
   }
 
   /** Runs the program and returns the exit code. */
--- a/app/src/main/java/org/cuminwell/app/Shutdown.java
+++ b/app/src/main/java/org/cuminwell/app/Shutdown.java
@@ -2,11 +2,13 @@
 
 import java.util.concurrent.CountDownLatch;
 
-/** Turns the signal that ends a process into a graceful stop. Stateless and thread safe. */
+/**
+ * Turns the signal that ends a process into a graceful stop. Stateless and thread safe.
+ *
+ * <p>The stop runs before the exit of the virtual machine begins, since that closes the log.
+ */
 final class Shutdown {
 
-  private static final System.Logger LOG = System.getLogger(Shutdown.class.getName());
-
   private Shutdown() {}
 
   /** Stops a process. */
@@ -15,20 +17,12 @@
     void run() throws InterruptedException;
   }
 
-  /** Waits for SIGTERM or SIGINT and does {@code stop} before the process ends. */
+  /** Waits for SIGTERM or SIGINT, does {@code stop} and returns. */
   static void awaitSignal(Stop stop) throws InterruptedException {
-    CountDownLatch never = new CountDownLatch(1);
-    HangUp.ignore();
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> run(stop), "stop"));
-    never.await();
-  }
-
-  private static void run(Stop stop) {
-    try {
-      stop.run();
-    } catch (InterruptedException e) {
-      LOG.log(System.Logger.Level.WARNING, "interrupted while stopping", e);
-      Thread.currentThread().interrupt();
-    }
+    CountDownLatch asked = new CountDownLatch(1);
+    Signals.handle("TERM", asked::countDown);
+    Signals.handle("INT", asked::countDown);
+    asked.await();
+    stop.run();
   }
 }
--- a/app/src/main/java/org/cuminwell/app/StructuredLog.java
+++ b/app/src/main/java/org/cuminwell/app/StructuredLog.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Formatter;
@@ -25,8 +26,12 @@
 
   private static final int RING = 4_096;
   private static final int MAX_BATCH = 64 * 1024;
+  private static final Duration DRAIN_TIMEOUT = Duration.ofSeconds(1);
+  private static final Duration DRAIN_POLL = Duration.ofMillis(5);
 
   private final Ring<LogRecord> lines = new Ring<>(RING);
+  private final AtomicLong accepted = new AtomicLong();
+  private final AtomicLong written = new AtomicLong();
   private final AtomicLong dropped = new AtomicLong();
   private final Formatter formatter = new JsonLines();
   private final PrintStream out;
@@ -38,33 +43,49 @@
   }
 
   /** Makes every logger of the process write to standard output in this form. */
-  static void install() {
+  static StructuredLog install() {
     Logger root = Logger.getLogger("");
     for (Handler handler : root.getHandlers()) {
       root.removeHandler(handler);
     }
-    root.addHandler(new StructuredLog(System.out));
+    StructuredLog log = new StructuredLog(System.out);
+    root.addHandler(log);
     // The library looks for a network card's address, which hosts need not have.
     Logger.getLogger("io.netty.util.internal").setLevel(Level.SEVERE);
+    return log;
   }
 
   @Override
   public void publish(LogRecord line) {
-    if (line.getLevel().intValue() >= Level.INFO.intValue() && !lines.offer(line)) {
+    if (line.getLevel().intValue() < Level.INFO.intValue()) {
+      return;
+    }
+    if (lines.offer(line)) {
+      accepted.incrementAndGet();
+    } else {
       dropped.incrementAndGet();
     }
   }
 
+  /** Waits a moment until the lines so far are written; call it before the process ends. */
+  @Override
+  public void flush() {
+    long end = System.nanoTime() + DRAIN_TIMEOUT.toNanos();
+    long until = accepted.get();
+    try {
+      while (written.get() < until && System.nanoTime() < end) {
+        Thread.sleep(DRAIN_POLL);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Returns how many lines found no room and are not told of yet. */
   long dropped() {
     return dropped.get();
   }
 
-  @Override
-  public void flush() {
-    out.flush();
-  }
-
   @Override
   public void close() {
     writer.close();
@@ -79,13 +100,16 @@
       batch.append(formatter.format(note));
     }
     Optional<LogRecord> next = Optional.of(first);
+    int taken = 0;
     while (next.isPresent()) {
+      taken++;
       batch.append(formatter.format(next.get()));
       next = batch.length() < MAX_BATCH ? lines.poll() : Optional.empty();
     }
     byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
     out.write(bytes, 0, bytes.length);
     out.flush();
+    written.addAndGet(taken);
   }
 
   /** Makes one JSON object of a line; a message that is one already is taken apart. Stateless. */
--- a/app/src/test/java/org/cuminwell/app/StructuredLogTest.java
+++ b/app/src/test/java/org/cuminwell/app/StructuredLogTest.java
@@ -57,4 +57,19 @@
     log.close();
     assertThat(output.text()).contains("line 0");
   }
+
+  @ParameterizedTest(name = "an error after {0} lines")
+  @ValueSource(ints = {0, 1_000})
+  void anErrorIsWrittenBeforeTheProcessCanEnd(int lines) {
+    ByteArrayOutputStream output = new ByteArrayOutputStream();
+    StructuredLog log = new StructuredLog(new PrintStream(output, false, StandardCharsets.UTF_8));
+    for (int i = 0; i < lines; i++) {
+      log.publish(new LogRecord(Level.INFO, "line " + i));
+    }
+    log.publish(new LogRecord(Level.SEVERE, "the duty failed"));
+    log.flush();
+    String text = output.toString(StandardCharsets.UTF_8);
+    log.close();
+    assertThat(text).contains("the duty failed");
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -43,6 +43,9 @@
   private static final Duration LONGEST_SILENCE = Duration.ofMillis(1_500);
   private static final Duration RETRY_SOON = Duration.ofMillis(300);
 
+  private static final Failure LATE =
+      Failure.notRun(ErrorCode.DEADLINE_EXCEEDED, "the request took too long");
+
   private static final Failure LEFT =
       Failure.mayHaveRun(ErrorCode.CALL_DROPPED, "the caller went away");
 
@@ -52,6 +55,7 @@
   private final Resends resends;
   private final Map<RequestId, ForwardedCall> calls = new HashMap<>();
   private final AwaitedShares<ForwardedCall> awaited = new AwaitedShares<>();
+  private final AnswerTimes times = new AnswerTimes();
 
   /** Makes a forwarder of a gateway at {@code here}; the random source makes its draws. */
   public Forwarder(
@@ -72,10 +76,10 @@
    * @param configuration what is in force here
    * @param currentAt the moment before which every change committed anywhere is in force here
    * @param limits this gateway's shares of the customers' limits
-   * @param stopping whether new requests are refused
+   * @param intake which new requests are taken
    */
   public record Known(
-      ConfigurationIndex configuration, Instant currentAt, ShareHolder limits, boolean stopping) {
+      ConfigurationIndex configuration, Instant currentAt, ShareHolder limits, Intake intake) {
 
     Forwarding forwarding() {
       return configuration.configuration().forwarding();
@@ -122,10 +126,11 @@
     List<ForwardAction> actions = new ArrayList<>();
     choice.configure(known.forwarding(), now);
     choice.tick(now);
+    times.keepOnly(known.forwarding().routes().keySet());
     retryAwaited(known, now, actions);
     List.copyOf(calls.values()).stream()
         .filter(call -> !now.isBefore(call.deadline()))
-        .forEach(call -> timeOut(call, known, now, actions));
+        .forEach(call -> giveUp(call, LATE, known, now, actions));
     return actions;
   }
 
@@ -136,6 +141,32 @@
     return actions;
   }
 
+  /** Ends every request, since this host ends. */
+  public List<ForwardAction> cutAll(Known known, Instant now) {
+    List<ForwardAction> actions = new ArrayList<>();
+    Failure stopping = notNow(ErrorCode.STOPPING, "this host has stopped; use another");
+    List.copyOf(calls.values()).forEach(call -> giveUp(call, stopping, known, now, actions));
+    return actions;
+  }
+
+  /** Returns what is open. */
+  public List<OpenRequest> open(Instant now) {
+    return calls.values().stream()
+        .map(
+            call ->
+                new OpenRequest(
+                    call.head().callerId(),
+                    Duration.between(call.head().arrivedAt(), now),
+                    call.attempts(),
+                    call.isAnswerPassed()))
+        .toList();
+  }
+
+  /** Returns how many requests are open. */
+  public int openRequests() {
+    return calls.size();
+  }
+
   /** Returns whether no request is open. */
   public boolean isIdle() {
     return calls.isEmpty();
@@ -168,7 +199,7 @@
       Optional<Customer> customer,
       Known known,
       Instant now) {
-    if (known.stopping()) {
+    if (!takes(known.intake(), route, now)) {
       return Optional.of(notNow(ErrorCode.STOPPING, "this host is stopping; use another"));
     }
     if (!trustsKeys(known.currentAt(), now)) {
@@ -188,6 +219,15 @@
             : Failure.notRun(ErrorCode.MISSING_KEY, "send a key"));
   }
 
+  private boolean takes(Intake intake, Optional<ForwardRoute> route, Instant now) {
+    return switch (intake) {
+      case Intake.All i -> true;
+      case Intake.EndingBy i ->
+          route.isEmpty() || !now.plus(times.expected(route.get())).isAfter(i.end());
+      case Intake.None i -> false;
+    };
+  }
+
   private void admit(ForwardedCall call, Known known, Instant now, List<ForwardAction> actions) {
     if (call.customerIfAny().isEmpty()) {
       attempt(call, known, now, actions);
@@ -324,6 +364,7 @@
       case ForwardEnd.Completed end -> {
         call.judge(Verdict.ran());
         settleAttempt(call, false, now);
+        times.observe(call.route().id(), Duration.between(call.head().arrivedAt(), now));
         finish(call, Optional.empty(), known, now, actions);
       }
       case ForwardEnd.CallerLeft end -> {
@@ -362,14 +403,15 @@
     finish(call, Optional.of(LEFT), known, now, actions);
   }
 
-  private void timeOut(ForwardedCall call, Known known, Instant now, List<ForwardAction> actions) {
-    Failure late = Failure.notRun(ErrorCode.DEADLINE_EXCEEDED, "the request took too long");
+  /** Ends a request in whatever state it is. */
+  private void giveUp(
+      ForwardedCall call, Failure why, Known known, Instant now, List<ForwardAction> actions) {
     if (call.isAttempting()) {
       call.judge(Verdict.mayHaveRun());
       settleAttempt(call, false, now);
       actions.add(new ForwardAction.Abandon(call.id(), call.attempts()));
     }
-    fail(call, late, known, now, actions);
+    fail(call, why, known, now, actions);
   }
 
   private void settleAttempt(ForwardedCall call, boolean blamed, Instant now) {
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -16,11 +16,13 @@
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardBounds;
 import org.cuminwell.core.forward.Forwarder;
+import org.cuminwell.core.forward.OpenRequest;
 import org.cuminwell.core.gateway.GatewayAction.AnswerEntryHosts;
 import org.cuminwell.core.gateway.GatewayAction.AnswerModels;
 import org.cuminwell.core.gateway.GatewayAction.CancelCall;
 import org.cuminwell.core.gateway.GatewayAction.CloseListener;
 import org.cuminwell.core.gateway.GatewayAction.Count;
+import org.cuminwell.core.gateway.GatewayAction.NoteStop;
 import org.cuminwell.core.gateway.GatewayAction.ReadBody;
 import org.cuminwell.core.gateway.GatewayAction.Refuse;
 import org.cuminwell.core.gateway.GatewayAction.SendToEndpoint;
@@ -148,8 +150,9 @@
       }
       case GatewayEvent.PeerHeard e -> hear(e.peer(), e.message(), now, actions);
       case GatewayEvent.Ticked e -> tick(now, actions);
-      case GatewayEvent.StopAsked e -> stop(now, actions);
+      case GatewayEvent.StopAsked e -> stop(e.within(), now, actions);
     }
+    stepStop(now, actions);
     return actions;
   }
 
@@ -164,7 +167,7 @@
 
   private Forwarder.Known known(Instant now) {
     return new Forwarder.Known(
-        configuration.index(), peers.currentAt(), limits(now), stop.refuses(now));
+        configuration.index(), peers.currentAt(), limits(now), stop.intake(now));
   }
 
   private void tick(Instant now, List<GatewayAction> actions) {
@@ -184,22 +187,41 @@
         .report(self.id(), configuration.index(), endpoints, now)
         .ifPresent(report -> tellControls(report, actions));
     attempts.tick(now);
-    tickStop(now, actions);
   }
 
-  private void tickStop(Instant now, List<GatewayAction> actions) {
-    if (!stop.refuses(now)) {
-      return;
-    }
-    if (stop.beginsRefusing()) {
+  /** Does what a stop has due by now; nothing is due unless one was asked for. */
+  private void stepStop(Instant now, List<GatewayAction> actions) {
+    if (stop.beginsRefusing(now)) {
       limits(now).leave();
+      actions.add(new NoteStop(new StopNote.Refusing(openRequests(), stop.after(now))));
       actions.add(new CloseListener());
     }
-    if (calls.isEmpty() && forwarder.isIdle() && claims.isSettled()) {
+    if (stop.beginsCutting(now)) {
+      cutAll(now, actions);
+    }
+    boolean nothingRuns = calls.isEmpty() && forwarder.isIdle() && claims.isSettled();
+    if (stop.becomesIdle(nothingRuns, now)) {
+      actions.add(new NoteStop(new StopNote.Idle(stop.after(now))));
       actions.add(new Stopped());
     }
   }
 
+  private int openRequests() {
+    return calls.size() + forwarder.openRequests();
+  }
+
+  /** Ends every request that outlasts the time for the stop. */
+  private void cutAll(Instant now, List<GatewayAction> actions) {
+    List<OpenRequest> open = new ArrayList<>(forwarder.open(now));
+    calls.values().forEach(call -> open.add(call.open(now)));
+    if (!open.isEmpty()) {
+      actions.add(new NoteStop(new StopNote.Cut(open, stop.after(now))));
+    }
+    forward(forwarder.cutAll(known(now), now), actions);
+    List.copyOf(calls.values())
+        .forEach(call -> endEarly(call, ErrorCode.STOPPING, "this host has stopped", now, actions));
+  }
+
   private void open(CallHead head, Instant now, List<GatewayAction> actions) {
     Optional<Failure> refusal = refusalOfHead(head, now);
     if (refusal.isPresent()) {
@@ -566,8 +588,9 @@
     }
   }
 
-  private void stop(Instant now, List<GatewayAction> actions) {
-    if (stop.ask(now)) {
+  private void stop(Duration within, Instant now, List<GatewayAction> actions) {
+    if (stop.ask(within, now)) {
+      actions.add(new NoteStop(new StopNote.Asked(openRequests(), within)));
       peers.accept(false, actions);
     }
   }
@@ -583,18 +606,19 @@
                         .filter(customer -> customer.id().equals(call.customer().id()))
                         .isEmpty())
             .toList();
-    withdrawn.forEach(call -> endWithdrawn(call, now, actions));
+    String message = "the key was withdrawn while the request was running";
+    withdrawn.forEach(call -> endEarly(call, ErrorCode.INVALID_KEY, message, now, actions));
   }
 
-  private void endWithdrawn(RunningCall call, Instant now, List<GatewayAction> actions) {
-    String message = "the key was withdrawn while the request was running";
+  private void endEarly(
+      RunningCall call, ErrorCode code, String message, Instant now, List<GatewayAction> actions) {
     if (call.attempts() == 0) {
       forget(call, now);
-      refuse(call, Failure.notRun(ErrorCode.INVALID_KEY, message), now, actions);
+      refuse(call, Failure.notRun(code, message), now, actions);
     } else if (call.hasAnswerBegun()) {
-      actions.add(new CancelCall(call.id(), Failure.ran(ErrorCode.INVALID_KEY, message)));
+      actions.add(new CancelCall(call.id(), Failure.ran(code, message)));
     } else {
-      Failure failure = Failure.mayHaveRun(ErrorCode.INVALID_KEY, message);
+      Failure failure = Failure.mayHaveRun(code, message);
       attempts.ended(call, new AttemptEnd.CallerLeft(Usage.NONE), now);
       actions.add(new Refuse(call.id(), failure));
       finish(call, Usage.NONE, Optional.of(failure), now, actions);
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
@@ -81,6 +81,9 @@
   /** Takes no new connections any more; those that are open go on. */
   record CloseListener() implements GatewayAction {}
 
+  /** Writes down a step of the stop. */
+  record NoteStop(StopNote note) implements GatewayAction {}
+
   /** Says that all running requests have ended after a stop was asked for. */
   record Stopped() implements GatewayAction {}
 }
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayEvent.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.gateway;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.cuminwell.core.forward.ForwardEvent;
 import org.cuminwell.core.idempotency.Outcome;
@@ -64,6 +65,10 @@
   /** Some time has gone by. */
   record Ticked() implements GatewayEvent {}
 
-  /** A graceful shutdown has been asked for. */
-  record StopAsked() implements GatewayEvent {}
+  /**
+   * A graceful shutdown has been asked for.
+   *
+   * @param within how long running requests may take from now on
+   */
+  record StopAsked(Duration within) implements GatewayEvent {}
 }
--- a/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/RunningCall.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.cuminwell.core.forward.OpenRequest;
 import org.cuminwell.core.idempotency.IdempotentCall;
 import org.cuminwell.core.idempotency.Outcome;
 import org.cuminwell.core.limit.ChargedCall;
@@ -199,6 +200,12 @@
     };
   }
 
+  /** Describes the request while it is open. */
+  OpenRequest open(Instant now) {
+    return new OpenRequest(
+        id().value(), Duration.between(openedAt, now), attempts, hasAnswerBegun());
+  }
+
   CallRecord record(Instant now, Usage usage, Optional<Failure> failure) {
     return new CallRecord(
         Optional.of(customer.id()),
--- a/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
+++ b/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
@@ -40,6 +40,7 @@
 import org.cuminwell.core.model.TokenLimit;
 import org.cuminwell.core.model.VersionId;
 import org.cuminwell.core.routing.Prompt;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -65,7 +66,7 @@
   private final List<ForwardAction> actions = new ArrayList<>();
   private Instant now = START;
   private Instant currentAt = START;
-  private boolean stopping;
+  private Intake intake = new Intake.All();
   private Configuration configuration = Configuration.EMPTY;
 
   @BeforeEach
@@ -149,7 +150,7 @@
     String path = "/a/1";
     switch (fault) {
       case "STALE" -> now = now.plus(LEASE);
-      case "STOPPING" -> stopping = true;
+      case "STOPPING" -> intake = new Intake.None();
       case "NO_KEY" -> key = Optional.empty();
       case "WRONG_KEY" -> key = Optional.of(KeyHash.of("other"));
       case "WRONG_PATH" -> path = "/b/1";
@@ -238,6 +239,53 @@
     assertThat(forwarder.isIdle()).isTrue();
   }
 
+  @ParameterizedTest(name = "answers took {0} ms, {1} ms left until the stop: {2}")
+  @CsvSource({
+    "1000, 4000, true",
+    "1000, 500,  false",
+    "3000, 2900, false",
+    ",     4900, false",
+    ",     5000, true",
+  })
+  void aStoppingHostTakesNothingThatItCanNotFinish(
+      @Nullable Integer tookMillis, long leftMillis, boolean taken) {
+    serve(new Repeat.Once(), 1, HERE);
+    for (int i = 0; tookMillis != null && i < 50; i++) {
+      announce("e" + (i + 1), HERE, Duration.ZERO);
+      open(new RequestId("before" + i));
+      now = now.plusMillis(tookMillis);
+      currentAt = now;
+      end(lastSend(), new ForwardEnd.Completed());
+    }
+    actions.clear();
+    intake = new Intake.EndingBy(now.plusMillis(leftMillis));
+    open(ID);
+    assertThat(sends()).hasSize(taken ? 1 : 0);
+    assertThat(failures())
+        .allSatisfy(
+            f -> {
+              assertThat(f.code()).isEqualTo(ErrorCode.STOPPING);
+              assertThat(f.verdict().label()).isEqualTo("not_run");
+              assertThat(f.retryAfter()).isPresent();
+            });
+  }
+
+  @ParameterizedTest(name = "answer begun {0}: {1}")
+  @CsvSource({"true, CUT", "false, REFUSED_MAYBE_RUN"})
+  void everyRequestIsAnsweredWhenTheHostEnds(boolean begun, Outcome expected) {
+    serve(new Repeat.Once(), 1, HERE);
+    open(ID);
+    if (begun) {
+      play(Step.FINAL, lastSend());
+    }
+    assertThat(forwarder.open(now))
+        .containsExactly(new OpenRequest(ID.value(), Duration.ZERO, 1, begun));
+    actions.clear();
+    actions.addAll(forwarder.cutAll(known(), now));
+    assertThat(outcome()).isEqualTo(expected);
+    assertThat(forwarder.isIdle()).isTrue();
+  }
+
   enum Step {
     FINAL,
     FAILED,
@@ -331,7 +379,7 @@
   }
 
   private Forwarder.Known known() {
-    return new Forwarder.Known(ConfigurationIndex.of(configuration), currentAt, limits, stopping);
+    return new Forwarder.Known(ConfigurationIndex.of(configuration), currentAt, limits, intake);
   }
 
   private ForwardHead head(RequestId id, String path, Optional<KeyHash> key) {
--- /dev/null
+++ b/core/src/test/java/org/cuminwell/core/gateway/GatewayStopTest.java
@@ -0,0 +1,187 @@
+package org.cuminwell.core.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.distribution.DistributionMessage;
+import org.cuminwell.core.limit.Floors;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.CustomerId;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.ErrorCode;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.KeyHash;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.Region;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.model.Route;
+import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.model.Service;
+import org.cuminwell.core.model.TokenLimit;
+import org.cuminwell.core.model.VersionId;
+import org.cuminwell.core.peer.PeerMessage;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Holds what becomes of requests at a gateway that stops, and that each step is told. */
+final class GatewayStopTest {
+
+  private static final Duration WITHIN = Duration.ofSeconds(7);
+  private static final Place PLACE = new Place(new RegionId("coast"), new DataCentreId("dakar"));
+  private static final HostAddress ADDRESS = new HostAddress("127.0.0.1", 1);
+  private static final HostId CONTROL = new HostId("c0");
+  private static final RequestId ID = new RequestId("r1");
+  private static final KeyHash KEY = KeyHash.of("key");
+
+  private final Gateway gateway =
+      new Gateway(
+          new HostDescription(new HostId("g0"), PLACE, ADDRESS, ADDRESS, ADDRESS, 0, false),
+          Floors.DEFAULT_SLOTS,
+          new SplittableRandom(1));
+  private final List<GatewayAction> actions = new ArrayList<>();
+  private Instant now = Instant.parse("2026-01-01T00:00:00Z");
+
+  @ParameterizedTest(name = "{0} when the time is up: {1}")
+  @CsvSource({"UNREAD, not_run", "SENT, may_have_run", "STREAMING, ran"})
+  void everyRequestIsAnsweredBeforeTheTimeIsUp(Stage stage, String verdict) {
+    start();
+    reach(stage);
+    actions.clear();
+    stopAndTick(WITHIN);
+    assertThat(failures())
+        .singleElement()
+        .satisfies(
+            f -> {
+              assertThat(f.verdict().label()).isEqualTo(verdict);
+              assertThat(f.code()).isEqualTo(ErrorCode.STOPPING);
+            });
+    assertThat(notes())
+        .hasAtLeastOneElementOfType(StopNote.Asked.class)
+        .hasAtLeastOneElementOfType(StopNote.Refusing.class)
+        .filteredOn(StopNote.Cut.class::isInstance)
+        .singleElement()
+        .satisfies(cut -> assertThat(((StopNote.Cut) cut).requests()).hasSize(1));
+  }
+
+  @ParameterizedTest(name = "{0} ms after a stop: refused {1}, stopped {2}")
+  @CsvSource({"2900, false, false", "3000, true, true"})
+  void newRequestsAreRefusedAsNotRun(long afterMillis, boolean refused, boolean stopped) {
+    start();
+    actions.clear();
+    stopAndTick(Duration.ofMillis(afterMillis));
+    assertThat(actions.contains(new GatewayAction.Stopped())).isEqualTo(stopped);
+    handle(new GatewayEvent.CallOpened(head()));
+    assertThat(failures())
+        .extracting(f -> f.verdict().label())
+        .isEqualTo(refused ? List.of("not_run") : List.of());
+  }
+
+  enum Stage {
+    UNREAD,
+    SENT,
+    STREAMING
+  }
+
+  private void stopAndTick(Duration after) {
+    handle(new GatewayEvent.StopAsked(WITHIN));
+    now = now.plus(after);
+    handle(new GatewayEvent.Ticked());
+  }
+
+  private void start() {
+    handle(new GatewayEvent.PeerConnected(CONTROL));
+    hear(new DistributionMessage.Full(configuration()));
+    handle(new GatewayEvent.Ticked());
+    now = now.plusSeconds(3);
+    handle(new GatewayEvent.Ticked());
+    handle(
+        new GatewayEvent.EndpointAnnounced(
+            new Announcement(
+                new EndpointId("e0"),
+                1,
+                PLACE,
+                ADDRESS,
+                Set.of("chat"),
+                new VersionId("v1"),
+                4,
+                Duration.ofSeconds(30),
+                false)));
+  }
+
+  private void reach(Stage stage) {
+    handle(new GatewayEvent.CallOpened(head()));
+    if (stage == Stage.UNREAD) {
+      return;
+    }
+    handle(new GatewayEvent.CallRead(new CallBody.Completion(ID, "chat", true, 1, 1, 0)));
+    now = now.plusSeconds(1);
+    handle(new GatewayEvent.Ticked());
+    assertThat(actions).hasAtLeastOneElementOfType(GatewayAction.SendToEndpoint.class);
+    if (stage == Stage.STREAMING) {
+      handle(new GatewayEvent.AnswerBegan(ID, 1));
+    }
+  }
+
+  private static CallHead head() {
+    return new CallHead(ID, new CallHead.Target.Completion(Optional.empty()), Optional.of(KEY));
+  }
+
+  private List<StopNote> notes() {
+    return actions.stream()
+        .filter(GatewayAction.NoteStop.class::isInstance)
+        .map(action -> ((GatewayAction.NoteStop) action).note())
+        .toList();
+  }
+
+  private List<Failure> failures() {
+    List<Failure> failures = new ArrayList<>();
+    for (GatewayAction action : actions) {
+      if (action instanceof GatewayAction.Refuse refuse) {
+        failures.add(refuse.failure());
+      } else if (action instanceof GatewayAction.CancelCall cancel) {
+        failures.add(cancel.failure());
+      }
+    }
+    return failures;
+  }
+
+  private void hear(DistributionMessage message) {
+    handle(new GatewayEvent.PeerHeard(CONTROL, new PeerMessage.Distribution(message)));
+  }
+
+  private void handle(GatewayEvent event) {
+    actions.addAll(gateway.handle(event, now));
+  }
+
+  private static Configuration configuration() {
+    RouteId id = new RouteId("chat");
+    Route route =
+        new Route(
+            id, new Service.Model("chat"), Set.of(), Optional.empty(), Duration.ofSeconds(60));
+    Region coast = new Region(PLACE.region(), Set.of(PLACE.dataCentre()));
+    CustomerId customer = new CustomerId("mbour");
+    return new Configuration(
+        new Revision(1),
+        Map.of(
+            customer,
+            new Customer(customer, Set.of(KEY), new TokenLimit(1_000_000, 1_000_000), Set.of())),
+        Map.of(id, route),
+        Map.of(coast.id(), coast),
+        Map.of());
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -3,9 +3,18 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.control.Agreement;
 import org.cuminwell.core.control.AgreementStatus;
@@ -18,6 +27,7 @@
 import org.cuminwell.shell.duty.Duty;
 import org.cuminwell.shell.duty.MonotonicTime;
 import org.cuminwell.shell.duty.Ring;
+import org.cuminwell.shell.duty.StopClock;
 import org.cuminwell.shell.duty.TimerDuty;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.OpsPages;
@@ -39,6 +49,7 @@
   private static final System.Logger LOG = System.getLogger(ControlProcess.class.getName());
   private static final Duration TICK = Duration.ofMillis(50);
   private static final int RING = 16_384;
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
 
   private final MonotonicTime time = new MonotonicTime();
   private final Telemetry telemetry = new Telemetry();
@@ -57,6 +68,7 @@
   private final Duty<ControlAction> dispatch;
   private final TimerDuty timer;
   private final TimerDuty certificates;
+  private final List<ServerBinding> listeners = new CopyOnWriteArrayList<>();
 
   private ControlProcess(ControlSettings settings) {
     journal = Journal.open(settings.agreement().data(), () -> fresh(settings.agreement()));
@@ -93,9 +105,9 @@
   public static ControlProcess start(ControlSettings given) {
     ControlSettings settings = FoundingRecord.apply(given);
     ControlProcess process = new ControlProcess(settings);
-    process.http.serve(settings.operators(), process.operators::handle);
+    process.serve(settings.operators(), process.operators::handle);
     for (AddedFront front : settings.fronts()) {
-      process.http.serve(front.address(), front.maker().make(process.http, process.requests));
+      process.serve(front.address(), front.maker().make(process.http, process.requests));
     }
     process.peers.listen(settings.peer());
     settings.controls().stream()
@@ -105,15 +117,53 @@
     return process;
   }
 
+  /**
+   * Ends the process gracefully: takes no new calls, and answers those that are under way.
+   *
+   * @param timeout how long the whole of it may take
+   */
+  public void stop(Duration timeout) {
+    StopClock clock = StopClock.start(timeout, time.instant());
+    LOG.log(System.Logger.Level.INFO, "stopping; orders under way: " + requests.underWay());
+    CompletableFuture<?>[] ended =
+        listeners.stream()
+            .map(listener -> listener.terminate(clock.running()).toCompletableFuture())
+            .toArray(CompletableFuture[]::new);
+    CompletableFuture.allOf(ended)
+        .completeOnTimeout(
+            null, clock.leftToFinish(time.instant()).toMillis(), TimeUnit.MILLISECONDS)
+        .join();
+    LOG.log(
+        System.Logger.Level.INFO,
+        () ->
+            "listeners closed after "
+                + clock.after(time.instant()).toMillis()
+                + " ms; orders cut: "
+                + requests.underWay());
+    close(clock.left(time.instant()));
+    LOG.log(
+        System.Logger.Level.INFO,
+        () -> "stopped after " + clock.after(time.instant()).toMillis() + " ms");
+  }
+
   @Override
   public void close() {
+    close(CLOSE_TIMEOUT);
+  }
+
+  private void close(Duration atMost) {
     timer.close();
     certificates.close();
     decide.close();
     dispatch.close();
     journalDuty.close();
     peers.close();
-    http.close();
+    http.close(atMost);
+  }
+
+  private void serve(
+      HostAddress address, Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+    listeners.add(http.serve(address, handler));
   }
 
   private void decide(ControlEvent event) {
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlRequests.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlRequests.java
@@ -66,6 +66,11 @@
         .whenComplete((_, _) -> waiting.remove(id));
   }
 
+  /** Returns how many questions and orders have no answer yet. */
+  int underWay() {
+    return waiting.size();
+  }
+
   /** Brings an answer to whoever waits for it. */
   void answer(ControlAction.Answer answer) {
     CompletableFuture<ControlAction.Answer> waiter = waiting.remove(answer.id());
--- a/shell/src/main/java/org/cuminwell/shell/duty/Duty.java
+++ b/shell/src/main/java/org/cuminwell/shell/duty/Duty.java
@@ -1,6 +1,8 @@
 package org.cuminwell.shell.duty;
 
 import java.util.function.Consumer;
+import java.util.logging.Handler;
+import java.util.logging.Logger;
 
 /**
  * Runs one duty: a thread that takes each element of its ring and handles it.
@@ -40,6 +42,13 @@
     thread.interrupt();
   }
 
+  /** Writes the lines that are still on their way, since nothing runs after a halt. */
+  private static void flushLog() {
+    for (Handler handler : Logger.getLogger("").getHandlers()) {
+      handler.flush();
+    }
+  }
+
   private void run() {
     try {
       while (!Thread.currentThread().isInterrupted()) {
@@ -48,7 +57,11 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } catch (RuntimeException | Error e) {
-      LOG.log(System.Logger.Level.ERROR, "duty " + thread.getName() + " failed", e);
+      LOG.log(
+          System.Logger.Level.ERROR,
+          "the process ends, since its duty " + thread.getName() + " failed",
+          e);
+      flushLog();
       Runtime.getRuntime().halt(FAILED_EXIT_CODE);
     }
   }
--- a/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
@@ -25,6 +25,7 @@
 import org.cuminwell.core.forward.ForwardBounds;
 import org.cuminwell.core.forward.ForwardEvent;
 import org.cuminwell.core.forward.Forwarder;
+import org.cuminwell.core.forward.Intake;
 import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.membership.EndpointTable;
@@ -46,6 +47,7 @@
 import org.cuminwell.core.model.VersionId;
 import org.cuminwell.shell.duty.Duty;
 import org.cuminwell.shell.duty.Ring;
+import org.cuminwell.shell.http.HttpListener;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.SingleCall;
 
@@ -103,7 +105,10 @@
             HERE, endpoints, new HostDirectory(), ForwardBounds.DEFAULT, new SplittableRandom(1));
     known =
         new Forwarder.Known(
-            ConfigurationIndex.of(configuration()), now, new ShareHolder(HERE, 1, now), false);
+            ConfigurationIndex.of(configuration()),
+            now,
+            new ShareHolder(HERE, 1, now),
+            new Intake.All());
     front = new ForwardFront(http, time, dialect, events::offer, events::offer);
     connections = SingleCall.settings(http, ForwardClient.CONNECT_TIMEOUT);
   }
@@ -120,7 +125,7 @@
 
   private int run() {
     Instant begin = time.instant();
-    ServerBinding callers = http.serveConnections(settings.callers(), front::connection);
+    HttpListener callers = http.serveConnections(settings.callers(), front::connection);
     ServerBinding endpoint =
         http.serve(
             settings.endpoint(),
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -1,13 +1,14 @@
 package org.cuminwell.shell.gateway;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.apache.pekko.http.javadsl.ServerBinding;
+import java.util.stream.Stream;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardBounds;
 import org.cuminwell.core.forward.ForwardEnd;
@@ -25,11 +26,13 @@
 import org.cuminwell.shell.duty.Duty;
 import org.cuminwell.shell.duty.MonotonicTime;
 import org.cuminwell.shell.duty.Ring;
+import org.cuminwell.shell.duty.StopClock;
 import org.cuminwell.shell.duty.TimerDuty;
 import org.cuminwell.shell.forward.ForwardFront;
 import org.cuminwell.shell.forward.ForwardSettings;
 import org.cuminwell.shell.forward.RelayFront;
 import org.cuminwell.shell.forward.WarmUp;
+import org.cuminwell.shell.http.HttpListener;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.OpsPages;
 import org.cuminwell.shell.metrics.Telemetry;
@@ -49,6 +52,10 @@
   private static final System.Logger LOG = System.getLogger(GatewayProcess.class.getName());
   private static final Duration TICK = Duration.ofMillis(100);
   private static final int DISPATCH_RING = 65_536;
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
+
+  /** How long the last bytes of answers may take to reach the sockets. */
+  private static final Duration LAST_BYTES = Duration.ofMillis(100);
 
   private final MonotonicTime time = new MonotonicTime();
   private final Telemetry telemetry = new Telemetry();
@@ -69,7 +76,9 @@
   private final TimerDuty timer;
   private final TimerDuty certificates;
   private volatile boolean ready;
-  private volatile @Nullable ServerBinding listener;
+  private volatile @Nullable HttpListener listener;
+  private volatile @Nullable HttpListener innerListener;
+  private volatile @Nullable RelayFront relay;
 
   private GatewayProcess(GatewaySettings settings) {
     gateway =
@@ -115,7 +124,9 @@
                 ? process.forwarding.get()::connection
                 : process.callers::connection);
     RelayFront relay = new RelayFront(process.http, inner::handle);
-    process.http.serveConnections(settings.self().inner(), relay::connection);
+    process.relay = relay;
+    process.innerListener =
+        process.http.serveConnections(settings.self().inner(), relay::connection);
     settings.forwarding().ifPresent(process::serveReadiness);
     process.peers.listen(settings.self().peer());
     settings.controls().forEach(process.peers::dial);
@@ -124,27 +135,56 @@
     return process;
   }
 
-  /** Ends the process gracefully: no new requests, and running ones finish until the timeout. */
+  /**
+   * Ends the process gracefully: no new requests, and running ones finish as long as that fits.
+   *
+   * @param timeout how long the whole of it may take
+   */
   public void stop(Duration timeout) throws InterruptedException {
-    LOG.log(System.Logger.Level.INFO, "gateway stopping");
+    StopClock clock = StopClock.start(timeout, time.instant());
     callers.closeConnections();
     forwarding.ifPresent(ForwardFront::closeConnections);
-    events.force(new GatewayEvent.StopAsked());
-    if (!stopped.await(timeout.toMillis(), TimeUnit.MILLISECONDS)) {
-      LOG.log(System.Logger.Level.WARNING, "requests cut by the end of the stop timeout");
-    }
-    close();
+    events.force(new GatewayEvent.StopAsked(clock.running()));
+    stopped.await(clock.leftToFinish(time.instant()).toMillis(), TimeUnit.MILLISECONDS);
+    endRelays(clock);
+    endConnections(clock);
+    close(clock.left(time.instant()));
+    StopLog.write("stopped", clock.after(time.instant()), clock.left(time.instant()));
   }
 
   @Override
   public void close() {
+    close(CLOSE_TIMEOUT);
+  }
+
+  private void close(Duration atMost) {
     timer.close();
     certificates.close();
     decide.close();
     dispatch.close();
     keeper.close();
     peers.close();
-    http.close();
+    http.close(atMost);
+  }
+
+  private void endRelays(StopClock clock) throws InterruptedException {
+    RelayFront front = relay;
+    if (front != null) {
+      int cut = front.awaitIdle(clock.leftToFinish(time.instant()));
+      StopLog.write("relays_ended", cut, clock.after(time.instant()), clock.left(time.instant()));
+    }
+  }
+
+  /** Gives the answers that are still on their way the rest of the time but a moment. */
+  private void endConnections(StopClock clock) throws InterruptedException {
+    int cut = 0;
+    for (HttpListener open :
+        Stream.of(listener, innerListener).flatMap(Stream::ofNullable).toList()) {
+      cut += open.endConnections(clock.leftToFinish(time.instant()));
+    }
+    Thread.sleep(LAST_BYTES);
+    StopLog.write(
+        "connections_ended", cut, clock.after(time.instant()), clock.left(time.instant()));
   }
 
   private void decide(GatewayEvent event) {
@@ -207,6 +247,7 @@
         telemetry.record(a.call());
       }
       case GatewayAction.CloseListener a -> closeListener();
+      case GatewayAction.NoteStop a -> StopLog.write(a.note());
       case GatewayAction.Stopped a -> stopped.countDown();
     }
   }
@@ -237,11 +278,17 @@
   }
 
   private void closeListener() {
-    ServerBinding open = listener;
-    if (open != null) {
-      listener = null;
-      var _ = open.unbind();
+    HttpListener open = listener;
+    RelayFront front = relay;
+    if (open == null || front == null) {
+      return;
     }
+    front.refuse();
+    Instant begun = time.instant();
+    var _ =
+        open.unbind()
+            .thenRun(
+                () -> StopLog.write("listener_closed", Duration.between(begun, time.instant())));
   }
 
   private void end(RequestId id, Consumer<PendingCall> step) {
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
@@ -2,6 +2,7 @@
 
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
+import java.time.Duration;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -16,7 +17,6 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.stream.OverflowStrategy;
 import org.apache.pekko.stream.SystemMaterializer;
-import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.cuminwell.core.model.HostAddress;
 
@@ -74,7 +74,7 @@
       }
       """;
 
-  private static final int CLOSE_TIMEOUT_SECONDS = 3;
+  private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
 
   private final ActorSystem system;
 
@@ -114,30 +114,40 @@
    *
    * @throws IllegalStateException if the address can't be used
    */
-  public ServerBinding serveConnections(HostAddress address, Supplier<HttpConnection> handlers) {
+  public HttpListener serveConnections(HostAddress address, Supplier<HttpConnection> handlers) {
+    HttpListener listener = new HttpListener();
     try {
-      return http()
-          .newServerAt(address.host(), address.port())
-          .connectionSource()
-          .to(Sink.foreach(connection -> serve(connection, handlers.get())))
-          .run(system)
-          .toCompletableFuture()
-          .join();
+      listener.bound(
+          http()
+              .newServerAt(address.host(), address.port())
+              .connectionSource()
+              .to(Sink.foreach(connection -> serve(connection, listener, handlers.get())))
+              .run(system)
+              .toCompletableFuture()
+              .join());
+      return listener;
     } catch (CompletionException e) {
       throw new IllegalStateException("can't listen at HTTP address " + address, e.getCause());
     }
   }
 
-  private void serve(IncomingConnection connection, HttpConnection handler) {
+  private void serve(IncomingConnection connection, HttpListener listener, HttpConnection handler) {
+    listener.opened();
     connection.handleWith(
-        Flow.of(HttpRequest.class)
+        listener
+            .requests()
             .watchTermination(
                 (_, ended) -> {
                   var _ = ended.whenComplete((_, _) -> handler.ended());
                   return NotUsed.getInstance();
                 })
             .buffer(1, OverflowStrategy.backpressure())
-            .mapAsync(1, handler::handle),
+            .mapAsync(1, handler::handle)
+            .watchTermination(
+                (_, answered) -> {
+                  var _ = answered.whenComplete((_, _) -> listener.ended());
+                  return NotUsed.getInstance();
+                }),
         SystemMaterializer.get(system).materializer());
   }
 
@@ -154,11 +164,16 @@
   /** Closes every connection, and returns when the addresses are free again. */
   @Override
   public void close() {
+    close(CLOSE_TIMEOUT);
+  }
+
+  /** Closes every connection, and returns when the addresses are free again or the time is up. */
+  public void close(Duration atMost) {
     system.terminate();
     system
         .getWhenTerminated()
         .toCompletableFuture()
-        .completeOnTimeout(null, CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        .completeOnTimeout(null, atMost.toMillis(), TimeUnit.MILLISECONDS)
         .join();
   }
 }
--- a/shell/src/test/java/org/cuminwell/shell/gateway/FakeEndpoint.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/FakeEndpoint.java
@@ -76,6 +76,7 @@
 
   final List<Exchange> exchanges = new CopyOnWriteArrayList<>();
   final CountDownLatch closed = new CountDownLatch(1);
+  private final CountDownLatch first = new CountDownLatch(1);
   private final CountDownLatch second = new CountDownLatch(2);
   private final AtomicInteger count = new AtomicInteger();
   private final List<Script> scripts;
@@ -93,6 +94,11 @@
     return endpoint;
   }
 
+  /** Waits until a request has come. */
+  void awaitExchange() throws InterruptedException {
+    first.await();
+  }
+
   int port() {
     return server.getLocalPort();
   }
@@ -125,6 +131,7 @@
       String body = new String(in.readNBytes(lengthOf(head)), StandardCharsets.UTF_8);
       Exchange exchange = new Exchange(this, socket, head, body);
       exchanges.add(exchange);
+      first.countDown();
       second.countDown();
       int turn = Math.min(count.getAndIncrement(), scripts.size() - 1);
       scripts.get(turn).answer(exchange);
