--- a/shell/src/test/java/org/cuminwell/shell/gateway/FakeEndpoint.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/FakeEndpoint.java
@@ -96,6 +96,7 @@
   /** Counts what {@link Exchange#writeForEver} has written. */
   public final AtomicLong endlessBytes = new AtomicLong();
 
+  private final CountDownLatch first = new CountDownLatch(1);
   private final CountDownLatch second = new CountDownLatch(2);
   private final AtomicInteger count = new AtomicInteger();
   private final List<Script> scripts;
@@ -113,6 +114,11 @@
     return endpoint;
   }
 
+  /** Waits until a request has come. */
+  void awaitExchange() throws InterruptedException {
+    first.await();
+  }
+
   public int port() {
     return server.getLocalPort();
   }
@@ -145,6 +151,7 @@
       String body = new String(in.readNBytes(lengthOf(head)), StandardCharsets.UTF_8);
       Exchange exchange = new Exchange(this, socket, head, body);
       exchanges.add(exchange);
+      first.countDown();
       second.countDown();
       int turn = Math.min(count.getAndIncrement(), scripts.size() - 1);
       scripts.get(turn).answer(exchange);
