Open no request whose caller has gone

What callers saw: answers later and later, or none. At front-accra-a-3 a request sent at 2.85 s was taken up at 15.84 s, 11 s after its caller's deadline; of its lines from 3.5 s to 20 s nearly all end with call_dropped, most after an attempt at an endpoint.

Cause found here: a request was opened though its connection had already ended, and its end was told to the decision before the request itself. The decision knew of no such request and dropped the news; the request then ran at an endpoint and nobody ever ended it. Where a gateway is behind, these requests take the time of those whose callers still wait.

Change: a request whose connection has ended is not opened; one that was opened hears of the end afterwards (the connection notes the request only once the event of its opening stands in the ring).

Proof: ForwardFrontTest. On the code before, BEFORE and WHILE_READ gave "CallerLeft Opened" where nothing may be opened, three times out of three; on this one all four moments hold.

--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardConnection.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardConnection.java
@@ -24,7 +24,7 @@
 
   @Override
   public CompletionStage<HttpResponse> handle(HttpRequest request) {
-    return front.handle(request, this::opened);
+    return front.handle(request, this);
   }
 
   @Override
@@ -36,7 +36,13 @@
     }
   }
 
-  private void opened(PendingForward call) {
+  /** Returns whether nobody is left to be answered. */
+  boolean hasEnded() {
+    return ended;
+  }
+
+  /** Takes in that a request was opened, so that the end of the connection is told after it. */
+  void opened(PendingForward call) {
     latest.set(call);
     if (ended) {
       front.callerLeft(call);
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
@@ -95,7 +95,7 @@
   }
 
   /** Handles one request; the stage never fails. */
-  CompletionStage<HttpResponse> handle(HttpRequest request, Consumer<PendingForward> opened) {
+  CompletionStage<HttpResponse> handle(HttpRequest request, ForwardConnection caller) {
     Instant arrivedAt = time.instant();
     RequestId id = new RequestId(UUID.randomUUID().toString());
     ForwardHead head;
@@ -107,7 +107,7 @@
           last(refusal(Optional.empty(), ErrorCode.BAD_REQUEST, String.valueOf(e.getMessage()))));
     }
     return BodyReader.read(request, http.actors())
-        .thenCompose(body -> open(head, request, body, opened))
+        .thenCompose(body -> open(head, request, body, caller))
         .exceptionally(error -> last(dialect.refusal(Optional.of(head), BodyReader.failure(error))))
         .thenApply(answer -> closing ? last(answer) : answer);
   }
@@ -126,17 +126,21 @@
   }
 
   private CompletionStage<HttpResponse> open(
-      ForwardHead head, HttpRequest request, ByteString body, Consumer<PendingForward> opened) {
+      ForwardHead head, HttpRequest request, ByteString body, ForwardConnection caller) {
+    if (caller.hasEnded()) {
+      return CompletableFuture.completedFuture(
+          refusal(Optional.of(head), ErrorCode.CALL_DROPPED, "the caller went away"));
+    }
     PendingForward call = new PendingForward(head, request, body);
     if (calls.size() >= MAX_CALLS) {
       return CompletableFuture.completedFuture(busy(head));
     }
     calls.put(head.id(), call);
-    opened.accept(call);
     if (!offer.test(new ForwardEvent.Opened(head))) {
       calls.remove(head.id());
       return CompletableFuture.completedFuture(busy(head));
     }
+    caller.opened(call);
     return call.answer();
   }
 
--- /dev/null
+++ b/shell/src/test/java/org/cuminwell/shell/forward/ForwardFrontTest.java
@@ -0,0 +1,137 @@
+package org.cuminwell.shell.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.cuminwell.core.forward.AnswerHead;
+import org.cuminwell.core.forward.ForwardAction;
+import org.cuminwell.core.forward.ForwardEvent;
+import org.cuminwell.core.forward.ForwardHead;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.routing.Prompt;
+import org.cuminwell.shell.http.HttpConnection;
+import org.cuminwell.shell.http.HttpSystem;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Holds which requests are decided on when callers go away. */
+final class ForwardFrontTest {
+
+  private static final long WAIT_SECONDS = 20;
+  private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+
+  enum Leaves {
+    NEVER,
+    BEFORE,
+    WHILE_READ,
+    AFTER
+  }
+
+  @ParameterizedTest(name = "the caller leaves: {0}")
+  @CsvSource({"NEVER, Opened", "BEFORE, ''", "WHILE_READ, ''", "AFTER, Opened CallerLeft"})
+  void aRequestWhoseCallerHasGoneIsNeverLeftToRunUnheard(Leaves leaves, String events) {
+    List<String> seen = new CopyOnWriteArrayList<>();
+    CompletableFuture<Void> opened = new CompletableFuture<>();
+    CompletableFuture<ByteString> body = new CompletableFuture<>();
+    try (HttpSystem http = HttpSystem.start("test")) {
+      Predicate<ForwardEvent> offer =
+          event -> {
+            seen.add(event.getClass().getSimpleName());
+            return opened.complete(null);
+          };
+      Consumer<ForwardEvent> force = event -> seen.add(event.getClass().getSimpleName());
+      var front = new ForwardFront(http, InstantSource.fixed(NOW), new Plain(), offer, force);
+      HttpConnection connection = front.connection();
+      leave(connection, leaves == Leaves.BEFORE);
+      CompletableFuture<HttpResponse> answer =
+          connection.handle(request(body)).toCompletableFuture();
+      leave(connection, leaves == Leaves.WHILE_READ);
+      body.complete(ByteString.fromString("body"));
+      CompletableFuture.anyOf(opened, answer).orTimeout(WAIT_SECONDS, TimeUnit.SECONDS).join();
+      leave(connection, leaves == Leaves.AFTER);
+    }
+    assertThat(String.join(" ", seen)).isEqualTo(events);
+  }
+
+  private static void leave(HttpConnection connection, boolean now) {
+    if (now) {
+      connection.ended();
+    }
+  }
+
+  private static HttpRequest request(CompletableFuture<ByteString> body) {
+    return HttpRequest.POST("/a")
+        .withEntity(
+            HttpEntities.createChunked(
+                ContentTypes.APPLICATION_OCTET_STREAM, Source.completionStage(body)));
+  }
+
+  /** Reads as little as it can. Stateless. */
+  private static final class Plain implements ForwardDialect {
+
+    @Override
+    public ForwardHead readHead(RequestId id, HttpRequest request, Instant arrivedAt) {
+      return new ForwardHead(
+          id,
+          "caller-1",
+          "host",
+          "/a",
+          Optional.empty(),
+          arrivedAt,
+          Optional.empty(),
+          OptionalLong.empty(),
+          new Prompt(List.of()));
+    }
+
+    @Override
+    public HttpRequest toEndpoint(
+        HttpRequest from,
+        ByteString body,
+        ForwardHead head,
+        ForwardAction.Send order,
+        Optional<String> lastEventId) {
+      return from;
+    }
+
+    @Override
+    public AnswerHead readAnswer(HttpResponse answer, ForwardHead head) {
+      throw new UnsupportedOperationException("no endpoint answers here");
+    }
+
+    @Override
+    public HttpResponse refusal(Optional<ForwardHead> head, Failure failure) {
+      return HttpResponse.create().withStatus(503);
+    }
+
+    @Override
+    public HttpRequest warmUpRequest(int number) {
+      return HttpRequest.GET("/a");
+    }
+
+    @Override
+    public HttpResponse warmUpAnswer(HttpRequest request) {
+      return HttpResponse.create();
+    }
+
+    @Override
+    public HttpResponse readiness(HttpRequest request, boolean ready) {
+      return HttpResponse.create();
+    }
+  }
+}
