--- a/app/src/main/java/org/cuminwell/app/PlatformFlags.java
+++ b/app/src/main/java/org/cuminwell/app/PlatformFlags.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.ExposureBounds;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.RegionId;
 import org.cuminwell.platform.ControlFront;
@@ -42,6 +43,16 @@
       description = "by how many tokens a customer's quota may be exceeded besides")
   private double limitSlack = QuotaTolerance.NONE.slackTokens();
 
+  @Parameter(
+      names = "--exposure-share",
+      description = "the part of a service's requests that a version may get before it is proven")
+  private double exposureShare = ExposureBounds.DEFAULT.share();
+
+  @Parameter(
+      names = "--exposure-slack",
+      description = "how many requests beyond that part such a version may get")
+  private double exposureSlack = ExposureBounds.DEFAULT.slackRequests();
+
   /** Returns what serves the platform, if anything does. */
   List<AddedFront> fronts() throws SettingException {
     Regions regions = regions();
@@ -50,13 +61,14 @@
       throw new SettingException("--announcement-life-ms", "must be 1 or more");
     }
     QuotaTolerance tolerance = tolerance();
+    ExposureBounds exposure = exposure();
     List<AddedFront> fronts = new ArrayList<>();
     for (HostAddress address : Settings.addresses("--platform", platform)) {
       fronts.add(
           new AddedFront(
               address,
               (http, requests) ->
-                  new ControlFront(http, requests, regions, tolerance, life)::handle));
+                  new ControlFront(http, requests, regions, tolerance, exposure, life)::handle));
     }
     return fronts;
   }
@@ -69,6 +81,14 @@
     }
   }
 
+  private ExposureBounds exposure() throws SettingException {
+    try {
+      return new ExposureBounds(exposureShare, exposureSlack);
+    } catch (IllegalArgumentException e) {
+      throw new SettingException("--exposure-share, --exposure-slack", e);
+    }
+  }
+
   private Regions regions() throws SettingException {
     Map<DataCentreId, RegionId> regions = new HashMap<>();
     for (String text : dataCentres) {
--- a/core/src/main/java/org/cuminwell/core/config/Forwarding.java
+++ b/core/src/main/java/org/cuminwell/core/config/Forwarding.java
@@ -11,6 +11,7 @@
 import org.cuminwell.core.model.ForwardRoute;
 import org.cuminwell.core.model.ForwardService;
 import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.rollout.ServiceMoves;
 
 /**
  * Holds the part of a configuration that is about forwarded requests.
@@ -18,22 +19,34 @@
  * <p>Immutable and thread safe.
  *
  * @param evacuated the data centres whose endpoints get no requests
+ * @param moves the version moves of services
  */
 public record Forwarding(
     Map<RouteId, ForwardRoute> routes,
     Map<String, ForwardService> services,
     CallerLimits limits,
-    Set<DataCentreId> evacuated) {
+    Set<DataCentreId> evacuated,
+    Map<String, ServiceMoves> moves) {
 
   /** Forwards nothing. */
   public static final Forwarding NONE =
       new Forwarding(Map.of(), Map.of(), CallerLimits.DEFAULT, Set.of());
 
+  /** Makes the state before any version move. */
+  public Forwarding(
+      Map<RouteId, ForwardRoute> routes,
+      Map<String, ForwardService> services,
+      CallerLimits limits,
+      Set<DataCentreId> evacuated) {
+    this(routes, services, limits, evacuated, Map.of());
+  }
+
   /** Copies the collections. */
   public Forwarding {
     routes = Map.copyOf(routes);
     services = Map.copyOf(services);
     evacuated = Set.copyOf(evacuated);
+    moves = Map.copyOf(moves);
   }
 
   /** Carries the whole new state of each part it touches. Immutable and thread safe. */
@@ -41,17 +54,19 @@
       Map<RouteId, Optional<ForwardRoute>> routes,
       Map<String, Optional<ForwardService>> services,
       Optional<CallerLimits> limits,
-      Optional<Set<DataCentreId>> evacuated) {
+      Optional<Set<DataCentreId>> evacuated,
+      Map<String, Optional<ServiceMoves>> moves) {
 
     /** Changes nothing. */
     public static final Change NONE =
-        new Change(Map.of(), Map.of(), Optional.empty(), Optional.empty());
+        new Change(Map.of(), Map.of(), Optional.empty(), Optional.empty(), Map.of());
 
     /** Copies the collections. */
     public Change {
       routes = Map.copyOf(routes);
       services = Map.copyOf(services);
       evacuated = evacuated.map(Set::copyOf);
+      moves = Map.copyOf(moves);
     }
 
     /** Returns whether nothing is touched. */
@@ -68,7 +83,8 @@
             replaced(routes, change.routes()),
             replaced(services, change.services()),
             change.limits().orElse(limits),
-            change.evacuated().orElse(evacuated));
+            change.evacuated().orElse(evacuated),
+            replaced(moves, change.moves()));
   }
 
   /** Returns the change that leads from this state to {@code next}. */
@@ -77,12 +93,24 @@
         difference(routes, next.routes),
         difference(services, next.services),
         limits.equals(next.limits) ? Optional.empty() : Optional.of(next.limits),
-        evacuated.equals(next.evacuated) ? Optional.empty() : Optional.of(next.evacuated));
+        evacuated.equals(next.evacuated) ? Optional.empty() : Optional.of(next.evacuated),
+        difference(moves, next.moves));
   }
 
   /** Returns the same state with other data centres evacuated. */
   public Forwarding withEvacuated(Set<DataCentreId> others) {
-    return new Forwarding(routes, services, limits, others);
+    return new Forwarding(routes, services, limits, others, moves);
+  }
+
+  /** Returns the same state with other moves of a service. */
+  public Forwarding withMoves(String service, ServiceMoves next) {
+    return new Forwarding(
+        routes, services, limits, evacuated, replaced(moves, Map.of(service, Optional.of(next))));
+  }
+
+  /** Returns the same state with what is ordered beside configurations taken from another. */
+  public Forwarding withOrdersOf(Forwarding other) {
+    return new Forwarding(routes, services, limits, other.evacuated, other.moves);
   }
 
   static <K extends Comparable<K>, V> Map<K, V> replaced(
--- a/core/src/main/java/org/cuminwell/core/control/Agreement.java
+++ b/core/src/main/java/org/cuminwell/core/control/Agreement.java
@@ -165,6 +165,8 @@
           c.document().replaces(state.document())
               ? Optional.empty()
               : Optional.of(new Applied.ConfigurationReplaced(state.document().version()));
+      case Command.BeginRollout c ->
+          state.hasBegun(c.order()) ? Optional.of(new Applied.RolloutBegun()) : Optional.empty();
       case Command.ChangeClaim _, Command.AdvanceRollout _, Command.Evacuate _ -> Optional.empty();
     };
   }
--- a/core/src/main/java/org/cuminwell/core/control/Applied.java
+++ b/core/src/main/java/org/cuminwell/core/control/Applied.java
@@ -19,6 +19,9 @@
   /** Answers a {@link Command.Evacuate}. */
   record Evacuated() implements Applied {}
 
+  /** Answers a {@link Command.BeginRollout}. */
+  record RolloutBegun() implements Applied {}
+
   /** Answers a {@link Command.AdvanceRollout}: whether the step was recorded. */
   record RolloutAdvanced(boolean recorded) implements Applied {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/Command.java
+++ b/core/src/main/java/org/cuminwell/core/control/Command.java
@@ -6,6 +6,7 @@
 import org.cuminwell.core.idempotency.ClaimChange;
 import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.rollout.RolloutAdvance;
+import org.cuminwell.core.rollout.RolloutOrder;
 import org.cuminwell.core.ticket.Ticket;
 
 /**
@@ -38,13 +39,21 @@
   /** Asks to keep requests from the endpoints of a data centre, or to end that. */
   record Evacuate(DataCentreId dataCentre, boolean begins) implements Command {}
 
+  /** Asks to move a service to another version. */
+  record BeginRollout(RolloutOrder order) implements Command {}
+
   /**
    * Returns how long the command may wait for its fate. One that a later command undoes must not
    * wait longer than its sender, who may have sent that other one meanwhile.
    */
   default Duration patience() {
     return switch (this) {
-      case AcceptTicket _, ChangeClaim _, AdvanceRollout _, ReplaceConfiguration _ -> PATIENCE;
+      case AcceptTicket _,
+          ChangeClaim _,
+          AdvanceRollout _,
+          ReplaceConfiguration _,
+          BeginRollout _ ->
+          PATIENCE;
       case Evacuate _ -> SHORT_PATIENCE;
     };
   }
@@ -55,7 +64,7 @@
    */
   default boolean isIdempotent() {
     return switch (this) {
-      case AcceptTicket _, ReplaceConfiguration _ -> true;
+      case AcceptTicket _, ReplaceConfiguration _, BeginRollout _ -> true;
       case ChangeClaim _, AdvanceRollout _, Evacuate _ -> false;
     };
   }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -69,6 +69,9 @@
         Command command = new Command.Evacuate(e.dataCentre(), e.begins());
         perform(agreement.submit(e.id(), command, now), actions);
       }
+      case ControlEvent.RolloutSubmitted e ->
+          perform(agreement.submit(e.id(), new Command.BeginRollout(e.order()), now), actions);
+      case ControlEvent.RolloutAsked e -> reads.askMove(e.id(), e.service(), now);
       case ControlEvent.ConfigurationAsked e -> reads.askDocument(e.id(), now);
       case ControlEvent.EndpointAnnounced e -> endpoints.announced(e.announcement(), now);
       case ControlEvent.EndpointLeft e -> endpoints.left(e.endpoint(), e.incarnation(), now);
@@ -143,6 +146,8 @@
           case Applied.ConfigurationReplaced applied ->
               actions.add(new ControlAction.AnswerReplaced(id, applied.version()));
           case Applied.Evacuated applied -> actions.add(new ControlAction.AnswerEvacuated(id));
+          case Applied.RolloutBegun applied ->
+              actions.add(new ControlAction.AnswerRolloutBegun(id));
           case Applied.ClaimAnswered applied ->
               claims.answered(id, applied.id(), applied.answer(), actions);
           case Applied.RolloutAdvanced applied -> {
--- a/core/src/main/java/org/cuminwell/core/control/ControlAction.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlAction.java
@@ -1,11 +1,13 @@
 package org.cuminwell.core.control;
 
+import java.util.Optional;
 import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.rollout.RolloutProgress;
 import org.cuminwell.core.ticket.TicketAnswer;
 
 /** Is something that a control host has decided to do. Immutable and thread safe. */
@@ -27,6 +29,12 @@
   /** Tells the operator that the evacuation has begun or ended. */
   record AnswerEvacuated(RequestId id) implements Answer {}
 
+  /** Tells the operator that the order of a version move stands. */
+  record AnswerRolloutBegun(RequestId id) implements Answer {}
+
+  /** Tells the operator how the last version move of a service stands, if there was one. */
+  record AnswerRollout(RequestId id, Optional<RolloutProgress> move) implements Answer {}
+
   /** Gives the operator the configuration as it was submitted. */
   record AnswerConfiguration(RequestId id, ConfigurationDocument document) implements Answer {}
 
--- a/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
@@ -9,6 +9,7 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.rollout.RolloutOrder;
 import org.cuminwell.core.ticket.Ticket;
 
 /** Is something that a control host must decide about. Immutable and thread safe. */
@@ -27,6 +28,12 @@
   record EvacuationSubmitted(RequestId id, DataCentreId dataCentre, boolean begins)
       implements ControlEvent {}
 
+  /** An operator asks to move a service to another version. */
+  record RolloutSubmitted(RequestId id, RolloutOrder order) implements ControlEvent {}
+
+  /** An operator asks how the last version move of a service stands. */
+  record RolloutAsked(RequestId id, String service) implements ControlEvent {}
+
   /** An operator asks for the latest configuration as it was submitted. */
   record ConfigurationAsked(RequestId id) implements ControlEvent {}
 
--- a/core/src/main/java/org/cuminwell/core/control/CurrentReads.java
+++ b/core/src/main/java/org/cuminwell/core/control/CurrentReads.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.cuminwell.core.control.ControlAction.AnswerConfiguration;
+import org.cuminwell.core.control.ControlAction.AnswerRollout;
 import org.cuminwell.core.control.ControlAction.FailTicket;
 import org.cuminwell.core.control.ControlAction.TellPeer;
 import org.cuminwell.core.distribution.DistributionMessage;
@@ -13,6 +14,7 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.rollout.ServiceMoves;
 
 /**
  * Holds questions that only a state with everything committed before them may answer.
@@ -37,6 +39,8 @@
   private sealed interface Question {
     record Document(RequestId id) implements Question {}
 
+    record Move(RequestId id, String service) implements Question {}
+
     record Revision(HostId gateway, Instant askedAt) implements Question {}
   }
 
@@ -46,6 +50,10 @@
     waiting.add(new Waiting(new Question.Document(id), now));
   }
 
+  void askMove(RequestId id, String service, Instant now) {
+    waiting.add(new Waiting(new Question.Move(id, service), now));
+  }
+
   void askRevision(HostId gateway, Instant askedAt, Instant now) {
     if (waiting.size() < MAX_WAITING) {
       waiting.add(new Waiting(new Question.Revision(gateway, askedAt), now));
@@ -65,17 +73,28 @@
           boolean late = !now.isBefore(entry.cameAt().plus(PATIENCE));
           if (known) {
             answer(entry.question(), agreement.state(), actions);
-          } else if (late && entry.question() instanceof Question.Document q) {
-            actions.add(new FailTicket(q.id(), NOT_CURRENT));
+          } else if (late) {
+            giveUp(entry.question(), actions);
           }
           return known || late;
         });
   }
 
+  private static void giveUp(Question question, List<ControlAction> actions) {
+    switch (question) {
+      case Question.Document q -> actions.add(new FailTicket(q.id(), NOT_CURRENT));
+      case Question.Move q -> actions.add(new FailTicket(q.id(), NOT_CURRENT));
+      case Question.Revision _ -> {}
+    }
+  }
+
   private static void answer(
       Question question, ReplicatedState state, List<ControlAction> actions) {
     switch (question) {
       case Question.Document q -> actions.add(new AnswerConfiguration(q.id(), state.document()));
+      case Question.Move q ->
+          actions.add(
+              new AnswerRollout(q.id(), state.movesOf(q.service()).map(ServiceMoves::last)));
       case Question.Revision q ->
           actions.add(
               new TellPeer(
--- a/core/src/main/java/org/cuminwell/core/control/MoveDuty.java
+++ b/core/src/main/java/org/cuminwell/core/control/MoveDuty.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.control.ControlAction.TellPeer;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
@@ -52,14 +53,9 @@
       told = List.of();
       return;
     }
-    for (RolloutAdvance advance :
-        controller.decide(state.configuration().rollouts().values(), state.moves(), now)) {
-      if (!isOpen(advance)) {
-        RequestId id = submissions.nextId(now);
-        open.put(id, advance);
-        submissions.submit(id, new Command.AdvanceRollout(advance), now);
-      }
-    }
+    Configuration configuration = state.configuration();
+    submit(controller.decide(configuration.rollouts().values(), state.moves(), now), now);
+    submit(controller.decide(configuration.forwarding().moves().values(), now), now);
     List<RolloutProgress> moves = state.moves().all();
     boolean due = state.moves().hasOpen() && !now.isBefore(toldAt.plus(PERIOD));
     if (due || !moves.equals(told)) {
@@ -69,6 +65,16 @@
     }
   }
 
+  private void submit(List<RolloutAdvance> steps, Instant now) {
+    for (RolloutAdvance advance : steps) {
+      if (!isOpen(advance)) {
+        RequestId id = submissions.nextId(now);
+        open.put(id, advance);
+        submissions.submit(id, new Command.AdvanceRollout(advance), now);
+      }
+    }
+  }
+
   /** Tells a gateway that has just come what it must know. */
   void greet(HostId gateway, boolean leads, List<ControlAction> actions) {
     if (leads) {
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
@@ -1,6 +1,7 @@
 package org.cuminwell.core.control;
 
 import java.time.Instant;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import org.cuminwell.core.config.Configuration;
@@ -9,8 +10,11 @@
 import org.cuminwell.core.idempotency.ClaimBook;
 import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.Rollout;
+import org.cuminwell.core.model.ServiceRollout;
 import org.cuminwell.core.rollout.RolloutAdvance;
 import org.cuminwell.core.rollout.RolloutBook;
+import org.cuminwell.core.rollout.RolloutOrder;
+import org.cuminwell.core.rollout.ServiceMoves;
 import org.cuminwell.core.ticket.TicketLedger;
 
 /**
@@ -37,8 +41,8 @@
       case Command.AcceptTicket c -> new Applied.TicketAnswered(ledger.apply(c.ticket(), at));
       case Command.ChangeClaim c ->
           new Applied.ClaimAnswered(c.change().id(), claims.apply(c.change(), at));
-      case Command.AdvanceRollout c ->
-          new Applied.RolloutAdvanced(isConfigured(c.advance()) && moves.apply(c.advance(), at));
+      case Command.AdvanceRollout c -> new Applied.RolloutAdvanced(advance(c.advance(), at));
+      case Command.BeginRollout c -> begin(c.order(), at);
       case Command.ReplaceConfiguration c -> replace(c);
       case Command.Evacuate c -> evacuate(c);
     };
@@ -83,7 +87,7 @@
     if (command.document().replaces(document)) {
       document = command.document();
       Configuration now = configuration();
-      Forwarding next = command.content().forwarding().withEvacuated(now.forwarding().evacuated());
+      Forwarding next = command.content().forwarding().withOrdersOf(now.forwarding());
       ledger.change(now.changeTo(command.content().withForwarding(next)));
     }
     return new Applied.ConfigurationReplaced(document.version());
@@ -97,15 +101,54 @@
             ? evacuated.add(command.dataCentre())
             : evacuated.remove(command.dataCentre());
     if (changes) {
-      Configuration next = configuration().withForwarding(forwarding.withEvacuated(evacuated));
-      ledger.change(configuration().changeTo(next));
+      change(forwarding.withEvacuated(evacuated));
     }
     return new Applied.Evacuated();
   }
 
+  /** Returns whether the order's version is the one that its service moves or has moved to. */
+  boolean hasBegun(RolloutOrder order) {
+    return movesOf(order.service())
+        .filter(moves -> moves.last().rollout().to().equals(order.to()))
+        .isPresent();
+  }
+
+  /** Returns the version moves of a service, if there were any. */
+  public Optional<ServiceMoves> movesOf(String service) {
+    return Optional.ofNullable(configuration().forwarding().moves().get(service));
+  }
+
+  private Applied begin(RolloutOrder order, Instant at) {
+    if (!hasBegun(order)) {
+      ServiceMoves next = ServiceMoves.ordered(movesOf(order.service()), order, at);
+      change(configuration().forwarding().withMoves(order.service(), next));
+    }
+    return new Applied.RolloutBegun();
+  }
+
+  private boolean advance(RolloutAdvance advance, Instant at) {
+    return switch (advance.rollout()) {
+      case Rollout rollout -> isConfigured(rollout) && moves.apply(advance, at);
+      case ServiceRollout rollout -> advance(rollout.service(), advance, at);
+    };
+  }
+
+  private boolean advance(String service, RolloutAdvance advance, Instant at) {
+    Optional<ServiceMoves> before = movesOf(service);
+    Optional<ServiceMoves> after = before.map(moves -> moves.advanced(advance, at));
+    if (after.equals(before)) {
+      return false;
+    }
+    change(configuration().forwarding().withMoves(service, after.orElseThrow()));
+    return true;
+  }
+
+  private void change(Forwarding next) {
+    ledger.change(configuration().changeTo(configuration().withForwarding(next)));
+  }
+
   /** Returns whether the move is the one that the last ticket asked for. */
-  private boolean isConfigured(RolloutAdvance advance) {
-    Rollout rollout = advance.rollout();
+  private boolean isConfigured(Rollout rollout) {
     return rollout.equals(configuration().rollouts().get(rollout.route()));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
+++ b/core/src/main/java/org/cuminwell/core/forward/EndpointChoice.java
@@ -45,6 +45,7 @@
   private final Router router;
   private final EngineRouter engines;
   private final SplittableRandom random;
+  private final ForwardVersions versions;
   private final Map<EndpointId, Instant> coldSentAt = new HashMap<>();
   private final Map<DataCentreId, Instant> takenBackAt = new HashMap<>();
   private Set<DataCentreId> evacuated = Set.of();
@@ -76,7 +77,12 @@
   }
 
   EndpointChoice(
-      Place here, EndpointTable endpoints, HostDirectory directory, SplittableRandom random) {
+      Place here,
+      EndpointTable endpoints,
+      HostDirectory directory,
+      ForwardVersions versions,
+      SplittableRandom random) {
+    this.versions = versions;
     this.here = here;
     this.endpoints = endpoints;
     this.directory = directory;
@@ -99,12 +105,13 @@
   Decision choose(ForwardedCall call, Forwarding forwarding, Instant now) {
     Residency residency = call.residency();
     String service = call.service();
-    List<Entry> open =
+    List<Entry> all =
         endpoints.serving(service, now).stream()
             .filter(entry -> residency.allows(regionOf(entry)))
             .filter(entry -> !evacuated.contains(dataCentreOf(entry)))
             .filter(entry -> isNear(entry) || hasRelay(regionOf(entry)))
             .toList();
+    List<Entry> open = versions.choose(call, all, entry -> isCold(entry, now), now);
     List<Entry> warm = open.stream().filter(entry -> !isCold(entry, now)).toList();
     List<Entry> candidates =
         warm.isEmpty()
@@ -187,7 +194,7 @@
   }
 
   /** An endpoint taken back is cold until it has announced itself since. */
-  private boolean isCold(Entry entry, Instant now) {
+  boolean isCold(Entry entry, Instant now) {
     Instant backAt = takenBackAt.get(dataCentreOf(entry));
     return entry.isCold(now) || (backAt != null && !entry.heardAt().isAfter(backAt));
   }
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -22,11 +22,13 @@
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.ForwardRoute;
+import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Place;
 import org.cuminwell.core.model.Repeat;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Revision;
 import org.cuminwell.core.model.Verdict;
+import org.cuminwell.core.rollout.RolloutMessage;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -49,6 +51,7 @@
   private final ForwardBounds bounds;
   private final EndpointTable endpoints;
   private final EndpointChoice choice;
+  private final ForwardVersions versions;
   private final Resends resends;
   private final Map<RequestId, ForwardedCall> calls = new HashMap<>();
   private final AwaitedShares<ForwardedCall> awaited = new AwaitedShares<>();
@@ -63,7 +66,8 @@
     this.bounds = bounds;
     this.endpoints = endpoints;
     this.resends = new Resends(bounds, directory);
-    this.choice = new EndpointChoice(here, endpoints, directory, random);
+    this.versions = new ForwardVersions(endpoints);
+    this.choice = new EndpointChoice(here, endpoints, directory, versions, random);
   }
 
   /**
@@ -95,6 +99,7 @@
   public List<ForwardAction> handle(ForwardEvent event, Known known, Instant now) {
     List<ForwardAction> actions = new ArrayList<>();
     choice.configure(known.forwarding(), now);
+    versions.configure(known.forwarding(), known.currentAt(), now);
     switch (event) {
       case ForwardEvent.Opened e -> open(e.head(), known, now, actions);
       case ForwardEvent.AnswerCame e -> answerCame(e, known, now, actions);
@@ -103,12 +108,14 @@
         if (call != null) {
           call.bodyBegan(now);
           choice.began(call, now);
+          versions.began(call, now);
         }
       }
       case ForwardEvent.EventsCame e -> {
         ForwardedCall call = current(e.id(), e.attempt());
         if (call != null) {
           choice.eventsCame(call, e.pause(), now);
+          versions.eventsCame(call, e.pause(), now);
         }
       }
       case ForwardEvent.AttemptEnded e -> attemptEnded(e, known, now, actions);
@@ -121,7 +128,9 @@
   public List<ForwardAction> tick(Known known, Instant now) {
     List<ForwardAction> actions = new ArrayList<>();
     choice.configure(known.forwarding(), now);
+    versions.configure(known.forwarding(), known.currentAt(), now);
     choice.tick(now);
+    versions.tick(now);
     retryAwaited(known, now, actions);
     List.copyOf(calls.values()).stream()
         .filter(call -> !now.isBefore(call.deadline()))
@@ -136,6 +145,11 @@
     return actions;
   }
 
+  /** Returns what to report to control about versions, if that is due. */
+  public Optional<RolloutMessage.Report> report(HostId self, Instant now) {
+    return versions.report(self, entry -> choice.isCold(entry, now), now);
+  }
+
   /** Returns whether no request is open. */
   public boolean isIdle() {
     return calls.isEmpty();
@@ -236,6 +250,7 @@
       resends.firstSent(call);
     }
     choice.sent(call, target, now);
+    versions.sent(call, endpoint, now);
     actions.add(ForwardNotes.sent(call, target, now));
     Duration left = Duration.between(now, call.deadline());
     boolean another = resends.couldFollow(call, Verdict.mayHaveRun(), now);
@@ -269,6 +284,7 @@
         }
       }
       case AnswerHead.Failed head -> {
+        versions.failed(call);
         boolean another =
             call.route().repeat().allowsAnother() && resends.isAllowed(call, Verdict.ran(), now);
         if (another || call.isAnswerPassed()) {
@@ -323,6 +339,7 @@
     switch (event.end()) {
       case ForwardEnd.Completed end -> {
         call.judge(Verdict.ran());
+        versions.answered(call, now);
         settleAttempt(call, false, now);
         finish(call, Optional.empty(), known, now, actions);
       }
@@ -375,6 +392,7 @@
   private void settleAttempt(ForwardedCall call, boolean blamed, Instant now) {
     if (call.isAttempting()) {
       Duration took = call.attemptTook(now);
+      versions.ended(call, blamed, now);
       choice.read(call);
       call.endpoint().ifPresent(target -> choice.ended(target, took, blamed, now));
     }
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -183,6 +183,7 @@
     versions
         .report(self.id(), configuration.index(), endpoints, now)
         .ifPresent(report -> tellControls(report, actions));
+    forwarder.report(self.id(), now).ifPresent(report -> tellControls(report, actions));
     attempts.tick(now);
     tickStop(now, actions);
   }
--- a/core/src/main/java/org/cuminwell/core/model/Rollout.java
+++ b/core/src/main/java/org/cuminwell/core/model/Rollout.java
@@ -10,7 +10,8 @@
  * @param deadline the time by which all traffic must have moved
  */
 public record Rollout(
-    RouteId route, VersionId from, VersionId to, Instant deadline, RolloutBounds bounds) {
+    RouteId route, VersionId from, VersionId to, Instant deadline, RolloutBounds bounds)
+    implements VersionMove {
 
   /**
    * Checks the versions.
--- a/core/src/main/java/org/cuminwell/core/rollout/FaultCheck.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/FaultCheck.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.rollout;
 
+import java.util.List;
 import java.util.Optional;
 import org.cuminwell.core.model.RolloutBounds;
 
@@ -24,11 +25,22 @@
 
   private static final int TESTS = 3;
 
+  /** By how much less than this the new version must be worse in pairs, to be proven. */
+  private static final double PROOF_MARGIN = 0.3;
+
+  /** How strong the evidence of that must be. */
+  private static final double PROOF_EVIDENCE = 5;
+
   private FaultCheck() {}
 
-  /** Returns what fault shows, if one does. */
-  public static Optional<String> fault(VersionEvidence seen, RolloutBounds bounds) {
-    double alpha = FALSE_ALARM_RATE / (TESTS * MAX_STEPS);
+  /** Returns what fault shows, on one route or over all, if one does. */
+  public static Optional<String> fault(MoveEvidence seen, RolloutBounds bounds) {
+    List<VersionEvidence> judged = seen.judged();
+    double alpha = FALSE_ALARM_RATE / (TESTS * MAX_STEPS * judged.size());
+    return judged.stream().flatMap(part -> fault(part, bounds, alpha).stream()).findFirst();
+  }
+
+  private static Optional<String> fault(VersionEvidence seen, RolloutBounds bounds, double alpha) {
     if (SequentialTest.shows(seen.failures(), bounds.maxFailureRise(), alpha)) {
       return Optional.of(describe("fails", seen.failures()));
     }
@@ -42,13 +54,32 @@
   }
 
   /** Returns whether the evidence leans against the new version, so that a raise must wait. */
-  public static boolean isDoubtful(VersionEvidence seen, RolloutBounds bounds) {
-    double limit = Math.log(HOLD_EVIDENCE);
+  public static boolean isDoubtful(MoveEvidence seen, RolloutBounds bounds) {
+    return leansAgainst(seen, bounds, HOLD_EVIDENCE);
+  }
+
+  /** Returns whether the evidence against the new version is stronger than the limit. */
+  static boolean leansAgainst(MoveEvidence seen, RolloutBounds bounds, double limit) {
+    return seen.judged().stream().anyMatch(part -> leansAgainst(part, bounds, Math.log(limit)));
+  }
+
+  private static boolean leansAgainst(VersionEvidence seen, RolloutBounds bounds, double limit) {
     return SequentialTest.logEvidence(seen.failures(), bounds.maxFailureRise()) > limit
         || SequentialTest.logEvidence(seen.firstTokens(), SLOW_TOLERANCE) > limit
         || SequentialTest.logEvidence(seen.tokenGaps(), SLOW_TOLERANCE) > limit;
   }
 
+  /** Returns whether the pairs show that the new version is hardly worse. */
+  public static boolean isProven(VersionEvidence seen) {
+    return isProven(seen.failures())
+        && isProven(seen.firstTokens())
+        && (seen.tokenGaps().total() == 0 || isProven(seen.tokenGaps()));
+  }
+
+  private static boolean isProven(PairCounts pairs) {
+    return SequentialTest.logEvidenceForNew(pairs, PROOF_MARGIN) > Math.log(PROOF_EVIDENCE);
+  }
+
   private static String describe(String what, PairCounts pairs) {
     return "the new version "
         + what
--- a/core/src/main/java/org/cuminwell/core/rollout/PairCounts.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/PairCounts.java
@@ -28,6 +28,14 @@
     return new PairCounts(newWorse + other.newWorse, oldWorse + other.oldWorse, same + other.same);
   }
 
+  /** Returns what these counts have beyond earlier ones. */
+  public PairCounts minus(PairCounts earlier) {
+    return new PairCounts(
+        Math.max(0, newWorse - earlier.newWorse),
+        Math.max(0, oldWorse - earlier.oldWorse),
+        Math.max(0, same - earlier.same));
+  }
+
   /** Returns how many pairs there are. */
   public long total() {
     return newWorse + oldWorse + same;
--- a/core/src/main/java/org/cuminwell/core/rollout/PairedResults.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/PairedResults.java
@@ -5,99 +5,125 @@
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.Optional;
-import java.util.function.Function;
 
 /**
  * Pairs the results of both versions at one gateway, so that each comparison is of the same time
  * and load.
  *
- * <p>Each result is in one pair at most. Holds a bounded number of results. Not thread safe: one
- * thread owns it.
+ * <p>Failures, first tokens and tokens are paired each by themselves, since a slow first token is
+ * known long before its answer ends. Each result is in one pair of a kind at most. Holds a bounded
+ * number of results. Not thread safe: one thread owns it.
  */
 final class PairedResults {
 
-  /** How far apart the two results of a pair may end. */
-  private static final Duration PAIR_WINDOW = Duration.ofSeconds(5);
-
-  private static final int MAX_UNPAIRED = 64;
-
   private final double maxSlowdown;
-  private final ArrayDeque<Timed> unpairedNew = new ArrayDeque<>();
-  private final ArrayDeque<Timed> unpairedOld = new ArrayDeque<>();
+  private final Pairing failures = new Pairing();
+  private final Pairing firstTokens = new Pairing();
+  private final Pairing tokenGaps = new Pairing();
   private final Median oldFirstToken = new Median();
   private final Median oldTokenGap = new Median();
-  private VersionEvidence seen = VersionEvidence.NONE;
-
-  private record Timed(RequestResult result, Instant at) {}
+  private long newRequests;
+  private long oldRequests;
 
   PairedResults(double maxSlowdown) {
     this.maxSlowdown = maxSlowdown;
   }
 
   VersionEvidence seen() {
-    return seen;
+    return new VersionEvidence(
+        failures.counts, firstTokens.counts, tokenGaps.counts, newRequests, oldRequests);
   }
 
   /** Starts the counts anew for a new step; what is known of the old version's speed stays. */
   void startStep() {
-    seen = VersionEvidence.NONE;
-    unpairedNew.clear();
+    failures.startStep();
+    firstTokens.startStep();
+    tokenGaps.startStep();
+    newRequests = 0;
+    oldRequests = 0;
+  }
+
+  /** Returns whether a first token that took at least this long is slow. */
+  boolean isSlow(Duration waited) {
+    return isSlow(waited, oldFirstToken).orElse(false);
   }
 
+  /** Adds a whole result. */
   void add(boolean isNew, RequestResult result, Instant now) {
-    ArrayDeque<Timed> own = isNew ? unpairedNew : unpairedOld;
-    ArrayDeque<Timed> others = isNew ? unpairedOld : unpairedNew;
-    others.removeIf(other -> now.isAfter(other.at().plus(PAIR_WINDOW)));
-    Timed match = others.pollLast();
-    PairCounts failures = seen.failures();
-    PairCounts firstTokens = seen.firstTokens();
-    PairCounts tokenGaps = seen.tokenGaps();
-    if (match == null) {
-      own.addLast(new Timed(result, now));
-      if (own.size() > MAX_UNPAIRED) {
-        own.removeFirst();
-      }
-    } else {
-      RequestResult newer = isNew ? result : match.result();
-      RequestResult older = isNew ? match.result() : result;
-      failures = failures.with(newer.failed(), older.failed());
-      firstTokens = compare(firstTokens, newer, older, RequestResult::firstToken, oldFirstToken);
-      tokenGaps = compare(tokenGaps, newer, older, RequestResult::tokenGap, oldTokenGap);
-    }
-    seen =
-        new VersionEvidence(
-            failures,
-            firstTokens,
-            tokenGaps,
-            seen.newRequests() + (isNew ? 1 : 0),
-            seen.oldRequests() + (isNew ? 0 : 1));
+    addEnd(isNew, result.failed(), now);
+    result.firstToken().ifPresent(time -> addFirstToken(isNew, time, now));
+    result.tokenGap().ifPresent(time -> addTokenGap(isNew, time, now));
+  }
+
+  /** Adds that a request has ended. */
+  void addEnd(boolean isNew, boolean failed, Instant now) {
+    newRequests += isNew ? 1 : 0;
+    oldRequests += isNew ? 0 : 1;
+    failures.add(isNew, failed, now);
+  }
+
+  /** Adds the time to the first token of a request. */
+  void addFirstToken(boolean isNew, Duration time, Instant now) {
+    addTime(firstTokens, oldFirstToken, isNew, time, now);
+  }
+
+  /** Adds the time between tokens of a request. */
+  void addTokenGap(boolean isNew, Duration time, Instant now) {
+    addTime(tokenGaps, oldTokenGap, isNew, time, now);
+  }
+
+  private void addTime(
+      Pairing pairing, Median reference, boolean isNew, Duration time, Instant now) {
+    isSlow(time, reference).ifPresent(slow -> pairing.add(isNew, slow, now));
     if (!isNew) {
-      result.firstToken().ifPresent(oldFirstToken::add);
-      result.tokenGap().ifPresent(oldTokenGap::add);
+      reference.add(time);
     }
   }
 
-  private PairCounts compare(
-      PairCounts counts,
-      RequestResult newer,
-      RequestResult older,
-      Function<RequestResult, Optional<Duration>> time,
-      Median reference) {
-    Optional<Duration> newTime = time.apply(newer);
-    Optional<Duration> oldTime = time.apply(older);
-    Optional<Double> limit = reference.value().map(median -> median * maxSlowdown);
-    if (newTime.isEmpty() || oldTime.isEmpty() || limit.isEmpty()) {
-      return counts;
+  private Optional<Boolean> isSlow(Duration time, Median reference) {
+    return reference.value().map(median -> time.toNanos() > median * maxSlowdown);
+  }
+
+  /** Pairs results of one kind. */
+  private static final class Pairing {
+
+    /** How far apart the two results of a pair may be. */
+    private static final Duration WINDOW = Duration.ofSeconds(5);
+
+    private static final int MAX_UNPAIRED = 64;
+
+    private final ArrayDeque<Timed> unpairedNew = new ArrayDeque<>();
+    private final ArrayDeque<Timed> unpairedOld = new ArrayDeque<>();
+    private PairCounts counts = PairCounts.NONE;
+
+    private record Timed(boolean bad, Instant at) {}
+
+    void startStep() {
+      counts = PairCounts.NONE;
+      unpairedNew.clear();
+    }
+
+    void add(boolean isNew, boolean bad, Instant now) {
+      ArrayDeque<Timed> own = isNew ? unpairedNew : unpairedOld;
+      ArrayDeque<Timed> others = isNew ? unpairedOld : unpairedNew;
+      others.removeIf(other -> now.isAfter(other.at().plus(WINDOW)));
+      Timed match = others.pollLast();
+      if (match != null) {
+        counts = counts.with(isNew ? bad : match.bad(), isNew ? match.bad() : bad);
+        return;
+      }
+      own.addLast(new Timed(bad, now));
+      if (own.size() > MAX_UNPAIRED) {
+        own.removeFirst();
+      }
     }
-    return counts.with(
-        newTime.get().toNanos() > limit.get(), oldTime.get().toNanos() > limit.get());
   }
 
   /** Knows the median of the last durations. */
   private static final class Median {
 
     private static final int WINDOW = 65;
-    private static final int ENOUGH = 9;
+    private static final int ENOUGH = 5;
 
     private final long[] nanos = new long[WINDOW];
     private int count;
--- a/core/src/main/java/org/cuminwell/core/rollout/RequestResult.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/RequestResult.java
@@ -10,4 +10,9 @@
  * @param tokenGap the mean time between tokens, if there were several
  */
 public record RequestResult(
-    boolean failed, Optional<Duration> firstToken, Optional<Duration> tokenGap) {}
+    boolean failed, Optional<Duration> firstToken, Optional<Duration> tokenGap) {
+
+  /** Is the result of an attempt that gave no whole answer. */
+  public static final RequestResult FAILED =
+      new RequestResult(true, Optional.empty(), Optional.empty());
+}
--- a/core/src/main/java/org/cuminwell/core/rollout/RolloutBook.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/RolloutBook.java
@@ -6,9 +6,11 @@
 import java.util.TreeMap;
 import org.cuminwell.core.model.Rollout;
 import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.model.ServiceRollout;
+import org.cuminwell.core.model.VersionMove;
 
 /**
- * Keeps the recorded steps of version moves, one move a route.
+ * Keeps the recorded steps of version moves of routes, one move a route.
  *
  * <p>Invariants: steps follow each other without gaps; after a final state a move has no further
  * step. A later ticket with the same content is the same move and changes nothing; one that differs
@@ -23,7 +25,7 @@
 
   /** Makes a book of what another one held. */
   public RolloutBook(List<RolloutProgress> moves) {
-    moves.forEach(move -> this.moves.put(move.rollout().route(), move));
+    moves.forEach(move -> this.moves.put(routeOf(move.rollout()), move));
   }
 
   /** Records the step if it is the next one, and returns whether it was. */
@@ -35,14 +37,14 @@
       return false;
     }
     moves.put(
-        advance.rollout().route(),
+        routeOf(advance.rollout()),
         new RolloutProgress(advance.rollout(), advance.step(), advance.state(), at));
     return true;
   }
 
   /** Returns the last step of this very move. */
-  public Optional<RolloutProgress> find(Rollout rollout) {
-    return Optional.ofNullable(moves.get(rollout.route()))
+  public Optional<RolloutProgress> find(VersionMove rollout) {
+    return Optional.ofNullable(moves.get(routeOf(rollout)))
         .filter(move -> move.rollout().equals(rollout));
   }
 
@@ -55,4 +57,13 @@
   public List<RolloutProgress> all() {
     return List.copyOf(moves.values());
   }
+
+  private static RouteId routeOf(VersionMove move) {
+    return switch (move) {
+      case Rollout rollout -> rollout.route();
+      case ServiceRollout rollout ->
+          throw new IllegalArgumentException(
+              "service " + rollout.service() + " is kept with the forwarded routes");
+    };
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/rollout/RolloutController.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/RolloutController.java
@@ -9,8 +9,9 @@
 import java.util.Map;
 import java.util.Optional;
 import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.MoveSubject;
 import org.cuminwell.core.model.Rollout;
-import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.model.ServiceRollout;
 
 /**
  * Decides the next step of each version move at the leader.
@@ -35,28 +36,29 @@
   private static final double HALF = 0.5;
   private static final double LAST_SHARE = 0.8;
 
-  private final Map<RouteId, Map<HostId, Seen>> reports = new HashMap<>();
+  private final Map<MoveSubject, Map<HostId, Seen>> reports = new HashMap<>();
+  private final Map<ServiceRollout, RecentEvidence> recent = new HashMap<>();
 
   /** Is the last report of one gateway, and what its earlier lives saw in the same step. */
   private record Seen(
       long incarnation,
-      RolloutMessage.RouteReport report,
-      VersionEvidence earlierLives,
+      RolloutMessage.MoveReport report,
+      MoveEvidence earlierLives,
       Instant heardAt) {
 
-    VersionEvidence total() {
+    MoveEvidence total() {
       return earlierLives.plus(report.seen());
     }
   }
 
   /** Takes in what a gateway saw. */
   public void hear(RolloutMessage.Report message, Instant now) {
-    for (RolloutMessage.RouteReport report : message.routes()) {
+    for (RolloutMessage.MoveReport report : message.moves()) {
       reports
-          .computeIfAbsent(report.route(), _ -> new HashMap<>())
+          .computeIfAbsent(report.subject(), _ -> new HashMap<>())
           .merge(
               message.gateway(),
-              new Seen(message.incarnation(), report, VersionEvidence.NONE, now),
+              new Seen(message.incarnation(), report, MoveEvidence.NONE, now),
               RolloutController::later);
     }
   }
@@ -78,9 +80,21 @@
     return steps;
   }
 
+  /** Returns the steps of services that should be recorded now. */
+  public List<RolloutAdvance> decide(Collection<ServiceMoves> services, Instant now) {
+    List<RolloutAdvance> steps = new ArrayList<>();
+    for (ServiceMoves moves : services) {
+      RolloutProgress last = moves.last();
+      next(last, now)
+          .ifPresent(
+              state -> steps.add(new RolloutAdvance(last.rollout(), last.step() + 1, state)));
+    }
+    return steps;
+  }
+
   /** Returns in words what an open move waits for. */
   public String waitsFor(RolloutProgress move, Instant now) {
-    long pairs = evidence(move).failures().total();
+    long pairs = evidence(move).total().failures().total();
     if (newEndpoints(move, now) == 0) {
       return "no endpoint of version " + move.rollout().to() + " has announced itself";
     }
@@ -96,7 +110,27 @@
     if (move.state().isFinal()) {
       return Optional.empty();
     }
-    VersionEvidence seen = evidence(move);
+    return switch (move.rollout()) {
+      case Rollout _ -> nextOfRoute(move, now);
+      case ServiceRollout rollout -> {
+        MoveEvidence all = evidence(move);
+        MoveEvidence recent = recent(rollout).add(all, now);
+        yield ExposurePlan.next(move, rollout, all, recent, newEndpoints(move, now), now);
+      }
+    };
+  }
+
+  private RecentEvidence recent(ServiceRollout rollout) {
+    recent.keySet().removeIf(other -> isReplacedBy(rollout, other));
+    return recent.computeIfAbsent(rollout, _ -> new RecentEvidence());
+  }
+
+  private static boolean isReplacedBy(ServiceRollout rollout, ServiceRollout other) {
+    return other.service().equals(rollout.service()) && !other.equals(rollout);
+  }
+
+  private Optional<RolloutState> nextOfRoute(RolloutProgress move, Instant now) {
+    MoveEvidence seen = evidence(move);
     Optional<String> fault = FaultCheck.fault(seen, move.rollout().bounds());
     if (fault.isPresent()) {
       return Optional.of(new RolloutState.TakenBack(fault.get()));
@@ -110,14 +144,14 @@
         : Optional.empty();
   }
 
-  private boolean mayRaise(RolloutProgress move, VersionEvidence seen, Instant now) {
+  private boolean mayRaise(RolloutProgress move, MoveEvidence seen, Instant now) {
     if (newEndpoints(move, now) == 0) {
       return false;
     }
     if (move.state().share() == 0) {
       return true;
     }
-    return seen.failures().total() >= MIN_PAIRS
+    return seen.total().failures().total() >= MIN_PAIRS
         && !FaultCheck.isDoubtful(seen, move.rollout().bounds())
         && !now.isBefore(move.at().plus(stepTime(move)));
   }
@@ -146,11 +180,11 @@
     return share < HALF ? Math.min(HALF, share * RAISE_FACTOR) : LAST_SHARE;
   }
 
-  private VersionEvidence evidence(RolloutProgress move) {
+  private MoveEvidence evidence(RolloutProgress move) {
     return seen(move).stream()
-        .filter(seen -> seen.report().step() == move.step())
+        .filter(seen -> seen.report().step() == move.evidenceStep())
         .map(Seen::total)
-        .reduce(VersionEvidence.NONE, VersionEvidence::plus);
+        .reduce(MoveEvidence.NONE, MoveEvidence::plus);
   }
 
   private int newEndpoints(RolloutProgress move, Instant now) {
@@ -162,10 +196,15 @@
   }
 
   private Collection<Seen> seen(RolloutProgress move) {
-    return reports.getOrDefault(move.rollout().route(), Map.of()).values();
+    return reports.getOrDefault(move.rollout().subject(), Map.of()).values().stream()
+        .filter(seen -> seen.report().to().equals(move.rollout().to()))
+        .toList();
   }
 
   private static Seen later(Seen old, Seen news) {
+    if (!news.report().to().equals(old.report().to())) {
+      return news;
+    }
     if (news.incarnation() < old.incarnation() || news.report().step() < old.report().step()) {
       return old;
     }
@@ -175,10 +214,7 @@
     if (news.incarnation() > old.incarnation()) {
       return new Seen(news.incarnation(), news.report(), old.total(), news.heardAt());
     }
-    boolean grown =
-        news.report().seen().newRequests() + news.report().seen().oldRequests()
-            >= old.report().seen().newRequests() + old.report().seen().oldRequests();
-    return grown
+    return news.report().seen().requests() >= old.report().seen().requests()
         ? new Seen(news.incarnation(), news.report(), old.earlierLives(), news.heardAt())
         : old;
   }
--- a/core/src/main/java/org/cuminwell/core/rollout/RolloutMessage.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/RolloutMessage.java
@@ -2,7 +2,8 @@
 
 import java.util.List;
 import org.cuminwell.core.model.HostId;
-import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.model.MoveSubject;
+import org.cuminwell.core.model.VersionId;
 
 /** Carries version moves between control hosts and gateways. Immutable and thread safe. */
 public sealed interface RolloutMessage {
@@ -20,21 +21,27 @@
    *
    * @param incarnation grows with each start of the gateway
    */
-  record Report(HostId gateway, long incarnation, List<RouteReport> routes)
+  record Report(HostId gateway, long incarnation, List<MoveReport> moves)
       implements RolloutMessage {
     /** Copies the list. */
     public Report {
-      routes = List.copyOf(routes);
+      moves = List.copyOf(moves);
     }
   }
 
   /**
    * Tells what a gateway has seen of one move.
    *
-   * @param step the step that it was seen in
+   * @param to the version that is moved to
+   * @param step the step since which it was seen
    * @param newEndpoints how many endpoints of the new version the gateway knows
    * @param cut whether the gateway's own evidence made it stop sending to the new version
    */
-  record RouteReport(
-      RouteId route, long step, VersionEvidence seen, int newEndpoints, boolean cut) {}
+  record MoveReport(
+      MoveSubject subject,
+      VersionId to,
+      long step,
+      MoveEvidence seen,
+      int newEndpoints,
+      boolean cut) {}
 }
--- a/core/src/main/java/org/cuminwell/core/rollout/SequentialTest.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/SequentialTest.java
@@ -30,14 +30,34 @@
 
   /** Returns the natural logarithm of the evidence against the new version. */
   public static double logEvidence(PairCounts pairs, double tolerance) {
+    return mixture(pairs, tolerance, 1 / (1 + tolerance));
+  }
+
+  /**
+   * Returns the natural logarithm of the evidence that the new version is worse by less than the
+   * margin.
+   *
+   * @param margin how much more often the new version may be bad, above 0 and below 1
+   */
+  public static double logEvidenceForNew(PairCounts pairs, double margin) {
+    return mixture(pairs, margin, -1 / (1 - margin));
+  }
+
+  /**
+   * Returns the logarithm of the mean product of bets.
+   *
+   * @param greatestBet the bet on a worse new version at which a product could reach 0; below 0 to
+   *     bet against that
+   */
+  private static double mixture(PairCounts pairs, double threshold, double greatestBet) {
     double[] logs = new double[BETS.length];
     double greatest = Double.NEGATIVE_INFINITY;
     for (int i = 0; i < BETS.length; i++) {
-      double bet = BETS[i] / (1 + tolerance);
+      double bet = BETS[i] * greatestBet;
       logs[i] =
-          pairs.newWorse() * Math.log1p(bet * (1 - tolerance))
-              + pairs.oldWorse() * Math.log1p(-bet * (1 + tolerance))
-              + pairs.same() * Math.log1p(-bet * tolerance);
+          pairs.newWorse() * Math.log1p(bet * (1 - threshold))
+              + pairs.oldWorse() * Math.log1p(-bet * (1 + threshold))
+              + pairs.same() * Math.log1p(-bet * threshold);
       greatest = Math.max(greatest, logs[i]);
     }
     double sum = 0;
--- a/core/src/main/java/org/cuminwell/core/rollout/VersionChooser.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/VersionChooser.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
 import org.cuminwell.core.membership.EndpointTable.Entry;
 import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.MoveSubject;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Rollout;
 import org.cuminwell.core.model.RouteId;
@@ -25,21 +25,26 @@
 
   private static final Duration REPORT_PERIOD = Duration.ofSeconds(1);
 
-  private final Map<RouteId, LocalGuard> guards = new HashMap<>();
+  private final Map<MoveSubject, LocalGuard> guards = new HashMap<>();
   private final Map<RequestId, Sent> sent = new HashMap<>();
-  private final TreeMap<RouteId, Integer> newEndpoints = new TreeMap<>();
+  private final Map<MoveSubject, Integer> newEndpoints = new HashMap<>();
   private Instant reportedAt = Instant.MIN;
   private long incarnation;
 
   private record Sent(
-      RouteId route, VersionId version, long tokens, Instant sentAt, Optional<Instant> firstAt) {}
+      MoveSubject subject,
+      RouteId route,
+      VersionId version,
+      long tokens,
+      Instant sentAt,
+      Optional<Instant> firstAt) {}
 
   /** Takes in the recorded steps. */
   public void hear(List<RolloutProgress> news, Instant now) {
     for (RolloutProgress move : news) {
-      LocalGuard guard = guards.get(move.rollout().route());
+      LocalGuard guard = guards.get(move.rollout().subject());
       if (guard == null || !guard.rollout().equals(move.rollout())) {
-        guards.put(move.rollout().route(), new LocalGuard(move, now));
+        guards.put(move.rollout().subject(), new LocalGuard(move, now));
       } else {
         guard.hear(move, now);
       }
@@ -48,7 +53,22 @@
 
   /** Notes how many endpoints of the new version serve the route. */
   public void count(RouteId route, int endpoints) {
-    newEndpoints.put(route, endpoints);
+    count(new MoveSubject.OfRoute(route), endpoints);
+  }
+
+  /** Notes how many endpoints of the new version serve what is moved. */
+  public void count(MoveSubject subject, int endpoints) {
+    newEndpoints.put(subject, endpoints);
+  }
+
+  /**
+   * Returns whether a request of the route may go to the new version of what is moved.
+   *
+   * @param tokens the estimate of the request
+   */
+  public boolean admitsNew(MoveSubject subject, RouteId route, long tokens, Instant now) {
+    LocalGuard guard = guards.get(subject);
+    return guard != null && guard.admitsNew(route, tokens, now);
   }
 
   /**
@@ -69,14 +89,14 @@
     Rollout rollout = configured.get();
     List<Entry> newer = ofVersion(candidates, rollout.to(), true);
     List<Entry> others = ofVersion(candidates, rollout.to(), false);
-    LocalGuard guard = guards.get(route);
+    LocalGuard guard = guards.get(rollout.subject());
     if (guard == null || !guard.rollout().equals(rollout)) {
       return others;
     }
     if (guard.progress().state() instanceof RolloutState.Done) {
       return newer;
     }
-    return !newer.isEmpty() && guard.admitsNew(tokens, now) ? newer : others;
+    return !newer.isEmpty() && guard.admitsNew(route, tokens, now) ? newer : others;
   }
 
   /** Says how an attempt ended, as far as it tells of the version. */
@@ -91,10 +111,21 @@
 
   /** Notes that an attempt of the request goes to the version. */
   public void sent(RequestId request, RouteId route, VersionId version, long tokens, Instant now) {
-    LocalGuard guard = guards.get(route);
+    sent(request, new MoveSubject.OfRoute(route), route, version, tokens, now);
+  }
+
+  /** Notes that an attempt of the request goes to the version of what is moved. */
+  public void sent(
+      RequestId request,
+      MoveSubject subject,
+      RouteId route,
+      VersionId version,
+      long tokens,
+      Instant now) {
+    LocalGuard guard = guards.get(subject);
     if (guard != null) {
-      guard.sent(version, tokens);
-      sent.put(request, new Sent(route, version, tokens, now, Optional.empty()));
+      guard.sent(route, version, tokens);
+      sent.put(request, new Sent(subject, route, version, tokens, now, Optional.empty()));
     }
   }
 
@@ -102,26 +133,62 @@
   public void answerBegan(RequestId request, Instant now) {
     sent.computeIfPresent(
         request,
-        (_, s) -> new Sent(s.route(), s.version(), s.tokens(), s.sentAt(), Optional.of(now)));
+        (_, s) ->
+            new Sent(
+                s.subject(), s.route(), s.version(), s.tokens(), s.sentAt(), Optional.of(now)));
   }
 
   /** Notes how the attempt of the request ended. */
   public void ended(RequestId request, End end, Usage used, Instant now) {
     Sent attempt = sent.remove(request);
-    LocalGuard guard = attempt == null ? null : guards.get(attempt.route());
+    LocalGuard guard = attempt == null ? null : guards.get(attempt.subject());
     if (attempt == null || guard == null) {
       return;
     }
     guard.settle(attempt.version(), attempt.tokens(), used.total(), now);
     switch (end) {
-      case ANSWERED -> guard.compare(attempt.version(), answered(attempt, used, now), now);
-      case FAILED ->
-          guard.compare(
-              attempt.version(), new RequestResult(true, Optional.empty(), Optional.empty()), now);
+      case ANSWERED ->
+          guard.compare(attempt.route(), attempt.version(), answered(attempt, used, now), now);
+      case FAILED -> guard.compare(attempt.route(), attempt.version(), RequestResult.FAILED, now);
       case SAYS_NOTHING -> {}
     }
   }
 
+  /** Notes the time to the first token of a request whose attempt runs. */
+  public void firstTokenCame(RequestId request, Duration time, Instant now) {
+    Sent attempt = sent.get(request);
+    LocalGuard guard = attempt == null ? null : guards.get(attempt.subject());
+    if (attempt != null && guard != null) {
+      guard.compareFirstToken(attempt.route(), attempt.version(), time, now);
+    }
+  }
+
+  /** Notes the time between tokens of a request whose attempt runs. */
+  public void tokensCame(RequestId request, Duration gap, Instant now) {
+    Sent attempt = sent.get(request);
+    LocalGuard guard = attempt == null ? null : guards.get(attempt.subject());
+    if (attempt != null && guard != null) {
+      guard.compareTokenGap(attempt.route(), attempt.version(), gap, now);
+    }
+  }
+
+  /** Returns whether the running attempt has waited long enough for its first token to be slow. */
+  public boolean isSlow(RequestId request, Duration waited) {
+    Sent attempt = sent.get(request);
+    LocalGuard guard = attempt == null ? null : guards.get(attempt.subject());
+    return attempt != null && guard != null && guard.isSlow(attempt.route(), waited);
+  }
+
+  /** Notes the end of the attempt of a request that was charged its estimate. */
+  public void ended(RequestId request, boolean failed, Instant now) {
+    Sent attempt = sent.remove(request);
+    LocalGuard guard = attempt == null ? null : guards.get(attempt.subject());
+    if (attempt != null && guard != null) {
+      guard.settle(attempt.version(), attempt.tokens(), attempt.tokens(), now);
+      guard.compareEnd(attempt.route(), attempt.version(), failed, now);
+    }
+  }
+
   private static RequestResult answered(Sent attempt, Usage used, Instant now) {
     long tokens = used.completionTokens();
     if (tokens == 0) {
@@ -144,21 +211,22 @@
       incarnation = now.toEpochMilli();
     }
     reportedAt = now;
-    List<RolloutMessage.RouteReport> routes =
+    List<RolloutMessage.MoveReport> moves =
         guards.values().stream()
             .filter(guard -> !guard.progress().state().isFinal())
             .map(
                 guard ->
-                    new RolloutMessage.RouteReport(
-                        guard.rollout().route(),
-                        guard.progress().step(),
+                    new RolloutMessage.MoveReport(
+                        guard.rollout().subject(),
+                        guard.rollout().to(),
+                        guard.progress().evidenceStep(),
                         guard.seen(),
-                        newEndpoints.getOrDefault(guard.rollout().route(), 0),
+                        newEndpoints.getOrDefault(guard.rollout().subject(), 0),
                         guard.isCut()))
             .toList();
-    return routes.isEmpty()
+    return moves.isEmpty()
         ? Optional.empty()
-        : Optional.of(new RolloutMessage.Report(self, incarnation, routes));
+        : Optional.of(new RolloutMessage.Report(self, incarnation, moves));
   }
 
   private Instant nextReport() {
--- a/core/src/main/java/org/cuminwell/core/rollout/VersionEvidence.java
+++ b/core/src/main/java/org/cuminwell/core/rollout/VersionEvidence.java
@@ -23,6 +23,16 @@
   public static final VersionEvidence NONE =
       new VersionEvidence(PairCounts.NONE, PairCounts.NONE, PairCounts.NONE, 0, 0);
 
+  /** Returns what this sum has beyond an earlier one. */
+  public VersionEvidence minus(VersionEvidence earlier) {
+    return new VersionEvidence(
+        failures.minus(earlier.failures),
+        firstTokens.minus(earlier.firstTokens),
+        tokenGaps.minus(earlier.tokenGaps),
+        Math.max(0, newRequests - earlier.newRequests),
+        Math.max(0, oldRequests - earlier.oldRequests));
+  }
+
   /** Returns the sums of both. */
   public VersionEvidence plus(VersionEvidence other) {
     return new VersionEvidence(
--- /dev/null
+++ b/core/src/test/java/org/cuminwell/core/forward/SlowVersionIsNotCompletedTest.java
@@ -0,0 +1,77 @@
+package org.cuminwell.core.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.cuminwell.core.forward.ServiceMoveHistory.Behaviour;
+import org.cuminwell.core.forward.ServiceMoveHistory.Event;
+import org.cuminwell.core.forward.ServiceMoveHistory.Result;
+import org.cuminwell.core.rollout.RolloutState;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Checks short version moves of a service of each kind under each event. */
+final class SlowVersionIsNotCompletedTest {
+
+  private static final int SEEDS = Integer.getInteger("seeds", 4);
+  private static final double UNPROVEN_GOOD_SHARE = 0.3;
+  private static final Duration TAKE_BACK_LIMIT = Duration.ofSeconds(5);
+
+  @ParameterizedTest(name = "{0}, {1}, {2} s, {3} requests a second: {4}")
+  @CsvSource({
+    "GOOD,              NONE,              15, 52, done",
+    "GOOD,              NONE,              12, 52, done",
+    "GOOD,              NONE,              60, 20, done",
+    "GOOD,              NONE,              15, 2,  taken_back",
+    "GOOD,              LEADER_KILLED,     15, 52, done",
+    "GOOD,              GATEWAYS_CUT_OFF,  15, 52, done",
+    "GOOD,              GATEWAY_RESTARTED, 15, 52, done",
+    "GOOD,              ORDER_REPEATED,    15, 52, done",
+    "SLOW,              NONE,              15, 52, taken_back",
+    "SLOW,              NONE,              12, 52, taken_back",
+    "SLOW,              NONE,              15, 5,  taken_back",
+    "SLOW,              LEADER_KILLED,     15, 52, taken_back",
+    "SLOW,              GATEWAYS_CUT_OFF,  15, 52, taken_back",
+    "SLOW,              GATEWAY_RESTARTED, 15, 52, taken_back",
+    "SLOW,              ORDER_REPEATED,    15, 52, taken_back",
+    "SLOW,              OTHER_ORDER,       15, 52, taken_back",
+    "SLOW_LATER,        NONE,              15, 52, taken_back",
+    "SLOW_LATER,        NONE,              60, 20, taken_back",
+    "SLOW_LATER,        LEADER_KILLED,     15, 52, taken_back",
+    "SLOW_ON_ONE_ROUTE, NONE,              15, 52, taken_back",
+    "SLOW_ON_ONE_ROUTE, GATEWAYS_CUT_OFF,  15, 52, taken_back",
+    "SLOW_UNDER_LOAD,   NONE,              15, 52, taken_back",
+    "FAILS,             NONE,              15, 52, taken_back",
+    "FAILS,             GATEWAYS_CUT_OFF,  15, 52, taken_back",
+  })
+  void badVersionIsBoundedAndNeverCompleted(
+      Behaviour behaviour, Event event, long seconds, double perSecond, String expected) {
+    int wrong = 0;
+    for (long seed = 0; seed < SEEDS; seed++) {
+      Result result =
+          new ServiceMoveHistory(seed, behaviour, event, Duration.ofSeconds(seconds), perSecond)
+              .play();
+      wrong += result.state().label().equals(expected) ? 0 : 1;
+      if (behaviour != Behaviour.GOOD) {
+        assertIsBounded(result, seed);
+      }
+      if (result.state() instanceof RolloutState.TakenBack) {
+        assertThat(result.newAfterEnd()).as("requests after the end, seed %s", seed).isZero();
+      }
+    }
+    double mostWrong = expected.equals("done") ? UNPROVEN_GOOD_SHARE * SEEDS : 0;
+    assertThat((double) wrong).as("ends other than " + expected).isLessThanOrEqualTo(mostWrong);
+  }
+
+  private static void assertIsBounded(Result result, long seed) {
+    double bound =
+        ServiceMoveHistory.EXPOSURE.share() * result.requests()
+            + ServiceMoveHistory.EXPOSURE.slackRequests();
+    assertThat((double) result.newRequests())
+        .as("exposure of %s, seed %s", result, seed)
+        .isLessThanOrEqualTo(bound);
+    assertThat(result.lastNewAfterBound())
+        .as("request after the last bad answer allowed, seed %s", seed)
+        .isLessThan(TAKE_BACK_LIMIT);
+  }
+}
--- a/core/src/test/java/org/cuminwell/core/rollout/LocalGuardTest.java
+++ b/core/src/test/java/org/cuminwell/core/rollout/LocalGuardTest.java
@@ -39,8 +39,9 @@
     long newTokens = 0;
     long tokens = 0;
     for (int i = 0; i < 5_000; i++) {
-      VersionId version = guard.admitsNew(estimate, START) ? ROLLOUT.to() : ROLLOUT.from();
-      guard.sent(version, estimate);
+      VersionId version =
+          guard.admitsNew(ROLLOUT.route(), estimate, START) ? ROLLOUT.to() : ROLLOUT.from();
+      guard.sent(ROLLOUT.route(), version, estimate);
       guard.settle(version, estimate, used, START);
       tokens += used;
       newTokens += guard.isNew(version) ? used : 0;
@@ -83,8 +84,8 @@
 
   private static void fail(LocalGuard guard) {
     for (int i = 0; i < 50; i++) {
-      guard.compare(ROLLOUT.from(), result(false), START);
-      guard.compare(ROLLOUT.to(), result(true), START);
+      guard.compare(ROLLOUT.route(), ROLLOUT.from(), result(false), START);
+      guard.compare(ROLLOUT.route(), ROLLOUT.to(), result(true), START);
     }
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -53,6 +53,7 @@
   private final PeerNode peers;
   private final OperatorFront operators;
   private final ControlRequests requests;
+  private final MoveLog moves = new MoveLog();
   private final Duty<ControlEvent> decide;
   private final Duty<ControlAction> dispatch;
   private final TimerDuty timer;
@@ -177,6 +178,7 @@
       }
       case ControlAction.Show a -> {
         operators.show(a.view());
+        moves.show(a.view().configuration());
         requests.show(a.view());
       }
     }
--- a/wire/src/main/java/org/cuminwell/wire/ForwardingCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/ForwardingCodec.java
@@ -1,6 +1,7 @@
 package org.cuminwell.wire;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -13,6 +14,7 @@
 import org.cuminwell.core.model.RegionId;
 import org.cuminwell.core.model.Repeat;
 import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.rollout.ServiceMoves;
 import org.cuminwell.wire.generated.Evacuated;
 import org.cuminwell.wire.generated.ForwardingChange;
 
@@ -29,6 +31,7 @@
     var to = org.cuminwell.wire.generated.Forwarding.newBuilder();
     ConfigurationCodec.sorted(from.routes()).forEach(route -> to.addRoute(toProto(route)));
     ConfigurationCodec.sorted(from.services()).forEach(service -> to.addService(toProto(service)));
+    ConfigurationCodec.sorted(from.moves()).forEach(m -> to.addMove(RolloutCodec.toProto(m)));
     return to.setLimits(toProto(from.limits())).setEvacuated(toProto(from.evacuated())).build();
   }
 
@@ -38,7 +41,14 @@
         ConfigurationCodec.byId(
             from.getServiceList(), ForwardingCodec::fromProto, ForwardService::name),
         from.hasLimits() ? fromProto(from.getLimits()) : CallerLimits.DEFAULT,
-        fromProto(from.getEvacuated()));
+        fromProto(from.getEvacuated()),
+        moves(from.getMoveList()));
+  }
+
+  private static Map<String, ServiceMoves> moves(
+      List<org.cuminwell.wire.generated.ServiceMoves> from) {
+    return ConfigurationCodec.byId(
+        from, RolloutCodec::fromProto, moves -> RolloutCodec.service(moves.last().rollout()));
   }
 
   static ForwardingChange toProto(Forwarding.Change from) {
@@ -48,6 +58,8 @@
         from.services(), s -> to.addService(toProto(s)), to::addRemovedService);
     from.limits().ifPresent(limits -> to.setLimits(toProto(limits)));
     from.evacuated().ifPresent(evacuated -> to.setEvacuated(toProto(evacuated)));
+    ConfigurationCodec.write(
+        from.moves(), moves -> to.addMove(RolloutCodec.toProto(moves)), to::addRemovedMove);
     return to.build();
   }
 
@@ -61,7 +73,9 @@
         ConfigurationCodec.changes(routes, from.getRemovedRouteList(), RouteId::new),
         ConfigurationCodec.changes(services, from.getRemovedServiceList(), name -> name),
         from.hasLimits() ? Optional.of(fromProto(from.getLimits())) : Optional.empty(),
-        from.hasEvacuated() ? Optional.of(fromProto(from.getEvacuated())) : Optional.empty());
+        from.hasEvacuated() ? Optional.of(fromProto(from.getEvacuated())) : Optional.empty(),
+        ConfigurationCodec.changes(
+            moves(from.getMoveList()), from.getRemovedMoveList(), name -> name));
   }
 
   private static org.cuminwell.wire.generated.ForwardRoute toProto(ForwardRoute from) {
--- a/wire/src/main/java/org/cuminwell/wire/RolloutCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/RolloutCodec.java
@@ -1,14 +1,27 @@
 package org.cuminwell.wire;
 
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.cuminwell.core.model.ExposureBounds;
 import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.MoveSubject;
+import org.cuminwell.core.model.Rollout;
 import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.model.ServiceRollout;
+import org.cuminwell.core.model.VersionId;
+import org.cuminwell.core.model.VersionMove;
+import org.cuminwell.core.rollout.MoveEvidence;
 import org.cuminwell.core.rollout.PairCounts;
 import org.cuminwell.core.rollout.RolloutAdvance;
 import org.cuminwell.core.rollout.RolloutMessage;
+import org.cuminwell.core.rollout.RolloutOrder;
 import org.cuminwell.core.rollout.RolloutProgress;
 import org.cuminwell.core.rollout.RolloutState;
+import org.cuminwell.core.rollout.ServiceMoves;
 import org.cuminwell.core.rollout.VersionEvidence;
-import org.cuminwell.wire.generated.RouteReport;
+import org.cuminwell.wire.generated.MoveReport;
+import org.cuminwell.wire.generated.RouteEvidence;
 
 /**
  * Maps version moves to protobuf and back. Methods that read throw {@link IllegalArgumentException}
@@ -28,7 +41,7 @@
       case RolloutMessage.Report m -> {
         var report =
             to.getReportBuilder().setGateway(m.gateway().value()).setIncarnation(m.incarnation());
-        m.routes().forEach(route -> report.addRoute(toProto(route)));
+        m.moves().forEach(move -> report.addMove(toProto(move)));
       }
     }
     return to.build();
@@ -43,24 +56,98 @@
           new RolloutMessage.Report(
               new HostId(from.getReport().getGateway()),
               from.getReport().getIncarnation(),
-              from.getReport().getRouteList().stream().map(RolloutCodec::fromProto).toList());
+              from.getReport().getMoveList().stream().map(RolloutCodec::fromProto).toList());
       case KIND_NOT_SET -> throw new IllegalArgumentException("rollout message without a kind");
     };
   }
 
   static org.cuminwell.wire.generated.RolloutAdvance toProto(RolloutAdvance from) {
-    return org.cuminwell.wire.generated.RolloutAdvance.newBuilder()
-        .setRollout(ConfigurationCodec.toProto(from.rollout()))
-        .setStep(from.step())
-        .setState(toProto(from.state()))
-        .build();
+    var to =
+        org.cuminwell.wire.generated.RolloutAdvance.newBuilder()
+            .setStep(from.step())
+            .setState(toProto(from.state()));
+    switch (from.rollout()) {
+      case Rollout rollout -> to.setRollout(ConfigurationCodec.toProto(rollout));
+      case ServiceRollout rollout -> to.setService(toProto(rollout));
+    }
+    return to.build();
   }
 
   static RolloutAdvance fromProto(org.cuminwell.wire.generated.RolloutAdvance from) {
-    return new RolloutAdvance(
-        ConfigurationCodec.fromProto(from.getRollout()),
-        from.getStep(),
-        fromProto(from.getState()));
+    VersionMove rollout =
+        from.hasService()
+            ? fromProto(from.getService())
+            : ConfigurationCodec.fromProto(from.getRollout());
+    return new RolloutAdvance(rollout, from.getStep(), fromProto(from.getState()));
+  }
+
+  static org.cuminwell.wire.generated.RolloutOrder toProto(RolloutOrder from) {
+    return org.cuminwell.wire.generated.RolloutOrder.newBuilder()
+        .setService(from.service())
+        .setToVersion(from.to().value())
+        .setDurationMillis(from.duration().toMillis())
+        .setExposure(toProto(from.exposure()))
+        .build();
+  }
+
+  static RolloutOrder fromProto(org.cuminwell.wire.generated.RolloutOrder from) {
+    return new RolloutOrder(
+        from.getService(),
+        new VersionId(from.getToVersion()),
+        Duration.ofMillis(from.getDurationMillis()),
+        fromProto(from.getExposure()));
+  }
+
+  static org.cuminwell.wire.generated.ServiceMoves toProto(ServiceMoves from) {
+    return org.cuminwell.wire.generated.ServiceMoves.newBuilder()
+        .setLast(toProto(from.last()))
+        .addAllBarredVersion(ConfigurationCodec.names(from.barred(), VersionId::value))
+        .build();
+  }
+
+  static ServiceMoves fromProto(org.cuminwell.wire.generated.ServiceMoves from) {
+    return new ServiceMoves(
+        fromProto(from.getLast()),
+        ConfigurationCodec.set(from.getBarredVersionList(), VersionId::new));
+  }
+
+  /** Returns the service that is moved. */
+  static String service(VersionMove move) {
+    return switch (move) {
+      case ServiceRollout rollout -> rollout.service();
+      case Rollout rollout ->
+          throw new IllegalArgumentException("route " + rollout.route() + " is no service");
+    };
+  }
+
+  private static org.cuminwell.wire.generated.ServiceRollout toProto(ServiceRollout from) {
+    return org.cuminwell.wire.generated.ServiceRollout.newBuilder()
+        .setService(from.service())
+        .setToVersion(from.to().value())
+        .setBeganAtNanos(IdempotencyCodec.nanos(from.beganAt()))
+        .setDeadlineNanos(IdempotencyCodec.nanos(from.deadline()))
+        .setExposure(toProto(from.exposure()))
+        .build();
+  }
+
+  private static ServiceRollout fromProto(org.cuminwell.wire.generated.ServiceRollout from) {
+    return new ServiceRollout(
+        from.getService(),
+        new VersionId(from.getToVersion()),
+        IdempotencyCodec.instant(from.getBeganAtNanos()),
+        IdempotencyCodec.instant(from.getDeadlineNanos()),
+        fromProto(from.getExposure()));
+  }
+
+  private static org.cuminwell.wire.generated.ExposureBounds toProto(ExposureBounds from) {
+    return org.cuminwell.wire.generated.ExposureBounds.newBuilder()
+        .setShare(from.share())
+        .setSlackRequests(from.slackRequests())
+        .build();
+  }
+
+  private static ExposureBounds fromProto(org.cuminwell.wire.generated.ExposureBounds from) {
+    return new ExposureBounds(from.getShare(), from.getSlackRequests());
   }
 
   static org.cuminwell.wire.generated.RolloutProgress toProto(RolloutProgress from) {
@@ -104,34 +191,59 @@
     };
   }
 
-  private static RouteReport toProto(RolloutMessage.RouteReport from) {
-    return RouteReport.newBuilder()
-        .setRoute(from.route().value())
-        .setStep(from.step())
-        .setFailures(toProto(from.seen().failures()))
-        .setFirstTokens(toProto(from.seen().firstTokens()))
-        .setTokenGaps(toProto(from.seen().tokenGaps()))
-        .setNewRequests(from.seen().newRequests())
-        .setOldRequests(from.seen().oldRequests())
-        .setNewEndpoints(from.newEndpoints())
-        .setCut(from.cut())
-        .build();
+  private static MoveReport toProto(RolloutMessage.MoveReport from) {
+    MoveReport.Builder to =
+        MoveReport.newBuilder()
+            .setToVersion(from.to().value())
+            .setStep(from.step())
+            .setNewEndpoints(from.newEndpoints())
+            .setCut(from.cut());
+    switch (from.subject()) {
+      case MoveSubject.OfRoute subject -> to.setRoute(subject.route().value());
+      case MoveSubject.OfService subject -> to.setService(subject.service());
+    }
+    from.seen().byRoute().forEach((route, seen) -> to.addSeen(toProto(route, seen)));
+    return to.build();
   }
 
-  private static RolloutMessage.RouteReport fromProto(RouteReport from) {
-    return new RolloutMessage.RouteReport(
-        new RouteId(from.getRoute()),
+  private static RolloutMessage.MoveReport fromProto(MoveReport from) {
+    MoveSubject subject =
+        switch (from.getSubjectCase()) {
+          case ROUTE -> new MoveSubject.OfRoute(new RouteId(from.getRoute()));
+          case SERVICE -> new MoveSubject.OfService(from.getService());
+          case SUBJECT_NOT_SET -> throw new IllegalArgumentException("move without a subject");
+        };
+    Map<RouteId, VersionEvidence> seen = new HashMap<>();
+    from.getSeenList().forEach(part -> seen.put(new RouteId(part.getRoute()), fromProto(part)));
+    return new RolloutMessage.MoveReport(
+        subject,
+        new VersionId(from.getToVersion()),
         from.getStep(),
-        new VersionEvidence(
-            fromProto(from.getFailures()),
-            fromProto(from.getFirstTokens()),
-            fromProto(from.getTokenGaps()),
-            from.getNewRequests(),
-            from.getOldRequests()),
+        new MoveEvidence(seen),
         from.getNewEndpoints(),
         from.getCut());
   }
 
+  private static RouteEvidence toProto(RouteId route, VersionEvidence seen) {
+    return RouteEvidence.newBuilder()
+        .setRoute(route.value())
+        .setFailures(toProto(seen.failures()))
+        .setFirstTokens(toProto(seen.firstTokens()))
+        .setTokenGaps(toProto(seen.tokenGaps()))
+        .setNewRequests(seen.newRequests())
+        .setOldRequests(seen.oldRequests())
+        .build();
+  }
+
+  private static VersionEvidence fromProto(RouteEvidence from) {
+    return new VersionEvidence(
+        fromProto(from.getFailures()),
+        fromProto(from.getFirstTokens()),
+        fromProto(from.getTokenGaps()),
+        from.getNewRequests(),
+        from.getOldRequests());
+  }
+
   private static org.cuminwell.wire.generated.PairCounts toProto(PairCounts from) {
     return org.cuminwell.wire.generated.PairCounts.newBuilder()
         .setNewWorse(from.newWorse())
--- a/wire/src/main/java/org/cuminwell/wire/StateCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/StateCodec.java
@@ -32,6 +32,7 @@
               .setContent(ConfigurationCodec.toProto(c.content()));
       case Command.Evacuate c ->
           to.getEvacuateBuilder().setDataCentre(c.dataCentre().value()).setBegins(c.begins());
+      case Command.BeginRollout c -> to.setBeginRollout(RolloutCodec.toProto(c.order()));
       case Command.AdvanceRollout c -> to.setAdvanceRollout(RolloutCodec.toProto(c.advance()));
     }
     return to.build();
@@ -48,6 +49,8 @@
           new Command.ReplaceConfiguration(
               fromProto(from.getReplaceConfiguration().getDocument()),
               ConfigurationCodec.fromProto(from.getReplaceConfiguration().getContent()));
+      case BEGIN_ROLLOUT ->
+          new Command.BeginRollout(RolloutCodec.fromProto(from.getBeginRollout()));
       case EVACUATE ->
           new Command.Evacuate(
               new DataCentreId(from.getEvacuate().getDataCentre()), from.getEvacuate().getBegins());
--- a/wire/src/test/java/org/cuminwell/wire/ClaimAndMoveCodecTest.java
+++ b/wire/src/test/java/org/cuminwell/wire/ClaimAndMoveCodecTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.cuminwell.core.idempotency.ClaimAnswer;
@@ -24,6 +25,7 @@
 import org.cuminwell.core.model.RouteId;
 import org.cuminwell.core.model.VersionId;
 import org.cuminwell.core.peer.PeerMessage;
+import org.cuminwell.core.rollout.MoveEvidence;
 import org.cuminwell.core.rollout.PairCounts;
 import org.cuminwell.core.rollout.RolloutMessage;
 import org.cuminwell.core.rollout.RolloutProgress;
@@ -119,10 +121,14 @@
             new HostId("g1"),
             7,
             List.of(
-                new RolloutMessage.RouteReport(
-                    rollout.route(),
+                new RolloutMessage.MoveReport(
+                    rollout.subject(),
+                    rollout.to(),
                     2,
-                    new VersionEvidence(pairs, pairs, PairCounts.NONE, 9, 8),
+                    new MoveEvidence(
+                        Map.of(
+                            rollout.route(),
+                            new VersionEvidence(pairs, pairs, PairCounts.NONE, 9, 8))),
                     4,
                     true)));
     return Stream.concat(
