--- a/shell/src/test/java/org/cuminwell/shell/forward/ForwardFixture.java
+++ b/shell/src/test/java/org/cuminwell/shell/forward/ForwardFixture.java
@@ -23,6 +23,7 @@
 import org.cuminwell.core.forward.ForwardEvent;
 import org.cuminwell.core.forward.ForwardNote;
 import org.cuminwell.core.forward.Forwarder;
+import org.cuminwell.core.forward.Intake;
 import org.cuminwell.core.limit.ShareHolder;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.membership.EndpointTable;
@@ -88,7 +89,7 @@
             ConfigurationIndex.of(configuration(repeat)),
             now,
             new ShareHolder(HERE, 1, now),
-            false);
+            new Intake.All());
     front = new ForwardFront(http, time, new PlainDialect(), this::decide, this::decide);
     http.serveConnections(callers, front::connection);
     timer = Thread.ofVirtual().start(this::tick);
