Hand over a large request's tokens whole where the burst can't hold one for each gateway

Cause: max-min divided a customer's burst over all gateways that had sent any request of late. With 76 of them each part is smaller than one request, so that none can run anywhere, while the tokens lie idle in parts that can't be used. Class: a limit divided below the size of what it limits.

Change: where one largest request of each holder does not fit in the burst, nothing is shared out ahead. Tokens stay in the pool, and a gateway whose request waits gets all that it lacks, in the order of asking, with room for just that; the share ends once the handing over is acknowledged. A division costs time in proportion to holders, and no longer to their square.

ShareBoundTest and ShareFaultTest hold.

The renewal of all endpoints at once never began again at a receiver that had missed a message, if the full answer came after a change that it held already: it asked for everything each second. Found by review; the new case of MembershipExchangeTest failed before in all three rows.

--- a/core/src/main/java/org/cuminwell/core/limit/Allotted.java
+++ b/core/src/main/java/org/cuminwell/core/limit/Allotted.java
@@ -1,5 +1,6 @@
 package org.cuminwell.core.limit;
 
+import java.time.Instant;
 import java.util.ArrayDeque;
 import org.cuminwell.core.limit.LimitMessage.Allotment;
 import org.cuminwell.core.limit.LimitMessage.Demand;
@@ -16,6 +17,7 @@
 
   private final ArrayDeque<State> possible = new ArrayDeque<>();
   private Demand demand;
+  private Instant missingSince = Instant.MIN;
   private boolean overRate;
 
   private record State(long number, Share share, long credit) {}
@@ -36,12 +38,30 @@
   }
 
   /** Takes in a demand, and returns how many tokens came back since the one before. */
-  long demand(Demand news) {
+  long demand(Demand news, Instant now) {
     long returned = Math.max(0, news.returnedTokens() - demand.returnedTokens());
+    if (!isMissing()) {
+      missingSince = now;
+    }
     demand = news;
     return returned;
   }
 
+  /** Returns whether a request lacks tokens that have not been handed over. */
+  boolean isMissing() {
+    return demand.missingTokens() > 0;
+  }
+
+  /** Returns when a request began to lack tokens, if one does. */
+  Instant missingSince() {
+    return missingSince;
+  }
+
+  /** Returns whether the holder may not have yet all that was handed over. */
+  boolean isCreditUnderWay() {
+    return possible.getLast().credit() > possible.getFirst().credit();
+  }
+
   /** Returns what a refused request lacked, once. */
   long takeMissing() {
     long missing = demand.missingTokens();
--- a/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
+++ b/core/src/main/java/org/cuminwell/core/limit/CustomerBook.java
@@ -117,28 +117,57 @@
 
   /**
    * Brings each share towards its target. A share that its holder does not need shrinks only if
-   * another needs it, so that small changes of demand move nothing.
+   * another needs it, so that small changes of demand move nothing; where requests are too large to
+   * have a part of the burst each, shares last only as long as they are needed.
    */
   void divide(Grants grants, Instant now) {
     List<Map.Entry<HostId, Allotted>> all = new ArrayList<>(holders.entrySet());
-    double[] rates = wantedRates(all);
-    double[] bursts = wantedBursts(all);
-    shrink(all, rates, bursts, grants);
-    fitPool(now);
+    List<Allotted> allotted = List.copyOf(holders.values());
+    boolean oneByOne = WholeRequests.areTooManyFor(burst, allotted);
+    double[] rates = oneByOne ? new double[all.size()] : wantedRates(all);
+    double[] bursts = oneByOne ? WholeRequests.divide(burst, allotted) : wantedBursts(all);
+    boolean overRate = demand(all) > wholeRate && !(oneByOne && poolHoldsOneOf(allotted, now));
+    shrink(all, rates, bursts, overRate, grants);
+    Booked booked = new Booked(bookedRate(), bookedBurst());
+    fitPool(booked, now);
     for (int i = 0; i < all.size(); i++) {
-      Share before = all.get(i).getValue().share();
+      Allotted holder = all.get(i).getValue();
+      booked = booked.without(holder);
+      Share before = holder.share();
       Share target =
           new Share(
               target(before.tokensPerSecond(), rates[i]), target(before.burstTokens(), bursts[i]));
-      grow(all.get(i), target, grants, now);
+      boolean set =
+          oneByOne
+              ? growByRequest(all.get(i), target, booked, grants, now)
+              : grow(all.get(i), target, booked, grants, now);
+      booked = booked.with(holder);
+      if (set) {
+        fitPool(booked, now);
+      }
+    }
+  }
+
+  /** Sums what may be in use of rate and burst. Immutable and thread safe. */
+  private record Booked(long rate, long burst) {
+
+    Booked with(Allotted holder) {
+      return new Booked(rate + holder.bookedRate(), burst + holder.bookedBurst());
+    }
+
+    Booked without(Allotted holder) {
+      return new Booked(rate - holder.bookedRate(), burst - holder.bookedBurst());
     }
   }
 
   private void shrink(
-      List<Map.Entry<HostId, Allotted>> all, double[] rates, double[] bursts, Grants grants) {
+      List<Map.Entry<HostId, Allotted>> all,
+      double[] rates,
+      double[] bursts,
+      boolean overRate,
+      Grants grants) {
     boolean needsRate = isNeeded(all, rates, rate - bookedRate(), Share::tokensPerSecond);
     boolean needsBurst = isNeeded(all, bursts, burst - bookedBurst(), Share::burstTokens);
-    boolean overRate = demand(all) > wholeRate;
     for (int i = 0; i < all.size(); i++) {
       Allotted allotted = all.get(i).getValue();
       Share before = allotted.share();
@@ -152,6 +181,12 @@
     }
   }
 
+  /** Returns whether the pool holds the largest request of any holder. */
+  private boolean poolHoldsOneOf(List<Allotted> all, Instant now) {
+    long largest = all.stream().mapToLong(a -> a.demand().largestTokens()).max().orElse(0);
+    return pool.level(now) >= (double) largest;
+  }
+
   /** Returns whether those who have too little need more than is free. */
   private static boolean isNeeded(
       List<Map.Entry<HostId, Allotted>> all,
@@ -175,11 +210,17 @@
     return (double) before < ENOUGH * wanted ? (long) wanted : before;
   }
 
-  private void grow(Map.Entry<HostId, Allotted> holder, Share target, Grants grants, Instant now) {
+  /**
+   * Lets a share grow as far as there is room, and returns whether it was set anew.
+   *
+   * @param others what all others may have in use
+   */
+  private boolean grow(
+      Map.Entry<HostId, Allotted> holder, Share target, Booked others, Grants grants, Instant now) {
     Allotted allotted = holder.getValue();
     Share before = allotted.share();
-    long freeRate = Math.max(0, rate - bookedRate());
-    long freeBurst = Math.max(0, burst - bookedBurst());
+    long freeRate = Math.max(0, rate - others.rate() - allotted.bookedRate());
+    long freeBurst = Math.max(0, burst - others.burst() - allotted.bookedBurst());
     Share after =
         new Share(
             Math.min(target.tokensPerSecond(), before.tokensPerSecond() + freeRate),
@@ -187,11 +228,42 @@
     long added = after.burstTokens() - before.burstTokens();
     long wanted = Math.max(added, Math.min(freeBurst, allotted.takeMissing()));
     long credit = Math.min(wanted, (long) Math.max(0, pool.level(now)));
-    if (!after.equals(before) || credit > 0) {
-      pool.charge(credit, now);
-      allotted.set(grants.next(holder.getKey(), customer), after, credit, allotted.isOverRate());
-      fitPool(now);
+    if (after.equals(before) && credit == 0) {
+      return false;
     }
+    set(holder, after, credit, grants, now);
+    return true;
+  }
+
+  /**
+   * Hands over all that the holder's waiting request lacks, or nothing yet, and returns whether it
+   * did.
+   */
+  private boolean growByRequest(
+      Map.Entry<HostId, Allotted> holder, Share target, Booked others, Grants grants, Instant now) {
+    Allotted allotted = holder.getValue();
+    if (allotted.isCreditUnderWay()) {
+      // The holder may have asked before what is under way reached it; it asks again if it lacks
+      // more.
+      allotted.takeMissing();
+      return false;
+    }
+    long freeBurst = burst - others.burst() - allotted.bookedBurst();
+    long added = target.burstTokens() - allotted.share().burstTokens();
+    long credit = allotted.demand().missingTokens();
+    boolean hasRoom = target.burstTokens() > 0 && Math.max(added, credit) <= freeBurst;
+    if (credit == 0 || !hasRoom || (double) credit > pool.level(now)) {
+      return false;
+    }
+    set(holder, target, allotted.takeMissing(), grants, now);
+    return true;
+  }
+
+  private void set(
+      Map.Entry<HostId, Allotted> holder, Share share, long credit, Grants grants, Instant now) {
+    Allotted allotted = holder.getValue();
+    pool.charge(credit, now);
+    allotted.set(grants.next(holder.getKey(), customer), share, credit, allotted.isOverRate());
   }
 
   private double[] wantedRates(List<Map.Entry<HostId, Allotted>> all) {
@@ -233,9 +305,13 @@
   }
 
   private void fitPool(Instant now) {
+    fitPool(new Booked(bookedRate(), bookedBurst()), now);
+  }
+
+  private void fitPool(Booked booked, Instant now) {
     pool.change(
-        (double) Math.max(0, rate - bookedRate()),
-        (double) Math.max(0, burst - bookedBurst()),
+        (double) Math.max(0, rate - booked.rate()),
+        (double) Math.max(0, burst - booked.burst()),
         now);
   }
 
--- a/core/src/main/java/org/cuminwell/core/limit/HeldLimit.java
+++ b/core/src/main/java/org/cuminwell/core/limit/HeldLimit.java
@@ -22,6 +22,9 @@
   /** A request of at most this part of the floor's burst needs no share. */
   private static final double FLOOR_SUFFICES = 0.5;
 
+  /** A share of fewer of the largest requests is for one of them. */
+  private static final double ONE_REQUEST = 2;
+
   private final DemandMeter meter;
   private Customer customer;
   private double floorPart;
@@ -90,10 +93,19 @@
     fit(now);
   }
 
+  /** Returns whether the share holds no more than one of the largest requests. */
+  boolean isForOneRequest() {
+    return share.burstTokens() > 0 && (double) share.burstTokens() < ONE_REQUEST * meter.largest();
+  }
+
   /** Takes on a share, and the tokens that were handed over with it. */
   void allot(Allotment allotment, Instant now) {
     share = allotment.share();
     overRate = allotment.overRate();
+    if (allotment.creditTokens() > credited && isForOneRequest()) {
+      // What still waits says so again when it is tried with the new tokens.
+      missing = 0;
+    }
     returned += fit(now);
     bucket.charge(credited - allotment.creditTokens(), now);
     credited = Math.max(credited, allotment.creditTokens());
--- a/core/src/main/java/org/cuminwell/core/limit/ShareGranter.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareGranter.java
@@ -222,7 +222,7 @@
     }
     CustomerBook book = book(customer);
     holder.customers.add(customer.id());
-    long returned = book.of(from).demand(demand);
+    long returned = book.of(from).demand(demand, now);
     if (holder.acknowledged > 0 && !now.isBefore(grantsFrom)) {
       book.giveBack(returned, now);
     }
--- a/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
@@ -293,11 +293,12 @@
       }
       limit = limit(customer, now);
     }
-    if (isLess(allotment.share(), limit.share())) {
+    boolean shrinks = isLess(allotment.share(), limit.share());
+    limit.allot(allotment, now);
+    if (shrinks || limit.isForOneRequest()) {
       acknowledges = true;
       urgent = true;
     }
-    limit.allot(allotment, now);
   }
 
   private static boolean isLess(Share share, Share before) {
--- a/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
+++ b/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
@@ -184,13 +184,15 @@
       return List.of();
     }
     boolean isGap = news.from() != 0 && (news.start() != old.start() || news.from() != old.to());
+    boolean tellsEverything =
+        news.from() == 0 && (news.start() > old.start() || news.to() >= old.to());
     Renewable known = renewable.computeIfAbsent(peer, _ -> new Renewable());
     if (isGap) {
       known.missed();
-    } else if (!isLate && news.from() == 0) {
+    } else if (tellsEverything) {
       known.begin();
     }
-    if (!isLate) {
+    if (!isLate || tellsEverything) {
       seen.put(peer, new Version(news.start(), news.to()));
       news.items().forEach(known::take);
     }
--- a/core/src/test/java/org/cuminwell/core/membership/MembershipExchangeTest.java
+++ b/core/src/test/java/org/cuminwell/core/membership/MembershipExchangeTest.java
@@ -28,6 +28,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Holds that gateways of a data centre agree on endpoints and that lives are never lengthened. */
 final class MembershipExchangeTest {
@@ -192,6 +193,35 @@
     assertThat(centre.knowing("silent")).isZero();
   }
 
+  @ParameterizedTest(name = "{0} changes told before the answer")
+  @ValueSource(ints = {1, 2, 5})
+  void anAnswerThatFollowsChangesItAlreadyHoldsEndsTheAsking(int changes) {
+    HostId teller = new HostId("teller");
+    HostId listener = new HostId("listener");
+    var telling = new MembershipExchange(() -> List.of(listener), new EndpointTable());
+    var listening = new MembershipExchange(List::of, new EndpointTable());
+    Instant now = Instant.ofEpochSecond(1_000);
+    telling.announced(announcement("first", 1), now);
+    telling.tick(now);
+    for (int i = 0; i < changes; i++) {
+      telling.announced(announcement("later" + i, 1, 2 + i), now);
+      heard(listening, teller, telling.tick(now.plusMillis(1 + i)), now);
+    }
+    heard(listening, teller, telling.hear(listener, new MembershipMessage.AskAll(), now), now);
+
+    Instant renewed = now.plus(MembershipExchange.RENEW_PERIOD);
+    assertThat(heard(listening, teller, telling.tick(renewed), renewed)).isEmpty();
+  }
+
+  private static List<Outgoing> heard(
+      MembershipExchange listening, HostId teller, List<Outgoing> messages, Instant now) {
+    return messages.stream()
+        .map(Outgoing::message)
+        .map(PeerMessage.Membership.class::cast)
+        .flatMap(m -> listening.hear(teller, m.message(), now).stream())
+        .toList();
+  }
+
   static LongStream seeds() {
     return LongStream.range(0, 300);
   }
