--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/http/BoundedTransport.java
@@ -0,0 +1,21 @@
+package org.cuminwell.shell.http;
+
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.ClientTransport;
+import org.apache.pekko.http.javadsl.OutgoingConnection;
+import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.util.ByteString;
+
+/** Connects over TCP and bounds the head of what comes back. Thread safe. */
+final class BoundedTransport extends ClientTransport {
+
+  private final ClientTransport tcp = ClientTransport.TCP();
+
+  @Override
+  public Flow<ByteString, ByteString, CompletionStage<OutgoingConnection>> connectTo(
+      String host, int port, ClientConnectionSettings settings, ActorSystem system) {
+    return tcp.connectTo(host, port, settings, system).via(new AnswerHeadStage());
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/http/SingleCall.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/SingleCall.java
@@ -28,12 +28,13 @@
 
   private final SharedKillSwitch connection = KillSwitches.shared("call");
 
-  /** Returns settings with which quiet connections are probed. */
+  /** Returns settings with which quiet connections are probed and heads are bounded. */
   public static ClientConnectionSettings settings(HttpSystem http, Duration connectTimeout) {
     return ClientConnectionSettings.create(http.actors())
         .withConnectingTimeout(
             scala.concurrent.duration.Duration.fromNanos(connectTimeout.toNanos()))
-        .withSocketOptions(List.of(new KeepAlive()));
+        .withSocketOptions(List.of(new KeepAlive()))
+        .withTransport(new BoundedTransport());
   }
 
   /**
@@ -70,6 +71,9 @@
         && String.valueOf(cause.getMessage()).contains("Connect(")) {
       return Failure.notRun(ErrorCode.ENDPOINT_FAILED, "the endpoint takes no connection");
     }
+    if (cause instanceof BadAnswerException) {
+      return Failure.mayHaveRun(ErrorCode.ENDPOINT_FAILED, String.valueOf(cause.getMessage()));
+    }
     return Failure.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "the connection to the endpoint broke");
   }
 }
--- /dev/null
+++ b/shell/src/test/java/org/cuminwell/shell/forward/ForwardFixture.java
@@ -0,0 +1,193 @@
+package org.cuminwell.shell.forward;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.cuminwell.core.config.Configuration;
+import org.cuminwell.core.config.ConfigurationIndex;
+import org.cuminwell.core.config.Forwarding;
+import org.cuminwell.core.directory.HostDescription;
+import org.cuminwell.core.directory.HostDirectory;
+import org.cuminwell.core.forward.ForwardAction;
+import org.cuminwell.core.forward.ForwardBounds;
+import org.cuminwell.core.forward.ForwardEvent;
+import org.cuminwell.core.forward.ForwardNote;
+import org.cuminwell.core.forward.Forwarder;
+import org.cuminwell.core.limit.ShareHolder;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.membership.EndpointTable;
+import org.cuminwell.core.model.CallerLimits;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.ForwardRoute;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.HostId;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.core.model.Repeat;
+import org.cuminwell.core.model.Revision;
+import org.cuminwell.core.model.RouteId;
+import org.cuminwell.core.model.VersionId;
+import org.cuminwell.shell.FreePorts;
+import org.cuminwell.shell.duty.MonotonicTime;
+import org.cuminwell.shell.gateway.FakeEndpoint;
+import org.cuminwell.shell.http.HttpSystem;
+
+/**
+ * Forwards requests to an endpoint on a raw socket, over a gateway of its region if asked to.
+ *
+ * <p>Thread safe: one lock guards the decisions.
+ */
+final class ForwardFixture implements AutoCloseable {
+
+  static final Duration TIMEOUT = Duration.ofSeconds(4);
+
+  private static final Duration TARGET = Duration.ofMillis(100);
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Place HERE = new Place(new RegionId("coast"), new DataCentreId("dakar"));
+  private static final Place ELSEWHERE =
+      new Place(new RegionId("basin"), new DataCentreId("kaolack"));
+
+  /** Holds the failures of attempts as the decisions noted them. */
+  final List<ForwardNote.AttemptFailed> failures = new CopyOnWriteArrayList<>();
+
+  private final HttpSystem http = HttpSystem.start("forward-test");
+  private final MonotonicTime time = new MonotonicTime();
+  private final HostAddress callers = FreePorts.next();
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final ForwardFront front;
+  private final Forwarder forwarder;
+  private final Forwarder.Known known;
+  private final Thread timer;
+
+  private ForwardFixture(FakeEndpoint endpoint, Repeat repeat, boolean relayed) throws IOException {
+    Instant now = time.instant();
+    EndpointTable endpoints = new EndpointTable();
+    HostDirectory directory = new HostDirectory();
+    for (String name : List.of("e0", "e1", "e2")) {
+      endpoints.announce(announcement(name, endpoint.port(), relayed ? ELSEWHERE : HERE), now);
+    }
+    if (relayed) {
+      directory.meet(relay());
+    }
+    forwarder =
+        new Forwarder(HERE, endpoints, directory, ForwardBounds.DEFAULT, new SplittableRandom(1));
+    known =
+        new Forwarder.Known(
+            ConfigurationIndex.of(configuration(repeat)),
+            now,
+            new ShareHolder(HERE, 1, now),
+            false);
+    front = new ForwardFront(http, time, new PlainDialect(), this::decide, this::decide);
+    http.serveConnections(callers, front::connection);
+    timer = Thread.ofVirtual().start(this::tick);
+  }
+
+  static ForwardFixture start(FakeEndpoint endpoint, Repeat repeat, boolean relayed)
+      throws IOException {
+    return new ForwardFixture(endpoint, repeat, relayed);
+  }
+
+  /** Sends a request that says how many tokens its answer has at most. */
+  HttpResponse<InputStream> send(long tokens) throws IOException, InterruptedException {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + callers + "/work/1"))
+            .header(PlainDialect.TOKENS, Long.toString(tokens))
+            .POST(HttpRequest.BodyPublishers.ofString("{}"))
+            .build();
+    return client.send(request, HttpResponse.BodyHandlers.ofInputStream());
+  }
+
+  @Override
+  public void close() {
+    timer.interrupt();
+    client.shutdownNow();
+    http.close();
+  }
+
+  private synchronized boolean decide(ForwardEvent event) {
+    forwarder.handle(event, known, time.instant()).forEach(this::perform);
+    return true;
+  }
+
+  private void tick() {
+    try {
+      while (true) {
+        Thread.sleep(TICK);
+        synchronized (this) {
+          forwarder.tick(known, time.instant()).forEach(this::perform);
+        }
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void perform(ForwardAction action) {
+    if (action instanceof ForwardAction.Note note
+        && note.note() instanceof ForwardNote.AttemptFailed failed) {
+      failures.add(failed);
+    }
+    front.perform(action);
+  }
+
+  private HostDescription relay() {
+    HostAddress inner = FreePorts.next();
+    RelayFront relay =
+        new RelayFront(
+            http,
+            _ -> {
+              throw new IllegalStateException("only marked requests are expected");
+            });
+    http.serveConnections(inner, relay::connection);
+    return new HostDescription(new HostId("g1"), ELSEWHERE, inner, inner, inner, 0, false);
+  }
+
+  private static Announcement announcement(String name, int port, Place place) {
+    return new Announcement(
+        new EndpointId(name),
+        1,
+        place,
+        new HostAddress("127.0.0.1", port),
+        Set.of("work"),
+        new VersionId("1"),
+        8,
+        Duration.ofMinutes(5),
+        false);
+  }
+
+  private static Configuration configuration(Repeat repeat) {
+    ForwardRoute route =
+        new ForwardRoute(
+            new RouteId("work"),
+            PlainDialect.HOST,
+            "/work/",
+            repeat,
+            TIMEOUT,
+            TARGET,
+            0,
+            List.of(new ForwardRoute.Weighted("work", 1)),
+            3,
+            true,
+            false,
+            Set.of());
+    return new Configuration(
+        new Revision(1),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        new Forwarding(Map.of(route.id(), route), Map.of(), CallerLimits.DEFAULT, Set.of()));
+  }
+}
--- /dev/null
+++ b/shell/src/test/java/org/cuminwell/shell/forward/PlainDialect.java
@@ -0,0 +1,87 @@
+package org.cuminwell.shell.forward;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.util.ByteString;
+import org.cuminwell.core.forward.AnswerHead;
+import org.cuminwell.core.forward.ForwardAction;
+import org.cuminwell.core.forward.ForwardHead;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.routing.Prompt;
+import org.cuminwell.shell.http.HttpAnswers;
+
+/** Passes requests on as they are and shows verdicts to callers. Stateless and thread safe. */
+final class PlainDialect implements ForwardDialect {
+
+  static final String HOST = "work.invalid";
+  static final String TOKENS = "Tokens";
+
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  @Override
+  public ForwardHead readHead(RequestId id, HttpRequest request, Instant arrivedAt) {
+    long tokens = Long.parseLong(request.getHeader(TOKENS).orElseThrow().value());
+    return new ForwardHead(
+        id,
+        id.value(),
+        HOST,
+        request.getUri().path(),
+        Optional.empty(),
+        arrivedAt,
+        Optional.empty(),
+        OptionalLong.of(tokens),
+        new Prompt(List.of()));
+  }
+
+  @Override
+  public HttpRequest toEndpoint(
+      HttpRequest from,
+      ByteString body,
+      ForwardHead head,
+      ForwardAction.Send order,
+      Optional<String> lastEventId) {
+    HttpRequest to =
+        HttpRequest.POST(from.getUri().path())
+            .addHeader(RawHeader.create("Connection", "close"))
+            .withEntity(ContentTypes.APPLICATION_JSON, body.toArray());
+    return lastEventId.map(id -> to.addHeader(RawHeader.create("Last-Event-Id", id))).orElse(to);
+  }
+
+  @Override
+  public AnswerHead readAnswer(HttpResponse answer, ForwardHead head) {
+    int status = answer.status().intValue();
+    return status >= FIRST_SERVER_ERROR
+        ? new AnswerHead.Failed(status)
+        : new AnswerHead.Final(status);
+  }
+
+  @Override
+  public HttpResponse refusal(Optional<ForwardHead> head, Failure failure) {
+    return HttpResponse.create()
+        .withStatus(failure.code().httpStatus())
+        .addHeader(RawHeader.create(HttpAnswers.VERDICT_HEADER, failure.verdict().label()))
+        .withEntity(failure.message());
+  }
+
+  @Override
+  public HttpRequest warmUpRequest(int number) {
+    throw new UnsupportedOperationException("nothing is warmed up here");
+  }
+
+  @Override
+  public HttpResponse warmUpAnswer(HttpRequest request) {
+    throw new UnsupportedOperationException("nothing is warmed up here");
+  }
+
+  @Override
+  public HttpResponse readiness(HttpRequest request, boolean ready) {
+    throw new UnsupportedOperationException("readiness is not asked for here");
+  }
+}
