A connection that can't be set up no longer ends its listener

Seen by callers: connection refused at a host that says ready, until it is started again. Cause: connections are accepted by one stream; an exception while one of them is set up ended it, which gives the address back, and readiness, which asks the deciding thread only, was told nothing. Evidence: ListenerUnderLoadTest.connectionThatCannotBeSetUpDoesNotEndTheListener, 3 of 3 cases refused before. Not shown to be what the incident's host did: its record holds no line of the process. Change: ConnectionAcceptor, split off HttpSystem, closes such a connection and logs why. If the accepting stream ends all the same without an unbind, the process halts like one whose duty failed (FailedProcess, taken out of Duty), so that nobody is sent to it. The same question elsewhere: the relay's listener goes through the same code; the control hosts' and the readiness listener use the library's own bind. The halt itself is not tested.

--- a/shell/src/main/java/org/cuminwell/shell/duty/Duty.java
+++ b/shell/src/main/java/org/cuminwell/shell/duty/Duty.java
@@ -1,8 +1,6 @@
 package org.cuminwell.shell.duty;
 
 import java.util.function.Consumer;
-import java.util.logging.Handler;
-import java.util.logging.Logger;
 
 /**
  * Runs one duty: a thread that takes the elements of a ring one by one and passes each to a
@@ -14,11 +12,6 @@
  */
 public final class Duty<E> implements AutoCloseable {
 
-  private static final System.Logger LOG = System.getLogger(Duty.class.getName());
-
-  /** The exit code of a process that halts because a duty failed. */
-  public static final int FAILED_EXIT_CODE = 70;
-
   private final Ring<E> ring;
   private final Consumer<E> handler;
   private final Thread thread;
@@ -43,13 +36,6 @@
     thread.interrupt();
   }
 
-  /** Flushes buffered log lines, since a halt runs no shutdown hooks. */
-  private static void flushLog() {
-    for (Handler handler : Logger.getLogger("").getHandlers()) {
-      handler.flush();
-    }
-  }
-
   private void run() {
     try {
       while (!Thread.currentThread().isInterrupted()) {
@@ -58,12 +44,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } catch (RuntimeException | Error e) {
-      LOG.log(
-          System.Logger.Level.ERROR,
-          "the process ends, since its duty " + thread.getName() + " failed",
-          e);
-      flushLog();
-      Runtime.getRuntime().halt(FAILED_EXIT_CODE);
+      FailedProcess.halt("its duty " + thread.getName() + " failed", e);
     }
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpListener.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpListener.java
@@ -23,6 +23,7 @@
 
   private final SharedKillSwitch requestReading = KillSwitches.shared("requests");
   private @Nullable ServerBinding binding;
+  private boolean unbindRequested;
   private int openConnections;
 
   /**
@@ -34,6 +35,7 @@
     ServerBinding currentBinding;
     synchronized (this) {
       currentBinding = binding;
+      unbindRequested = true;
     }
     if (currentBinding == null) {
       throw new IllegalStateException("the listener is not bound yet");
@@ -58,6 +60,11 @@
     return openConnections;
   }
 
+  /** Returns whether {@link #unbind} was called. */
+  synchronized boolean isUnbindRequested() {
+    return unbindRequested;
+  }
+
   /** Sets the binding once the address is bound. */
   synchronized void setBinding(ServerBinding to) {
     binding = to;
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
@@ -8,17 +8,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
-import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
-import org.apache.pekko.http.javadsl.IncomingConnection;
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.stream.OverflowStrategy;
 import org.apache.pekko.stream.SystemMaterializer;
+import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.shell.duty.FailedProcess;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Runs the HTTP servers and clients of a process with Pekko HTTP, on one actor system.
@@ -78,6 +78,7 @@
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
 
   private final ActorSystem system;
+  private volatile boolean closing;
 
   private HttpSystem(ActorSystem system) {
     this.system = system;
@@ -119,17 +120,18 @@
   public HttpListener serveConnections(
       HostAddress address, Supplier<HttpConnectionHandler> handlerFactory) {
     HttpListener listener = new HttpListener();
+    ConnectionAcceptor acceptor =
+        new ConnectionAcceptor(
+            listener, handlerFactory, SystemMaterializer.get(system).materializer());
     try {
-      listener.setBinding(
+      var running =
           http()
               .newServerAt(address.host(), address.port())
               .connectionSource()
-              .to(
-                  Sink.foreach(
-                      connection -> serveConnection(connection, listener, handlerFactory.get())))
-              .run(system)
-              .toCompletableFuture()
-              .join());
+              .toMat(Sink.foreach(acceptor::accept), Keep.both())
+              .run(system);
+      listener.setBinding(running.first().toCompletableFuture().join());
+      var _ = running.second().whenComplete((_, error) -> onAcceptingEnded(listener, error));
       return listener;
     } catch (CompletionException e) {
       throw new IllegalStateException("can't listen at HTTP address " + address, e.getCause());
@@ -137,29 +139,13 @@
   }
 
   /**
-   * Handles the requests of one connection, one after another. The handler is notified when no
-   * further request can be read; the listener counts the connection as ended when its response
-   * stream has ended too.
+   * Ends the process if connections are no longer accepted though nobody asked for it, since
+   * callers would still be sent to it.
    */
-  private void serveConnection(
-      IncomingConnection connection, HttpListener listener, HttpConnectionHandler handler) {
-    listener.recordConnectionOpened();
-    connection.handleWith(
-        listener
-            .requestFlow()
-            .watchTermination(
-                (_, ended) -> {
-                  var _ = ended.whenComplete((_, _) -> handler.onDisconnected());
-                  return NotUsed.getInstance();
-                })
-            .buffer(1, OverflowStrategy.backpressure())
-            .mapAsync(1, handler::handle)
-            .watchTermination(
-                (_, completed) -> {
-                  var _ = completed.whenComplete((_, _) -> listener.recordConnectionEnded());
-                  return NotUsed.getInstance();
-                }),
-        SystemMaterializer.get(system).materializer());
+  private void onAcceptingEnded(HttpListener listener, @Nullable Throwable error) {
+    if (!closing && !listener.isUnbindRequested()) {
+      FailedProcess.halt("an HTTP listener no longer accepts connections", error);
+    }
   }
 
   /** Returns the Pekko HTTP entry point for servers and clients. */
@@ -180,6 +166,7 @@
 
   /** Closes all connections and waits until the addresses are free again or the time is up. */
   public void close(Duration atMost) {
+    closing = true;
     system.terminate();
     system
         .getWhenTerminated()
--- a/shell/src/test/java/org/cuminwell/shell/http/ListenerUnderLoadTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/http/ListenerUnderLoadTest.java
@@ -44,7 +44,6 @@
     http.close();
   }
 
-  @Tag("known-red")
   @ParameterizedTest(name = "no handler for the first {0} connections")
   @ValueSource(ints = {1, 2, 40})
   void connectionThatCannotBeSetUpDoesNotEndTheListener(int failing) throws IOException {
