Serve the newest connections first, and close at once those that can't be served in time

Cause: connections were accepted in the order of arrival. Once more came than could be set up, each had waited longer than its caller's second when it was accepted, and so had all after it: no caller was served however much the host worked. Change: a thread of its own accepts every connection at once. ConnectionQueue, without input or output, has 8 set up at a time, the newest first, and closes unread those that would wait for more than 0.5 s or behind more than 64; a connection closed unread tells its caller that nothing ran, and the caller can try another host at once. Result: ConnectionQueueTest (1.0 to 100 times more callers than can be served): at least 0.95 of the capacity is set up within a second and none later; in order of arrival nothing is, once the backlog is longer than that.

--- a/shell/src/main/java/org/cuminwell/shell/gateway/ListenerLog.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/ListenerLog.java
@@ -29,7 +29,7 @@
     String prefix = name + "_connections_";
     telemetry.gauge(prefix + "accepted", () -> figures().accepted());
     telemetry.gauge(prefix + "open", () -> figures().open());
-    telemetry.gauge(prefix + "setting_up", () -> figures().settingUp());
+    telemetry.gauge(prefix + "shed", () -> figures().shed());
     telemetry.gauge(name + "_requests_dropped", () -> figures().dropped());
   }
 
@@ -48,7 +48,7 @@
         .put("listener", name)
         .put("accepted", now.accepted())
         .put("open", now.open())
-        .put("setting_up", now.settingUp())
+        .put("shed", now.shed())
         .put("dropped", now.dropped())
         .toString();
   }
--- a/shell/src/main/java/org/cuminwell/shell/http/ConnectionAcceptor.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/ConnectionAcceptor.java
@@ -1,99 +1,102 @@
 package org.cuminwell.shell.http;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
 import java.util.function.Supplier;
-import org.apache.pekko.Done;
+import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.ActorSystem;
-import org.apache.pekko.http.javadsl.IncomingConnection;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.stream.Materializer;
 import org.apache.pekko.stream.SystemMaterializer;
 import org.apache.pekko.stream.javadsl.Flow;
-import org.apache.pekko.stream.javadsl.Keep;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
 import org.cuminwell.shell.duty.MonotonicTime;
 
 /**
- * Connects each accepted connection of a listener to a handler of its own.
+ * Connects each accepted connection of a listener to a handler of its own, as {@link
+ * ConnectionQueue} decides.
  *
- * <p>Invariants: a connection that can't be set up is closed and has no effect on others. At most
- * {@link #MAX_SETTING_UP} connections are being set up; further ones wait in the listener's
- * backlog, so that those that were accepted are served soon. Thread safe.
+ * <p>Invariant: a connection that can't be set up is closed and has no effect on others. Thread
+ * safe.
  */
 final class ConnectionAcceptor {
 
-  /** The maximum number of connections that are set up at the same time. */
-  static final int MAX_SETTING_UP = 16;
-
-  /** How long after no connection could be set up the backlog may still hold one of that time. */
-  private static final Duration MAX_BACKLOG_TIME = Duration.ofSeconds(2);
+  /** How long a connection must have waited for its caller to have left, possibly. */
+  private static final Duration LATE_AFTER = Duration.ofMillis(100);
 
   private static final System.Logger LOG = System.getLogger(ConnectionAcceptor.class.getName());
 
   private final HttpListener listener;
   private final Supplier<HttpConnectionHandler> handlerFactory;
+  private final Function<
+          Flow<HttpRequest, HttpResponse, NotUsed>, Flow<ByteString, ByteString, NotUsed>>
+      codec;
   private final ActorSystem system;
   private final Materializer materializer;
   private final InstantSource time = new MonotonicTime();
-  private int backlogLeft;
-  private Instant lastFullAt = Instant.EPOCH;
+  private final ConnectionQueue<Tcp.IncomingConnection> queue = new ConnectionQueue<>();
 
+  /** Creates an acceptor; {@code codec} adds the encoding of requests and responses to a flow. */
   ConnectionAcceptor(
-      HttpListener listener, Supplier<HttpConnectionHandler> handlerFactory, ActorSystem system) {
+      HttpListener listener,
+      Supplier<HttpConnectionHandler> handlerFactory,
+      Function<Flow<HttpRequest, HttpResponse, NotUsed>, Flow<ByteString, ByteString, NotUsed>>
+          codec,
+      ActorSystem system) {
     this.listener = listener;
     this.handlerFactory = handlerFactory;
+    this.codec = codec;
     this.system = system;
     this.materializer = SystemMaterializer.get(system).materializer();
   }
 
-  /** Returns a sink that takes connections as fast as they can be set up. */
-  Sink<IncomingConnection, CompletionStage<Done>> sink() {
-    return Flow.of(IncomingConnection.class)
-        .mapAsyncUnordered(MAX_SETTING_UP, this::accept)
-        .toMat(Sink.ignore(), Keep.right());
+  /** Sets the connection up now or later, or closes it. */
+  void accept(Tcp.IncomingConnection connection) {
+    listener.recordAccepted();
+    ConnectionQueue.Decision<Tcp.IncomingConnection> decision;
+    synchronized (queue) {
+      decision = queue.add(connection, time.instant());
+    }
+    perform(decision);
+  }
+
+  private void onSetUp() {
+    ConnectionQueue.Decision<Tcp.IncomingConnection> decision;
+    synchronized (queue) {
+      decision = queue.recordSetUp(time.instant());
+    }
+    perform(decision);
+  }
+
+  private void perform(ConnectionQueue.Decision<Tcp.IncomingConnection> decision) {
+    listener.recordShed(decision.closed().size());
+    decision.closed().forEach(this::close);
+    decision.next().ifPresent(this::setUp);
   }
 
-  /** Serves the connection, or closes it if that fails; the stage completes once it is set up. */
-  private CompletionStage<Done> accept(IncomingConnection connection) {
-    boolean late = mayHaveWaited(time.instant());
-    CompletionStage<Done> setUp;
+  private void setUp(ConnectionQueue.Next<Tcp.IncomingConnection> next) {
+    boolean late = next.waited().compareTo(LATE_AFTER) >= 0;
     try {
       AcceptedConnection accepted =
           new AcceptedConnection(handlerFactory.get(), late, listener, system);
-      connection.handleWith(accepted.requestHandling(), materializer);
-      setUp = accepted.setUp();
+      next.connection().handleWith(codec.apply(accepted.requestHandling()), materializer);
+      var _ = accepted.setUp().thenRun(this::onSetUp);
     } catch (RuntimeException e) {
       LOG.log(System.Logger.Level.ERROR, "closed a connection that could not be set up", e);
-      close(connection);
-      setUp = CompletableFuture.completedFuture(Done.getInstance());
-    }
-    return setUp.whenComplete((_, _) -> listener.recordSetUpEnded());
-  }
-
-  /**
-   * Counts a connection that is accepted now and returns whether it may have waited in the backlog:
-   * not long ago no connection could be set up, and the backlog has not been emptied for certain
-   * since then.
-   */
-  private boolean mayHaveWaited(Instant now) {
-    boolean waited = backlogLeft > 0 && now.isBefore(lastFullAt.plus(MAX_BACKLOG_TIME));
-    backlogLeft--;
-    if (listener.recordSetUpStarted() >= MAX_SETTING_UP) {
-      backlogLeft = HttpSystem.BACKLOG;
-      lastFullAt = now;
+      close(next.connection());
+      onSetUp();
     }
-    return waited;
   }
 
-  private void close(IncomingConnection connection) {
+  /** Closes a connection without reading from it, which tells its caller that nothing has run. */
+  private void close(Tcp.IncomingConnection connection) {
     connection.handleWith(
-        Flow.<HttpRequest, HttpResponse>fromSinkAndSource(Sink.cancelled(), Source.empty()),
+        Flow.<ByteString, ByteString>fromSinkAndSource(Sink.cancelled(), Source.empty()),
         materializer);
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpListener.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpListener.java
@@ -5,11 +5,11 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.pekko.Done;
 import org.apache.pekko.NotUsed;
-import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.stream.KillSwitches;
 import org.apache.pekko.stream.SharedKillSwitch;
 import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Tcp;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,11 +22,11 @@
 public final class HttpListener {
 
   private final SharedKillSwitch requestReading = KillSwitches.shared("requests");
-  private @Nullable ServerBinding binding;
+  private Tcp.@Nullable ServerBinding binding;
   private boolean unbindRequested;
   private int openConnections;
-  private int settingUp;
   private long acceptedConnections;
+  private long shedConnections;
   private long droppedRequests;
 
   /**
@@ -35,7 +35,7 @@
    * @throws IllegalStateException if the listener has not been bound
    */
   public CompletionStage<Done> unbind() {
-    ServerBinding currentBinding;
+    Tcp.ServerBinding currentBinding;
     synchronized (this) {
       currentBinding = binding;
       unbindRequested = true;
@@ -43,7 +43,7 @@
     if (currentBinding == null) {
       throw new IllegalStateException("the listener is not bound yet");
     }
-    return currentBinding.unbind();
+    return currentBinding.unbind().thenApply(_ -> Done.getInstance());
   }
 
   /**
@@ -69,7 +69,7 @@
   }
 
   /** Sets the binding once the address is bound. */
-  synchronized void setBinding(ServerBinding to) {
+  synchronized void setBinding(Tcp.ServerBinding to) {
     binding = to;
   }
 
@@ -80,18 +80,18 @@
 
   /** Returns the figures of this listener. */
   public synchronized ListenerFigures figures() {
-    return new ListenerFigures(acceptedConnections, openConnections, settingUp, droppedRequests);
+    return new ListenerFigures(
+        acceptedConnections, openConnections, shedConnections, droppedRequests);
   }
 
-  /** Counts an accepted connection as being set up; returns how many are now. */
-  synchronized int recordSetUpStarted() {
+  /** Counts an accepted connection. */
+  synchronized void recordAccepted() {
     acceptedConnections++;
-    return ++settingUp;
   }
 
-  /** Counts a connection as set up. */
-  synchronized void recordSetUpEnded() {
-    settingUp--;
+  /** Counts connections that were closed since they would have waited too long. */
+  synchronized void recordShed(int count) {
+    shedConnections += count;
   }
 
   /** Counts a request that was dropped since its caller had left. */
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpSystem.java
@@ -3,17 +3,26 @@
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.apache.pekko.NotUsed;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.ActorAttributes;
+import org.apache.pekko.stream.javadsl.BidiFlow;
+import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.shell.duty.FailedProcess;
 import org.jspecify.annotations.Nullable;
@@ -26,7 +35,7 @@
  */
 public final class HttpSystem implements AutoCloseable {
 
-  /** How many connections wait to be accepted; more would wait longer than callers do. */
+  /** The maximum number of connections that the operating system holds until they are accepted. */
   static final int BACKLOG = 128;
 
   private static final String SETTINGS =
@@ -35,6 +44,10 @@
         loglevel = WARNING
         stdout-loglevel = WARNING
         log-dead-letters = off
+        cuminwell-accept-dispatcher {
+          type = PinnedDispatcher
+          executor = thread-pool-executor
+        }
         coordinated-shutdown.run-by-jvm-shutdown-hook = off
         coordinated-shutdown.run-by-actor-system-terminate = off
         jvm-exit-on-fatal-error = on
@@ -77,6 +90,10 @@
       """
           .formatted(BACKLOG);
 
+  /** Accepting has a thread of its own, so that it goes on however much is being handled. */
+  private static final String ACCEPT_DISPATCHER = "pekko.cuminwell-accept-dispatcher";
+
+  private static final Duration SERVER_IDLE_TIMEOUT = Duration.ofMinutes(5);
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
 
   private final ActorSystem system;
@@ -122,13 +139,20 @@
   public HttpListener serveConnections(
       HostAddress address, Supplier<HttpConnectionHandler> handlerFactory) {
     HttpListener listener = new HttpListener();
-    ConnectionAcceptor acceptor = new ConnectionAcceptor(listener, handlerFactory, system);
+    ConnectionAcceptor acceptor =
+        new ConnectionAcceptor(listener, handlerFactory, serverCodec(), system);
     try {
       var running =
-          http()
-              .newServerAt(address.host(), address.port())
-              .connectionSource()
-              .toMat(acceptor.sink(), Keep.both())
+          Tcp.get(system)
+              .bind(
+                  address.host(),
+                  address.port(),
+                  BACKLOG,
+                  List.of(),
+                  false,
+                  Optional.of(SERVER_IDLE_TIMEOUT))
+              .toMat(Sink.foreach(acceptor::accept), Keep.both())
+              .withAttributes(ActorAttributes.dispatcher(ACCEPT_DISPATCHER))
               .run(system);
       listener.setBinding(running.first().toCompletableFuture().join());
       var _ = running.second().whenComplete((_, error) -> onAcceptingEnded(listener, error));
@@ -148,6 +172,14 @@
     }
   }
 
+  /** Returns a function that adds the encoding of requests and responses to a flow. */
+  private Function<Flow<HttpRequest, HttpResponse, NotUsed>, Flow<ByteString, ByteString, NotUsed>>
+      serverCodec() {
+    BidiFlow<ByteString, HttpRequest, HttpResponse, ByteString, NotUsed> codec =
+        http().serverLayer().atop(PlainTransport.stage()).reversed();
+    return codec::join;
+  }
+
   /** Returns the Pekko HTTP entry point for servers and clients. */
   public Http http() {
     return Http.get(system);
--- a/shell/src/main/java/org/cuminwell/shell/http/ListenerFigures.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/ListenerFigures.java
@@ -5,7 +5,8 @@
  *
  * @param accepted the number of connections accepted since the start
  * @param open the number of connections that are open
- * @param settingUp the number of connections whose first request has not been handled yet
+ * @param shed the number of connections closed unread since the start because they would have
+ *     waited too long
  * @param dropped the number of requests dropped since the start because their callers had left
  */
-public record ListenerFigures(long accepted, int open, int settingUp, long dropped) {}
+public record ListenerFigures(long accepted, int open, long shed, long dropped) {}
