--- a/shell/src/main/java/org/cuminwell/shell/http/ClientConnections.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/ClientConnections.java
@@ -129,7 +129,7 @@
 
   /** Keeps a connection whose response was received whole, or closes it if it can't be kept. */
   void release(KeptConnection connection) {
-    if (connection.makeIdle(time.instant()).isEmpty() || !tryKeep(connection)) {
+    if (!connection.tryMakeIdle(time.instant()) || !tryKeep(connection)) {
       connection.abort(new CallEndedException("the connection is not kept"));
     }
   }
--- a/shell/src/main/java/org/cuminwell/shell/http/KeptCall.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/KeptCall.java
@@ -46,11 +46,11 @@
     if (kept == null) {
       return sendOver(connections.open(address), named);
     }
-    long sentAt = System.nanoTime();
+    long sentAtNanos = System.nanoTime();
     return sendOver(kept, named)
         .exceptionallyCompose(
             error ->
-                isStale(error, sentAt)
+                isStale(error, Duration.ofNanos(System.nanoTime() - sentAtNanos))
                     ? sendOver(connections.open(address), named)
                     : CompletableFuture.failedFuture(error));
   }
@@ -96,8 +96,8 @@
   }
 
   /** Returns whether a kept connection had been closed by the peer when it was used. */
-  private static boolean isStale(Throwable error, long sentAtNanos) {
+  private static boolean isStale(Throwable error, Duration sinceSent) {
     return !(error instanceof MalformedResponseException)
-        && System.nanoTime() - sentAtNanos < STALE_CONNECTION_TIMEOUT.toNanos();
+        && sinceSent.compareTo(STALE_CONNECTION_TIMEOUT) < 0;
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/http/KeptConnection.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/KeptConnection.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
@@ -115,20 +114,17 @@
   }
 
   /**
-   * Makes the connection idle after a response that was received whole.
-   *
-   * @return until when it can be used again; empty if it can't
+   * Makes the connection idle after a response that was received whole, and returns whether it can
+   * be used again.
    */
-  Optional<Instant> makeIdle(Instant now) {
+  boolean tryMakeIdle(Instant now) {
     gate.expectNothing();
-    HttpResponse response;
     synchronized (this) {
-      response = latest;
-      if (closed || response == null || !allowsReuse(response)) {
-        return Optional.empty();
+      if (closed || latest == null || !allowsReuse(latest)) {
+        return false;
       }
-      idleUntil = now.plus(idleTime(response));
-      return Optional.of(idleUntil);
+      idleUntil = now.plus(idleTime(latest));
+      return true;
     }
   }
 
