Stop reusing connections until a broken MIXED is traced; a relay aborts what its gateway has left

Reading the diff found that a relay took the cancelling of a response for its end, since watchTermination doesn't tell them apart, and released the endpoint's connection instead of closing it.

--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
@@ -1,6 +1,7 @@
 package org.cuminwell.shell.forward;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -9,7 +10,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
-import org.apache.pekko.NotUsed;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
@@ -17,9 +17,9 @@
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.ResponseEntity;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
+import org.cuminwell.core.forward.ForwardAttemptOutcome;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
@@ -135,22 +135,17 @@
           : HttpEntities.createChunked(body.getContentType(), bytes);
     }
 
-    private void endWith(@Nullable Throwable error) {
-      if (error == null) {
-        complete();
-      } else {
-        abort();
-      }
+    /** Returns a stage that passes bytes unchanged and ends the request when they end. */
+    private ResponseMonitor endTracker() {
+      return new ResponseMonitor(InstantSource.system(), () -> {}, _ -> {}, this::endWith);
     }
 
-    /** Returns a flow that passes bytes unchanged and ends the request when it terminates. */
-    private Flow<ByteString, ByteString, NotUsed> endTracker() {
-      return Flow.of(ByteString.class)
-          .watchTermination(
-              (_, ended) -> {
-                var _ = ended.whenComplete((_, error) -> endWith(error));
-                return NotUsed.getInstance();
-              });
+    private void endWith(ForwardAttemptOutcome outcome) {
+      switch (outcome) {
+        case ForwardAttemptOutcome.Completed o -> complete();
+        case ForwardAttemptOutcome.Failed o -> abort();
+        case ForwardAttemptOutcome.CallerDisconnected o -> abort();
+      }
     }
   }
 
@@ -204,7 +199,7 @@
               .withEntity(request.entity());
       return relayedRequest
           .call
-          .send(endpoint, forwarded, RelayHeaders.isRepeatable(request))
+          .send(endpoint, forwarded, ClientConnections.REUSE && RelayHeaders.isRepeatable(request))
           .thenApply(
               response ->
                   HttpResponse.create()
--- a/shell/src/main/java/org/cuminwell/shell/http/ClientConnections.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/ClientConnections.java
@@ -32,6 +32,9 @@
  */
 public final class ClientConnections {
 
+  /** Whether requests are sent over kept connections; off while KNOWN-RED.txt lists MIXED. */
+  public static final boolean REUSE = false;
+
   /** The timeout for establishing a connection. */
   public static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
