Keep no idle connections while reuse is off

Cause: the read of the whole change found that with reuse off every repeatable and other call still left its connection in the pool, up to 8 for each address, where nobody took it: idle connections that count at the endpoints for as long as their Keep-Alive allows. The switch at the two callers is gone.

--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
@@ -90,7 +90,7 @@
     var _ =
         attempt
             .call()
-            .send(target, request, ClientConnections.REUSE && sendAction.isRepeatable())
+            .send(target, request, sendAction.isRepeatable())
             .whenComplete(
                 (response, error) -> {
                   firstByteTimer.cancel();
--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
@@ -199,7 +199,7 @@
               .withEntity(request.entity());
       return relayedRequest
           .call
-          .send(endpoint, forwarded, ClientConnections.REUSE && RelayHeaders.isRepeatable(request))
+          .send(endpoint, forwarded, RelayHeaders.isRepeatable(request))
           .thenApply(
               response ->
                   HttpResponse.create()
--- a/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
@@ -121,7 +121,7 @@
             now,
             new ShareHolder(LOCAL_PLACE, 1, now),
             new AcceptancePolicy.All());
-    ClientConnections connections = new ClientConnections(http, time);
+    ClientConnections connections = new ClientConnections(http, time, ClientConnections.NONE_IDLE);
     front = new ForwardFront(http, time, connections, dialect, events::offer, events::offer);
     connectionSettings = SingleCall.clientSettings(http, ClientConnections.CONNECT_TIMEOUT);
   }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -106,7 +106,7 @@
     peers.registerGauges(telemetry);
     callers = new CallerFront(http, calls, events);
     endpoints = new EndpointClient(http, events::force);
-    connections = new ClientConnections(http, time);
+    connections = new ClientConnections(http, time, ClientConnections.NONE_IDLE);
     registerConnectionGauges();
     forwarding = settings.forwarding().map(this::forwardFront);
     decide = Duty.start("decide", events.ring(), this::decide);
--- a/shell/src/main/java/org/cuminwell/shell/http/ClientConnections.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/ClientConnections.java
@@ -27,18 +27,17 @@
 /**
  * Opens connections to endpoints and other gateways and keeps those that are idle for later calls.
  *
- * <p>Invariants: a connection is used by one call at a time; at most {@link #MAX_IDLE} idle
+ * <p>Invariants: a connection is used by one call at a time; at most {@code maxIdle} idle
  * connections are kept, and {@link #MAX_IDLE_PER_ADDRESS} to one address. Thread safe.
  */
 public final class ClientConnections {
 
-  /** Whether requests are sent over kept connections; off while KNOWN-RED.txt lists MIXED. */
-  public static final boolean REUSE = false;
+  /** Keeps no connection, so that each call has one of its own. */
+  public static final int NONE_IDLE = 0;
 
   /** The timeout for establishing a connection. */
   public static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
 
-  static final int MAX_IDLE = 512;
   static final int MAX_IDLE_PER_ADDRESS = 8;
 
   /** Stands for the name of the peer in requests without a {@code Host} header. */
@@ -51,12 +50,14 @@
   private final InstantSource time;
   private final BidiFlow<HttpRequest, ByteString, ByteString, HttpResponse, NotUsed> codec;
   private final Map<HostAddress, Deque<KeptConnection>> idle = new HashMap<>();
+  private final int maxIdle;
   private int idleCount;
   private long opened;
   private long reused;
 
-  /** Creates an empty pool. */
-  public ClientConnections(HttpSystem http, InstantSource time) {
+  /** Creates an empty pool that keeps at most {@code maxIdle} idle connections. */
+  public ClientConnections(HttpSystem http, InstantSource time, int maxIdle) {
+    this.maxIdle = maxIdle;
     this.http = http;
     this.time = time;
     this.codec =
@@ -140,7 +141,7 @@
   private synchronized boolean tryKeep(KeptConnection connection) {
     Deque<KeptConnection> queue =
         idle.computeIfAbsent(connection.address(), _ -> new ArrayDeque<>());
-    if (idleCount >= MAX_IDLE || queue.size() >= MAX_IDLE_PER_ADDRESS) {
+    if (idleCount >= maxIdle || queue.size() >= MAX_IDLE_PER_ADDRESS) {
       return false;
     }
     queue.addLast(connection);
--- a/shell/src/test/java/org/cuminwell/shell/forward/ForwardFixture.java
+++ b/shell/src/test/java/org/cuminwell/shell/forward/ForwardFixture.java
@@ -71,7 +71,7 @@
 
   private final HttpSystem http = HttpSystem.start("forward-test");
   private final MonotonicTime time = new MonotonicTime();
-  private final ClientConnections connections = new ClientConnections(http, time);
+  private final ClientConnections connections = new ClientConnections(http, time, 512);
   private final HostAddress callerAddress = FreePorts.next();
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
--- a/shell/src/test/java/org/cuminwell/shell/forward/ForwardFrontTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/forward/ForwardFrontTest.java
@@ -71,7 +71,7 @@
           new ForwardFront(
               http,
               InstantSource.fixed(NOW),
-              new ClientConnections(http, InstantSource.fixed(NOW)),
+              new ClientConnections(http, InstantSource.fixed(NOW), 512),
               new Plain(),
               offer,
               force);
--- a/shell/src/test/java/org/cuminwell/shell/http/KeptCallTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/http/KeptCallTest.java
@@ -36,7 +36,8 @@
   private static final String INTERIM = "HTTP/1.1 100 Continue\r\n\r\n";
 
   private final HttpSystem http = HttpSystem.start("kept-call-test");
-  private final ClientConnections connections = new ClientConnections(http, InstantSource.system());
+  private final ClientConnections connections =
+      new ClientConnections(http, InstantSource.system(), 512);
 
   @AfterEach
   void close() {
