--- a/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
@@ -28,6 +28,7 @@
    * @param isResumption whether the endpoint continues after the last event that the caller
    *     received
    * @param isResumable whether another endpoint may continue if this attempt breaks off
+   * @param isRepeatable whether the request may run more than once
    */
   record Send(
       RequestId id,
@@ -40,7 +41,8 @@
       Duration streamIdleTimeout,
       Optional<CustomerId> customer,
       boolean isResumption,
-      boolean isResumable)
+      boolean isResumable,
+      boolean isRepeatable)
       implements ForwardAction {}
 
   /** Passes the response of the attempt on to the caller. */
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -342,7 +342,8 @@
             STREAM_IDLE_TIMEOUT,
             call.customerIfAny().map(Customer::id),
             call.isResponsePassed(),
-            isResumable(call)));
+            isResumable(call),
+            call.route().retrySemantics().allowsRetry()));
   }
 
   private void onResponseHead(
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
@@ -9,11 +9,12 @@
 import org.cuminwell.core.forward.ResponseHead;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.shell.http.CallEndedException;
-import org.cuminwell.shell.http.SingleCall;
+import org.cuminwell.shell.http.KeptCall;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Tracks one attempt, which has a connection of its own, and reports its progress as events.
+ * Tracks one attempt, which has a connection to itself while it runs, and reports its progress as
+ * events.
  *
  * <p>Invariants: the response head and the end are each reported at most once; nothing is reported
  * after the end or after {@link #cancel}. Thread safe.
@@ -28,12 +29,13 @@
 
   private final ForwardAction.Send sendAction;
   private final Consumer<ForwardEvent> events;
-  private final SingleCall connection = new SingleCall();
+  private final KeptCall call;
   private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
   private volatile @Nullable HttpResponse response;
 
-  ForwardAttempt(ForwardAction.Send order, Consumer<ForwardEvent> events) {
-    this.sendAction = order;
+  ForwardAttempt(ForwardAction.Send sendAction, KeptCall call, Consumer<ForwardEvent> events) {
+    this.sendAction = sendAction;
+    this.call = call;
     this.events = events;
   }
 
@@ -41,8 +43,8 @@
     return sendAction;
   }
 
-  SingleCall connection() {
-    return connection;
+  KeptCall call() {
+    return call;
   }
 
   /**
@@ -79,14 +81,18 @@
   }
 
   /**
-   * Reports the outcome of the attempt and closes its connection; does nothing if the attempt has
-   * ended. The connection is closed after a whole response too, since an endpoint may continue to
-   * send.
+   * Reports the outcome of the attempt and closes its connection, or releases it after a whole
+   * response; does nothing if the attempt has ended.
    */
-  void end(ForwardAttemptOutcome end) {
-    if (state.getAndSet(State.ENDED) != State.ENDED) {
-      report(end);
-      close();
+  void end(ForwardAttemptOutcome outcome) {
+    if (state.getAndSet(State.ENDED) == State.ENDED) {
+      return;
+    }
+    report(outcome);
+    switch (outcome) {
+      case ForwardAttemptOutcome.Completed o -> call.release();
+      case ForwardAttemptOutcome.Failed o -> close();
+      case ForwardAttemptOutcome.CallerDisconnected o -> close();
     }
   }
 
@@ -100,7 +106,7 @@
   }
 
   private void close() {
-    connection.abort(new CallEndedException("the attempt has ended"));
+    call.abort(new CallEndedException("the attempt has ended"));
   }
 
   private void report(ForwardAttemptOutcome outcome) {
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
@@ -15,7 +15,6 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.ResponseEntity;
-import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.japi.pf.PFBuilder;
 import org.apache.pekko.stream.Graph;
 import org.apache.pekko.stream.SourceShape;
@@ -29,6 +28,7 @@
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.shell.http.ClientConnections;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.SingleCall;
 import scala.PartialFunction;
@@ -43,9 +43,6 @@
  */
 final class ForwardClient {
 
-  /** The timeout for establishing a connection. */
-  static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
-
   private static final int MAX_RESUMPTIONS = 8;
 
   /** How many events a stream may have beyond one for each declared token. */
@@ -55,15 +52,19 @@
   private final InstantSource time;
   private final ForwardDialect dialect;
   private final Consumer<ForwardEvent> events;
-  private final ClientConnectionSettings settings;
+  private final ClientConnections connections;
 
   ForwardClient(
-      HttpSystem http, InstantSource time, ForwardDialect dialect, Consumer<ForwardEvent> events) {
+      HttpSystem http,
+      InstantSource time,
+      ClientConnections connections,
+      ForwardDialect dialect,
+      Consumer<ForwardEvent> events) {
     this.http = http;
     this.time = time;
+    this.connections = connections;
     this.dialect = dialect;
     this.events = events;
-    this.settings = SingleCall.clientSettings(http, CONNECT_TIMEOUT);
   }
 
   /**
@@ -71,7 +72,7 @@
    * is sent.
    */
   void send(PendingForward call, ForwardAction.Send sendAction) {
-    ForwardAttempt attempt = new ForwardAttempt(sendAction, events);
+    ForwardAttempt attempt = new ForwardAttempt(sendAction, connections.newCall(), events);
     if (!call.tryBegin(attempt)) {
       attempt.end(new ForwardAttemptOutcome.CallerDisconnected());
       return;
@@ -82,13 +83,14 @@
         dialect.endpointRequest(call.request(), call.body(), call.head(), sendAction, resumeAfter);
     HostAddress target = sendAction.relay().orElse(sendAction.address());
     if (sendAction.relay().isPresent()) {
-      request = RelayHeaders.addRelayTarget(request, sendAction.address());
+      request =
+          RelayHeaders.addRelayTarget(request, sendAction.address(), sendAction.isRepeatable());
     }
     Cancellable firstByteTimer = scheduleFirstByteTimeout(attempt);
     var _ =
         attempt
-            .connection()
-            .send(http, settings, target, request)
+            .call()
+            .send(target, request, sendAction.isRepeatable())
             .whenComplete(
                 (response, error) -> {
                   firstByteTimer.cancel();
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
 import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardEvent;
@@ -20,6 +21,7 @@
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.shell.http.BodyReader;
+import org.cuminwell.shell.http.ClientConnections;
 import org.cuminwell.shell.http.HttpConnectionHandler;
 import org.cuminwell.shell.http.HttpResponses;
 import org.cuminwell.shell.http.HttpSystem;
@@ -36,6 +38,10 @@
   /** The maximum number of requests that a gateway forwards at the same time. */
   static final int MAX_OPEN_REQUESTS = 4_096;
 
+  /** Ends the exchange of a caller that has disconnected; nobody reads it. */
+  private static final HttpResponse UNREAD_RESPONSE =
+      HttpResponse.create().withStatus(StatusCodes.INTERNAL_SERVER_ERROR);
+
   private final HttpSystem http;
   private final InstantSource time;
   private final ForwardDialect dialect;
@@ -55,6 +61,7 @@
   public ForwardFront(
       HttpSystem http,
       InstantSource time,
+      ClientConnections connections,
       ForwardDialect dialect,
       Predicate<ForwardEvent> offer,
       Consumer<ForwardEvent> force) {
@@ -63,7 +70,7 @@
     this.dialect = dialect;
     this.offer = offer;
     this.force = force;
-    this.client = new ForwardClient(http, time, dialect, force);
+    this.client = new ForwardClient(http, time, connections, dialect, force);
   }
 
   /** Returns the handler for a new connection of a caller. */
@@ -127,11 +134,15 @@
         .thenApply(response -> connectionReuseDisabled ? withConnectionClose(response) : response);
   }
 
-  /** Reports that the caller of a request has disconnected, if the request is still open. */
+  /**
+   * Reports that the caller of a request has disconnected, if the request is still open, and
+   * responds to it, since the connection stays open until there is a response.
+   */
   void onCallerDisconnected(PendingForward call) {
     RequestId id = call.head().id();
     if (openRequests.containsKey(id)) {
       force.accept(new ForwardEvent.CallerDisconnected(id));
+      call.response().complete(UNREAD_RESPONSE);
     }
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
@@ -12,11 +12,11 @@
 import org.apache.pekko.NotUsed;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.ResponseEntity;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Source;
 import org.apache.pekko.util.ByteString;
@@ -24,8 +24,9 @@
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.shell.http.CallEndedException;
+import org.cuminwell.shell.http.ClientConnections;
 import org.cuminwell.shell.http.HttpConnectionHandler;
-import org.cuminwell.shell.http.HttpSystem;
+import org.cuminwell.shell.http.KeptCall;
 import org.cuminwell.shell.http.SingleCall;
 import org.jspecify.annotations.Nullable;
 
@@ -42,18 +43,20 @@
   private static final Failure STOPPING =
       Failure.notRun(ErrorCode.STOPPING, "this gateway is stopping; use another gateway");
 
-  private final HttpSystem http;
+  /** Announces the idle timeout of this gateway's connections, which is longer. */
+  private static final HttpHeader KEEP_ALIVE = RawHeader.create("Keep-Alive", "timeout=60");
+
+  private final ClientConnections connections;
   private final Function<HttpRequest, CompletionStage<HttpResponse>> fallback;
-  private final ClientConnectionSettings settings;
   private boolean refusing;
   private int openRelays;
 
   /** Creates a front end; {@code fallback} handles requests that are not to be relayed. */
   public RelayFront(
-      HttpSystem http, Function<HttpRequest, CompletionStage<HttpResponse>> fallback) {
-    this.http = http;
+      ClientConnections connections,
+      Function<HttpRequest, CompletionStage<HttpResponse>> fallback) {
+    this.connections = connections;
     this.fallback = fallback;
-    this.settings = SingleCall.clientSettings(http, ForwardClient.CONNECT_TIMEOUT);
   }
 
   /** Returns the handler for a new connection of another gateway. */
@@ -98,20 +101,23 @@
   /** One relayed request. Its end is counted once. Thread safe. */
   private final class RelayedRequest {
 
-    private final SingleCall call = new SingleCall();
+    private final KeptCall call = connections.newCall();
     private final AtomicBoolean ended = new AtomicBoolean();
 
-    /** Counts the request as ended; further calls have no effect. */
-    void end() {
+    /** Ends the request after a whole response; further calls have no effect. */
+    void complete() {
       if (ended.compareAndSet(false, true)) {
+        call.release();
         recordRelayEnded();
       }
     }
 
-    /** Closes the connection to the endpoint and ends the request. */
+    /** Closes the connection to the endpoint and ends the request, unless it has ended. */
     void abort() {
-      call.abort(new CallEndedException("the requesting gateway disconnected"));
-      end();
+      if (ended.compareAndSet(false, true)) {
+        call.abort(new CallEndedException("the relayed request has ended"));
+        recordRelayEnded();
+      }
     }
 
     /**
@@ -119,7 +125,7 @@
      */
     ResponseEntity trackEnd(ResponseEntity body) {
       if (body instanceof HttpEntity.Strict) {
-        end();
+        complete();
         return body;
       }
       Source<ByteString, ?> bytes = body.getDataBytes().via(endTracker());
@@ -129,12 +135,20 @@
           : HttpEntities.createChunked(body.getContentType(), bytes);
     }
 
-    /** Returns a flow that passes bytes unchanged and calls {@link #end} when it terminates. */
+    private void endWith(@Nullable Throwable error) {
+      if (error == null) {
+        complete();
+      } else {
+        abort();
+      }
+    }
+
+    /** Returns a flow that passes bytes unchanged and ends the request when it terminates. */
     private Flow<ByteString, ByteString, NotUsed> endTracker() {
       return Flow.of(ByteString.class)
           .watchTermination(
               (_, ended) -> {
-                var _ = ended.whenComplete((_, _) -> end());
+                var _ = ended.whenComplete((_, error) -> endWith(error));
                 return NotUsed.getInstance();
               });
     }
@@ -184,23 +198,23 @@
               .withUri(request.getUri())
               .addHeaders(
                   HopByHopHeaders.endToEnd(request.getHeaders()).stream()
-                      .filter(header -> !RelayHeaders.isRelayTarget(header))
+                      .filter(header -> !RelayHeaders.isForRelay(header))
                       .toList())
               .addHeaders(RawTarget.headerOf(request))
-              .addHeader(RawHeader.create("Connection", "close"))
               .withEntity(request.entity());
       return relayedRequest
           .call
-          .send(http, settings, endpoint, forwarded)
+          .send(endpoint, forwarded, RelayHeaders.isRepeatable(request))
           .thenApply(
               response ->
                   HttpResponse.create()
                       .withStatus(response.status())
                       .addHeaders(HopByHopHeaders.endToEnd(response.getHeaders()))
+                      .addHeader(KEEP_ALIVE)
                       .withEntity(relayedRequest.trackEnd(response.entity())))
           .exceptionally(
               error -> {
-                relayedRequest.end();
+                relayedRequest.abort();
                 return RelayHeaders.failureResponse(SingleCall.failureOf(error));
               });
     }
--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayHeaders.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayHeaders.java
@@ -1,5 +1,6 @@
 package org.cuminwell.shell.forward;
 
+import java.util.Locale;
 import java.util.Optional;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
@@ -20,17 +21,36 @@
 final class RelayHeaders {
 
   private static final String RELAY_TO = "Cuminwell-Relay-To";
+  private static final String REPEATABLE = "Cuminwell-Relay-Repeatable";
 
   private RelayHeaders() {}
 
-  /** Returns the request with a header that names the endpoint to relay it to. */
-  static HttpRequest addRelayTarget(HttpRequest request, HostAddress endpoint) {
-    return request.addHeader(RawHeader.create(RELAY_TO, endpoint.toString()));
+  /**
+   * Returns the request with headers that name the endpoint to relay it to, and say whether the
+   * request may run more than once. Such headers of the caller are replaced.
+   */
+  static HttpRequest addRelayTarget(
+      HttpRequest request, HostAddress endpoint, boolean isRepeatable) {
+    HttpRequest marked =
+        request
+            .removeHeader(RELAY_TO)
+            .removeHeader(REPEATABLE)
+            .addHeader(RawHeader.create(RELAY_TO, endpoint.toString()));
+    return isRepeatable ? marked.addHeader(RawHeader.create(REPEATABLE, "true")) : marked;
+  }
+
+  /** Returns whether the header is meant for the relaying gateway only. */
+  static boolean isForRelay(HttpHeader header) {
+    return header.is(RELAY_TO.toLowerCase(Locale.ROOT))
+        || header.is(REPEATABLE.toLowerCase(Locale.ROOT));
   }
 
-  /** Returns whether the header is the one that names the endpoint. */
-  static boolean isRelayTarget(HttpHeader header) {
-    return header.is(RELAY_TO.toLowerCase(java.util.Locale.ROOT));
+  /** Returns whether the request may run more than once. */
+  static boolean isRepeatable(HttpRequest request) {
+    return request
+        .getHeader(REPEATABLE)
+        .filter(header -> header.value().equals("true"))
+        .isPresent();
   }
 
   /**
--- a/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
@@ -47,6 +47,7 @@
 import org.cuminwell.core.model.VersionId;
 import org.cuminwell.shell.duty.Duty;
 import org.cuminwell.shell.duty.Ring;
+import org.cuminwell.shell.http.ClientConnections;
 import org.cuminwell.shell.http.HttpListener;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.SingleCall;
@@ -120,8 +121,9 @@
             now,
             new ShareHolder(LOCAL_PLACE, 1, now),
             new AcceptancePolicy.All());
-    front = new ForwardFront(http, time, dialect, events::offer, events::offer);
-    connectionSettings = SingleCall.clientSettings(http, ForwardClient.CONNECT_TIMEOUT);
+    ClientConnections connections = new ClientConnections(http, time);
+    front = new ForwardFront(http, time, connections, dialect, events::offer, events::offer);
+    connectionSettings = SingleCall.clientSettings(http, ClientConnections.CONNECT_TIMEOUT);
   }
 
   /**
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -32,6 +32,7 @@
 import org.cuminwell.shell.forward.ForwardSettings;
 import org.cuminwell.shell.forward.RelayFront;
 import org.cuminwell.shell.forward.WarmUp;
+import org.cuminwell.shell.http.ClientConnections;
 import org.cuminwell.shell.http.HttpListener;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.OpsPages;
@@ -53,6 +54,7 @@
   private static final System.Logger LOG = System.getLogger(GatewayProcess.class.getName());
   private static final Duration TICK = Duration.ofMillis(100);
   private static final Duration LISTENER_LOG_PERIOD = Duration.ofSeconds(1);
+  private static final Duration IDLE_CHECK_PERIOD = Duration.ofMillis(500);
   private static final int DISPATCH_RING = 65_536;
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
 
@@ -72,6 +74,7 @@
   private final PeerNode peers;
   private final CallerFront callers;
   private final EndpointClient endpoints;
+  private final ClientConnections connections;
   private final Optional<ForwardFront> forwarding;
   private final ConfigurationKeeper keeper;
   private final Duty<GatewayEvent> decide;
@@ -79,6 +82,7 @@
   private final TimerDuty timer;
   private final TimerDuty certificates;
   private final TimerDuty listenerLog;
+  private final TimerDuty idleConnections;
   private volatile boolean ready;
   private volatile @Nullable HttpListener listener;
   private volatile @Nullable HttpListener innerListener;
@@ -102,6 +106,8 @@
     peers.registerGauges(telemetry);
     callers = new CallerFront(http, calls, events);
     endpoints = new EndpointClient(http, events::force);
+    connections = new ClientConnections(http, time);
+    registerConnectionGauges();
     forwarding = settings.forwarding().map(this::forwardFront);
     decide = Duty.start("decide", events.ring(), this::decide);
     dispatch = Duty.start("dispatch", actions, this::perform);
@@ -110,6 +116,8 @@
         TimerDuty.start(
             "certificates", PeerTls.RELOAD_INTERVAL, () -> tls.ifPresent(PeerTls::reloadIfChanged));
     listenerLog = startListenerLog();
+    idleConnections =
+        TimerDuty.start("idle-connections", IDLE_CHECK_PERIOD, connections::closeExpired);
   }
 
   /**
@@ -130,7 +138,7 @@
             process.forwarding.isPresent()
                 ? process.forwarding.get()::newConnection
                 : process.callers::connection);
-    RelayFront relay = new RelayFront(process.http, inner::handle);
+    RelayFront relay = new RelayFront(process.connections, inner::handle);
     process.relay = relay;
     process.innerListener =
         process.http.serveConnections(settings.self().internalAddress(), relay::newConnection);
@@ -169,6 +177,7 @@
     timer.close();
     certificates.close();
     listenerLog.close();
+    idleConnections.close();
     decide.close();
     dispatch.close();
     keeper.close();
@@ -273,6 +282,7 @@
     return new ForwardFront(
         http,
         time,
+        connections,
         settings.dialect(),
         event -> events.offer(new GatewayEvent.Forwarded(event)),
         event -> events.force(new GatewayEvent.Forwarded(event)));
@@ -294,6 +304,12 @@
                             settings.dialect().readinessResponse(request, ready))));
   }
 
+  private void registerConnectionGauges() {
+    telemetry.gauge("client_connections_opened", connections::opened);
+    telemetry.gauge("client_connections_reused", connections::reused);
+    telemetry.gauge("client_connections_idle", connections::idle);
+  }
+
   private TimerDuty startListenerLog() {
     ListenerLog callerLog = new ListenerLog("callers", () -> listener);
     ListenerLog relayLog = new ListenerLog("inner", () -> innerListener);
--- a/shell/src/main/java/org/cuminwell/shell/http/BoundedHeadTransport.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/BoundedHeadTransport.java
@@ -8,7 +8,7 @@
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.util.ByteString;
 
-/** Connects over TCP and limits response heads by {@link ResponseHeadStage}. Thread safe. */
+/** Connects over TCP for one response, whose head {@link ResponseHeadStage} limits. Thread safe. */
 final class BoundedHeadTransport extends ClientTransport {
 
   private final ClientTransport tcp = ClientTransport.TCP();
@@ -16,6 +16,8 @@
   @Override
   public Flow<ByteString, ByteString, CompletionStage<OutgoingConnection>> connectTo(
       String host, int port, ClientConnectionSettings settings, ActorSystem system) {
-    return tcp.connectTo(host, port, settings, system).via(new ResponseHeadStage());
+    ResponseGate gate = new ResponseGate();
+    gate.expectResponse();
+    return tcp.connectTo(host, port, settings, system).via(new ResponseHeadStage(gate));
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/http/ConnectionAcceptor.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/ConnectionAcceptor.java
@@ -76,7 +76,7 @@
   private void perform(ConnectionQueue.Decision<Tcp.IncomingConnection> decision) {
     listener.recordShed(decision.closed().size());
     decision.closed().forEach(this::close);
-    decision.next().ifPresent(this::setUp);
+    decision.next().ifPresent(next -> system.dispatcher().execute(() -> setUp(next)));
   }
 
   private void setUp(ConnectionQueue.Next<Tcp.IncomingConnection> next) {
--- a/shell/src/main/java/org/cuminwell/shell/http/ResponseHeadStage.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/ResponseHeadStage.java
@@ -2,19 +2,22 @@
 
 import java.util.List;
 import java.util.stream.IntStream;
+import org.apache.pekko.Done;
 import org.apache.pekko.stream.Attributes;
 import org.apache.pekko.stream.FlowShape;
 import org.apache.pekko.stream.Inlet;
 import org.apache.pekko.stream.Outlet;
 import org.apache.pekko.stream.stage.AbstractInHandler;
 import org.apache.pekko.stream.stage.AbstractOutHandler;
+import org.apache.pekko.stream.stage.AsyncCallback;
 import org.apache.pekko.stream.stage.GraphStage;
 import org.apache.pekko.stream.stage.GraphStageLogic;
 import org.apache.pekko.util.ByteString;
 
 /**
- * Limits the size of the response head that arrives over a client connection, and removes interim
- * (1xx) responses, because the library's parser handles each of them by recursion.
+ * Limits the size of each response head that arrives over a client connection, and removes interim
+ * (1xx) responses, because the library's parser handles each of them by recursion. Bytes that
+ * arrive while no response is awaited close the connection.
  *
  * <p>Invariants: nothing is passed on before the final head is complete or the connection ends; at
  * most {@link #MAX_HEAD_BYTES} and one part are buffered; bytes are passed on in pieces of at most
@@ -32,9 +35,15 @@
   private static final ByteString STATUS_LINE_START = ByteString.fromString("HTTP/1.");
   private static final int STATUS_CLASS_INDEX = "HTTP/1.1 ".length();
 
+  private final ResponseGate gate;
   private final Inlet<ByteString> in = Inlet.create("ResponseHeadStage.in");
   private final Outlet<ByteString> out = Outlet.create("ResponseHeadStage.out");
 
+  /** Creates a stage; the gate tells when a response is awaited. */
+  ResponseHeadStage(ResponseGate gate) {
+    this.gate = gate;
+  }
+
   @Override
   public FlowShape<ByteString, ByteString> shape() {
     return FlowShape.of(in, out);
@@ -51,6 +60,7 @@
     private int scanned;
     private int headBytes;
     private boolean headEnded;
+    private int response;
 
     Logic() {
       super(ResponseHeadStage.this.shape());
@@ -59,7 +69,12 @@
           new AbstractInHandler() {
             @Override
             public void onPush() {
-              receivePart(grab(in));
+              if (gate.isAwaiting()) {
+                startResponseIfNew();
+                receivePart(grab(in));
+              } else {
+                failStage(new CallEndedException("the endpoint sent bytes after its response"));
+              }
             }
 
             @Override
@@ -75,11 +90,36 @@
           new AbstractOutHandler() {
             @Override
             public void onPull() {
-              pull(in);
+              pullIfNotPulled();
             }
           });
     }
 
+    /** Reads on while no response is awaited, since only a read shows what the peer does. */
+    @Override
+    public void preStart() {
+      AsyncCallback<Done> readOn = createAsyncCallback((Done _) -> pullIfNotPulled());
+      gate.setListener(() -> readOn.invoke(Done.getInstance()));
+    }
+
+    private void pullIfNotPulled() {
+      if (!hasBeenPulled(in) && !isClosed(in)) {
+        pull(in);
+      }
+    }
+
+    /** Expects a head again if another response is awaited than the one before. */
+    private void startResponseIfNew() {
+      int expected = gate.responsesExpected();
+      if (expected != response) {
+        response = expected;
+        buffered = ByteString.emptyByteString();
+        scanned = 0;
+        headBytes = 0;
+        headEnded = false;
+      }
+    }
+
     /** Passes a part on, or buffers it until the final head is complete. */
     private void receivePart(ByteString part) {
       if (headEnded) {
