Say of a failed attempt where it was, how far it had come and what it held

An attempt that failed now names its endpoint and incarnation, the time since it was sent and since its response body began, whether the connection was lost (not a timeout, a status or bytes that are no answer, which have another outcome type), and digests of the traits of the request: its content, and each part of its prompt but the last. A digest may leave a region that the prompt may not.

--- a/core/src/main/java/org/cuminwell/core/forward/ForwardEvent.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardEvent.java
@@ -9,8 +9,12 @@
  */
 public sealed interface ForwardEvent {
 
-  /** Reports that a request has been received, body included. */
-  record RequestReceived(ForwardRequest request) implements ForwardEvent {}
+  /**
+   * Reports that a request has been received, body included.
+   *
+   * @param contentHash a hash of the method, the query and the body
+   */
+  record RequestReceived(ForwardRequest request, long contentHash) implements ForwardEvent {}
 
   /** Reports that the status and headers of an endpoint's response have been received. */
   record ResponseHeadReceived(RequestId id, int attempt, ResponseHead head)
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardLogEvent.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardLogEvent.java
@@ -1,7 +1,9 @@
 package org.cuminwell.core.forward;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
+import org.cuminwell.core.crash.Trait;
 import org.cuminwell.core.model.CustomerId;
 import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.Failure;
@@ -32,8 +34,26 @@
       Duration timeLeft)
       implements ForwardLogEvent {}
 
-  /** Reports that an attempt gave no response that could be passed to the caller. */
-  record AttemptFailed(int attempt, Failure failure) implements ForwardLogEvent {}
+  /**
+   * Reports that an attempt gave no response that could be passed to the caller.
+   *
+   * @param endpoint the endpoint of the attempt
+   * @param incarnation the incarnation of the endpoint
+   * @param elapsed the time since the attempt was sent
+   * @param responding the time since its response body started; empty if it had not
+   * @param connectionLost whether the endpoint's connection ended
+   * @param traits the traits of the request that may have crashed the endpoint
+   */
+  record AttemptFailed(
+      int attempt,
+      Failure failure,
+      EndpointId endpoint,
+      long incarnation,
+      Duration elapsed,
+      Optional<Duration> responding,
+      boolean connectionLost,
+      List<Trait> traits)
+      implements ForwardLogEvent {}
 
   /**
    * Reports that the request has ended.
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardLogEvents.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardLogEvents.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
+import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.model.CallRecord;
 import org.cuminwell.core.model.Customer;
 import org.cuminwell.core.model.Failure;
@@ -25,8 +27,20 @@
             Duration.between(now, call.deadline())));
   }
 
-  static ForwardAction attemptFailed(ForwardedCall call, Failure failure) {
-    return logAction(call, new ForwardLogEvent.AttemptFailed(call.attempts(), failure));
+  static ForwardAction attemptFailed(
+      ForwardedCall call, Failure failure, boolean connectionLost, Instant now) {
+    Announcement endpoint = call.endpoint().orElseThrow();
+    return logAction(
+        call,
+        new ForwardLogEvent.AttemptFailed(
+            call.attempts(),
+            failure,
+            endpoint.endpoint(),
+            endpoint.incarnation(),
+            call.attemptElapsed(now),
+            call.attemptResponding(now),
+            connectionLost,
+            connectionLost ? call.traits() : List.of()));
   }
 
   static ForwardAction ended(
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardedCall.java
@@ -3,9 +3,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.cuminwell.core.crash.Trait;
 import org.cuminwell.core.limit.ChargedCall;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.model.CallRecord;
@@ -28,21 +31,27 @@
  */
 final class ForwardedCall implements ChargedCall {
 
+  /** The number of shared parts of a prompt that count as traits, a bound on callers' headers. */
+  static final int MAX_PART_TRAITS = 32;
+
   private final ForwardRequest request;
   private final ForwardRoute route;
   private final @Nullable Customer customer;
   private final Instant deadline;
+  private final List<Trait> traits;
   private final Set<EndpointId> attempted = new HashSet<>();
   private Verdict verdict = Verdict.notRun();
   private @Nullable Announcement endpoint;
   private @Nullable Instant sentAt;
   private @Nullable Instant firstByteAt;
+  private @Nullable Instant attemptBodyStartedAt;
   private boolean responsePassed;
   private int attempts;
   private int possibleRuns;
   private long prefillTokens;
 
-  ForwardedCall(ForwardRequest request, ForwardRoute route, Optional<Customer> customer) {
+  ForwardedCall(
+      ForwardRequest request, long contentHash, ForwardRoute route, Optional<Customer> customer) {
     this.request = request;
     this.route = route;
     this.customer = customer.orElse(null);
@@ -52,6 +61,7 @@
             .filter(p -> p.compareTo(route.timeout()) < 0)
             .orElse(route.timeout());
     this.deadline = request.arrivedAt().plus(allowed);
+    this.traits = findTraits(contentHash);
   }
 
   @Override
@@ -129,6 +139,11 @@
     return new RouteQuery(OptionalLong.empty(), attempted);
   }
 
+  /** Returns the traits of the request that could crash an endpoint. */
+  List<Trait> traits() {
+    return traits;
+  }
+
   /** Returns the endpoints of all attempts so far. */
   Set<EndpointId> attempted() {
     return Set.copyOf(attempted);
@@ -158,6 +173,7 @@
   int startAttempt(Announcement target, Instant now) {
     endpoint = target;
     sentAt = now;
+    attemptBodyStartedAt = null;
     attempted.add(target.endpoint());
     attempts++;
     return attempts;
@@ -168,6 +184,14 @@
     return sentAt == null ? Duration.ZERO : Duration.between(sentAt, now);
   }
 
+  /**
+   * Returns how long the body of the attempt's response has been arriving; empty if it has not
+   * started.
+   */
+  Optional<Duration> attemptResponding(Instant now) {
+    return Optional.ofNullable(attemptBodyStartedAt).map(at -> Duration.between(at, now));
+  }
+
   /** Ends the running attempt and returns how long it took. */
   Duration endAttempt(Instant now) {
     Duration took = attemptElapsed(now);
@@ -214,10 +238,31 @@
     return responsePassed;
   }
 
-  void recordBodyStarted(Instant now) {
+  /** Records that a part of the running attempt's response body has arrived. */
+  void recordBodyPart(Instant now) {
     if (firstByteAt == null) {
       firstByteAt = now;
     }
+    if (attemptBodyStartedAt == null) {
+      attemptBodyStartedAt = now;
+    }
+  }
+
+  /** Returns the traits, which are few however many parts the prompt has. */
+  private List<Trait> findTraits(long contentHash) {
+    String service = service();
+    Set<Trait> found = new LinkedHashSet<>();
+    found.add(
+        Trait.ofContent(
+            service,
+            customerIfAny().map(Customer::id),
+            request.host() + request.path(),
+            request.prompt().parts(),
+            contentHash));
+    request.prompt().parts().stream()
+        .limit(Math.min(request.prompt().sharedPartCount(), MAX_PART_TRAITS))
+        .forEach(part -> found.add(Trait.ofSharedPart(service, part)));
+    return List.copyOf(found);
   }
 
   CallRecord toCallRecord(Instant now, Optional<Failure> failure) {
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -117,12 +117,12 @@
     endpointSelector.configure(context.forwarding(), now);
     versionRouter.configure(context.forwarding(), context.currentAsOf(), now);
     switch (event) {
-      case ForwardEvent.RequestReceived e -> onRequestReceived(e.request(), context, now, actions);
+      case ForwardEvent.RequestReceived e -> onRequestReceived(e, context, now, actions);
       case ForwardEvent.ResponseHeadReceived e -> onResponseHead(e, context, now, actions);
       case ForwardEvent.BodyStarted e -> {
         ForwardedCall call = calls.get(e.id());
         if (call != null) {
-          call.recordBodyStarted(now);
+          call.recordBodyPart(now);
           endpointSelector.recordPrefillCompleted(call, now);
           versionRouter.recordBodyStarted(call, now);
         }
@@ -130,6 +130,7 @@
       case ForwardEvent.EventGapMeasured e -> {
         ForwardedCall call = findRunningAttempt(e.id(), e.attempt());
         if (call != null) {
+          call.recordBodyPart(now);
           endpointSelector.recordEventGap(call, e.meanGap(), now);
           versionRouter.recordEventGap(call, e.meanGap(), now);
         }
@@ -210,7 +211,11 @@
   }
 
   private void onRequestReceived(
-      ForwardRequest request, Context context, Instant now, List<ForwardAction> actions) {
+      ForwardEvent.RequestReceived event,
+      Context context,
+      Instant now,
+      List<ForwardAction> actions) {
+    ForwardRequest request = event.request();
     Optional<ForwardRoute> route =
         context.configuration().forwardRoute(request.host(), request.path());
     Optional<Customer> customer = request.key().flatMap(context.configuration()::customerByKey);
@@ -222,7 +227,10 @@
     }
     ForwardedCall call =
         new ForwardedCall(
-            request, route.orElseThrow(), customer.filter(_ -> !route.orElseThrow().anonymous()));
+            request,
+            event.contentHash(),
+            route.orElseThrow(),
+            customer.filter(_ -> !route.orElseThrow().anonymous()));
     calls.put(call.id(), call);
     admit(call, context, now, actions);
   }
@@ -412,6 +420,7 @@
       Context context,
       Instant now,
       List<ForwardAction> actions) {
+    actions.add(ForwardLogEvents.attemptFailed(call, failure, false, now));
     actions.add(new ForwardAction.CancelAttempt(call.id(), call.attempts()));
     retryOrFail(call, failure, context, now, actions);
   }
@@ -435,8 +444,14 @@
         endAttempt(call, false, now);
         finish(call, Optional.of(CALLER_DISCONNECTED), context, now, actions);
       }
-      case ForwardAttemptOutcome.Failed end ->
-          retryOrFail(call, end.failure(), context, now, actions);
+      case ForwardAttemptOutcome.Failed end -> {
+        actions.add(ForwardLogEvents.attemptFailed(call, end.failure(), false, now));
+        retryOrFail(call, end.failure(), context, now, actions);
+      }
+      case ForwardAttemptOutcome.ConnectionLost end -> {
+        actions.add(ForwardLogEvents.attemptFailed(call, end.failure(), true, now));
+        retryOrFail(call, end.failure(), context, now, actions);
+      }
     }
   }
 
@@ -447,7 +462,6 @@
       Context context,
       Instant now,
       List<ForwardAction> actions) {
-    actions.add(ForwardLogEvents.attemptFailed(call, failure));
     call.addVerdict(failure.verdict());
     endAttempt(call, failure.code() != ErrorCode.BUSY, now);
     boolean canContinue =
--- a/core/src/main/java/org/cuminwell/core/routing/Prompt.java
+++ b/core/src/main/java/org/cuminwell/core/routing/Prompt.java
@@ -35,7 +35,7 @@
   }
 
   /** Returns how many leading parts other requests may share. */
-  int sharedPartCount() {
+  public int sharedPartCount() {
     return Math.max(0, parts.size() - 1);
   }
 
--- a/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
+++ b/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
@@ -168,7 +168,7 @@
       case "EVACUATED" -> evacuate(Set.of(LOCAL.dataCentre()));
       default -> {}
     }
-    handle(new ForwardEvent.RequestReceived(forwardRequest(ID, path, key)));
+    handle(new ForwardEvent.RequestReceived(forwardRequest(ID, path, key), 0));
     assertThat(failures())
         .extracting(Failure::code)
         .isEqualTo(expected == null ? List.of() : List.of(expected));
@@ -327,7 +327,7 @@
           receiveResponse(send, new ResponseHead.NotRun(421, true, Optional.empty()));
       case UNRECOGNIZED -> receiveResponse(send, new ResponseHead.Unrecognized());
       case NOT_CONNECTED -> endAttempt(send, new ForwardAttemptOutcome.Failed(unconnected));
-      case BROKEN -> endAttempt(send, new ForwardAttemptOutcome.Failed(broken));
+      case BROKEN -> endAttempt(send, new ForwardAttemptOutcome.ConnectionLost(broken));
     }
   }
 
@@ -383,7 +383,7 @@
   }
 
   private void open(RequestId id) {
-    handle(new ForwardEvent.RequestReceived(forwardRequest(id, "/a/1", Optional.of(KEY))));
+    handle(new ForwardEvent.RequestReceived(forwardRequest(id, "/a/1", Optional.of(KEY)), 0));
   }
 
   private void handle(ForwardEvent event) {
--- a/core/src/test/java/org/cuminwell/core/forward/ServiceRolloutSimulation.java
+++ b/core/src/test/java/org/cuminwell/core/forward/ServiceRolloutSimulation.java
@@ -275,7 +275,8 @@
   private void sendRequest(Gateway gateway) {
     boolean isLong = random.nextDouble() < 0.22;
     ForwardRoute route = isLong ? longRoute : shortRoute;
-    ForwardedCall call = new ForwardedCall(forwardRequest("r" + requests), route, Optional.empty());
+    ForwardedCall call =
+        new ForwardedCall(forwardRequest("r" + requests), 0, route, Optional.empty());
     List<Entry> open = gateway.endpoints.findServing(SERVICE, now);
     List<Entry> chosen =
         gateway.versions.selectPermitted(call, open, e -> e.isInSlowStart(now), now);
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ContentHash.java
@@ -0,0 +1,26 @@
+package org.cuminwell.shell.forward;
+
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32C;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Computes a hash of what a request holds apart from its headers, to recognise repetitions.
+ *
+ * <p>It only tells apart requests of one customer with the same path, so a fast checksum with the
+ * length serves. Stateless and thread safe.
+ */
+final class ContentHash {
+
+  private ContentHash() {}
+
+  /** Returns a hash of the method, the query and the body. */
+  static long of(HttpRequest request, ByteString body) {
+    CRC32C checksum = new CRC32C();
+    String line = request.method().value() + " " + request.getUri().rawQueryString().orElse("");
+    checksum.update(line.getBytes(StandardCharsets.UTF_8));
+    body.getByteBuffers().forEach(checksum::update);
+    return ((long) body.length() << Integer.SIZE) | checksum.getValue();
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
@@ -7,7 +7,6 @@
 import org.cuminwell.core.forward.ForwardAttemptOutcome;
 import org.cuminwell.core.forward.ForwardEvent;
 import org.cuminwell.core.forward.ResponseHead;
-import org.cuminwell.core.model.Failure;
 import org.cuminwell.shell.http.CallEndedException;
 import org.cuminwell.shell.http.KeptCall;
 import org.jspecify.annotations.Nullable;
@@ -72,10 +71,10 @@
     }
   }
 
-  /** Fails the attempt and closes its connection, unless the response head was received. */
-  void failIfWaiting(Failure failure) {
+  /** Ends the attempt and closes its connection, unless the response head was received. */
+  void endIfWaiting(ForwardAttemptOutcome outcome) {
     if (state.compareAndSet(State.WAITING, State.ENDED)) {
-      report(new ForwardAttemptOutcome.Failed(failure));
+      report(outcome);
       close();
     }
   }
@@ -92,6 +91,7 @@
     switch (outcome) {
       case ForwardAttemptOutcome.Completed o -> call.release();
       case ForwardAttemptOutcome.Failed o -> close();
+      case ForwardAttemptOutcome.ConnectionLost o -> close();
       case ForwardAttemptOutcome.CallerDisconnected o -> close();
     }
   }
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
@@ -30,7 +30,6 @@
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.shell.http.ClientConnections;
 import org.cuminwell.shell.http.HttpSystem;
-import org.cuminwell.shell.http.SingleCall;
 import scala.PartialFunction;
 
 /**
@@ -45,6 +44,11 @@
 
   private static final int MAX_RESUMPTIONS = 8;
 
+  private static final Failure FIRST_BYTE_TIMED_OUT =
+      Failure.mayHaveRun(
+          ErrorCode.ENDPOINT_FAILED,
+          "the endpoint sent no response head within the first-byte timeout");
+
   /** How many events a stream may have beyond one for each declared token. */
   private static final int EXTRA_EVENTS = 16;
 
@@ -95,7 +99,7 @@
                 (response, error) -> {
                   firstByteTimer.cancel();
                   if (error != null) {
-                    attempt.failIfWaiting(SingleCall.failureOf(error));
+                    attempt.endIfWaiting(AttemptFailures.beforeResponse(error));
                   } else {
                     onResponse(call, attempt, response);
                   }
@@ -150,7 +154,7 @@
     Optional<Failure> relayFailure =
         attempt.sendAction().relay().flatMap(_ -> RelayHeaders.findFailure(response));
     if (relayFailure.isPresent()) {
-      attempt.failIfWaiting(relayFailure.get());
+      attempt.endIfWaiting(AttemptFailures.atRelay(relayFailure.get()));
     } else {
       attempt.onResponseHead(response, dialect.parseResponseHead(response, call.head()));
     }
@@ -166,11 +170,7 @@
         .scheduler()
         .scheduleOnce(
             sendAction.firstByteTimeout(),
-            () ->
-                attempt.failIfWaiting(
-                    Failure.mayHaveRun(
-                        ErrorCode.ENDPOINT_FAILED,
-                        "the endpoint sent no response head within the first-byte timeout")),
+            () -> attempt.endIfWaiting(new ForwardAttemptOutcome.Failed(FIRST_BYTE_TIMED_OUT)),
             http.actorSystem().dispatcher());
   }
 
@@ -243,7 +243,7 @@
         .match(
             Throwable.class,
             error -> !(error instanceof OverlongResponseException),
-            error -> failAndAwaitContinuation(call, ResponseFailures.of(error)))
+            error -> failAndAwaitContinuation(call, AttemptFailures.inBody(error)))
         .build();
   }
 
@@ -251,10 +251,9 @@
    * Reports the failure of the latest attempt and returns the bytes that will continue after it.
    */
   private static Source<ByteString, NotUsed> failAndAwaitContinuation(
-      PendingForward call, Failure failure) {
+      PendingForward call, ForwardAttemptOutcome failure) {
     CompletableFuture<Source<ByteString, NotUsed>> continuation = call.awaitContinuation();
-    call.latestAttempt()
-        .ifPresent(attempt -> attempt.end(new ForwardAttemptOutcome.Failed(failure)));
+    call.latestAttempt().ifPresent(attempt -> attempt.end(failure));
     return Source.completionStageSource(continuation)
         .mapMaterializedValue(_ -> NotUsed.getInstance());
   }
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
@@ -163,7 +163,7 @@
       return CompletableFuture.completedFuture(busyResponse(head));
     }
     openRequests.put(head.id(), call);
-    if (!offer.test(new ForwardEvent.RequestReceived(head))) {
+    if (!offer.test(new ForwardEvent.RequestReceived(head, ContentHash.of(request, body)))) {
       openRequests.remove(head.id());
       return CompletableFuture.completedFuture(busyResponse(head));
     }
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardLog.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardLog.java
@@ -1,8 +1,11 @@
 package org.cuminwell.shell.forward;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import java.util.Optional;
+import org.cuminwell.core.crash.Trait;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardLogEvent;
 import org.cuminwell.core.model.Failure;
@@ -42,7 +45,14 @@
         e.relay().ifPresent(relay -> line.put("over", relay.toString()));
       }
       case ForwardLogEvent.AttemptFailed e -> {
-        line.put("did", "attempt_failed").put("attempt", e.attempt());
+        line.put("did", "attempt_failed")
+            .put("attempt", e.attempt())
+            .put("endpoint", e.endpoint().value())
+            .put("incarnation", e.incarnation())
+            .put("after_ms", e.elapsed().toMillis())
+            .put("connection_lost", e.connectionLost());
+        e.responding().ifPresent(time -> line.put("responding_ms", time.toMillis()));
+        putTraits(e.traits(), line);
         putFailure(Optional.of(e.failure()), line);
       }
       case ForwardLogEvent.Ended e -> {
@@ -60,6 +70,13 @@
     return line;
   }
 
+  private static void putTraits(List<Trait> traits, ObjectNode line) {
+    if (!traits.isEmpty()) {
+      ArrayNode labels = line.putArray("traits");
+      traits.forEach(trait -> labels.add(trait.label()));
+    }
+  }
+
   private static void putFailure(Optional<Failure> failure, ObjectNode line) {
     failure.ifPresent(
         f ->
--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
@@ -144,6 +144,7 @@
       switch (outcome) {
         case ForwardAttemptOutcome.Completed o -> complete();
         case ForwardAttemptOutcome.Failed o -> abort();
+        case ForwardAttemptOutcome.ConnectionLost o -> abort();
         case ForwardAttemptOutcome.CallerDisconnected o -> abort();
       }
     }
--- a/shell/src/main/java/org/cuminwell/shell/forward/ResponseMonitor.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ResponseMonitor.java
@@ -87,7 +87,7 @@
 
             @Override
             public void onUpstreamFailure(Throwable error) {
-              reportEnd(new ForwardAttemptOutcome.Failed(ResponseFailures.of(error)));
+              reportEnd(AttemptFailures.inBody(error));
               failStage(error);
             }
           });
--- a/shell/src/main/java/org/cuminwell/shell/http/SingleCall.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/SingleCall.java
@@ -68,10 +68,7 @@
    * was established.
    */
   public static Failure failureOf(Throwable error) {
-    Throwable cause = error;
-    while (cause instanceof CompletionException && cause.getCause() != null) {
-      cause = cause.getCause();
-    }
+    Throwable cause = rootCause(error);
     if (cause instanceof StreamTcpException
         && String.valueOf(cause.getMessage()).contains("Connect(")) {
       return Failure.notRun(
@@ -82,4 +79,17 @@
     }
     return Failure.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "the connection to the endpoint failed");
   }
+
+  /** Returns whether an error of {@link #send} says that the endpoint sent no valid response. */
+  public static boolean isMalformedResponse(Throwable error) {
+    return rootCause(error) instanceof MalformedResponseException;
+  }
+
+  private static Throwable rootCause(Throwable error) {
+    Throwable cause = error;
+    while (cause instanceof CompletionException && cause.getCause() != null) {
+      cause = cause.getCause();
+    }
+    return cause;
+  }
 }
