Find the ends of events whose lines end with CR LF

A resumable stream with CR LF was never passed on: no event of it seemed to end, so after its last byte it counted as broken off, was tried at each endpoint, and the caller's connection was closed (row 'resumable_stream, UNTIL_CLOSE, AFTER_CRLF_EVENT, relayed' of StreamEndedInsideEventTest failed). EventScanner knew LF only; the field allows CR, LF and both. The row passes now.

--- a/shell/src/main/java/org/cuminwell/shell/forward/EventScanner.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/EventScanner.java
@@ -4,8 +4,8 @@
  * Finds the ends of server-sent events as their bytes arrive, and counts the events that have an
  * id.
  *
- * <p>Each byte is scanned once. An event ends with an empty line; lines end with LF. Not thread
- * safe: it belongs to one stream.
+ * <p>Each byte is scanned once. An event ends with an empty line; lines end with LF, CR or both.
+ * Not thread safe: it belongs to one stream.
  */
 final class EventScanner {
 
@@ -17,6 +17,12 @@
   private boolean lineIsId;
   private boolean eventHasId;
 
+  /** Whether the last byte was a CR, which a LF may follow as part of the same line end. */
+  private boolean isAfterCarriageReturn;
+
+  /** Whether the last line end, as far as it was scanned, ended an event. */
+  private boolean isAfterEvent;
+
   /** Returns the number of events with an id that have ended. */
   long eventCount() {
     return eventCount;
@@ -36,18 +42,34 @@
     int end = 0;
     for (int i = from; i < bytes.length; i++) {
       bytesSinceEvent++;
-      if (bytes[i] != '\n') {
-        scanInLine(bytes[i]);
-      } else if (column > 0) {
-        endLine();
-      } else {
-        endEvent();
+      if (!isSecondOfLineEnd(bytes[i])) {
+        scanNext(bytes[i]);
+      }
+      if (isAfterEvent) {
         end = i + 1;
       }
     }
     return end;
   }
 
+  /** Returns whether the byte is the LF of a CR LF, whose CR has ended the line. */
+  private boolean isSecondOfLineEnd(byte next) {
+    boolean isSecond = isAfterCarriageReturn && next == '\n';
+    isAfterCarriageReturn = next == '\r';
+    return isSecond;
+  }
+
+  private void scanNext(byte next) {
+    isAfterEvent = false;
+    if (next != '\n' && next != '\r') {
+      scanInLine(next);
+    } else if (column > 0) {
+      endLine();
+    } else {
+      endEvent();
+    }
+  }
+
   private void scanInLine(byte next) {
     if (column < ID_FIELD.length()) {
       lineIsId = (column == 0 || lineIsId) && next == ID_FIELD.charAt(column);
@@ -62,6 +84,7 @@
   }
 
   private void endEvent() {
+    isAfterEvent = true;
     if (eventHasId) {
       eventCount++;
       bytesSinceEvent = 0;
--- a/shell/src/test/java/org/cuminwell/shell/gateway/FakeEndpoint.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/FakeEndpoint.java
@@ -65,7 +65,7 @@
     }
 
     /** Closes the connection with a reset. */
-    void reset() throws IOException {
+    public void reset() throws IOException {
       socket.setSoLinger(true, 0);
       socket.close();
     }
