Fail an at-most-once stream that ends within an event

EventBoundaryCheck passes the bytes of any other stream through and fails it if it ends within an event, whatever its framing, so that the caller's connection is broken off and the endpoint counts as failed. StreamEndedInsideEventTest, EndlessBytesTest, EventIdsTest and ForwardFrontTest pass.

--- a/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
@@ -27,6 +27,7 @@
    *     requests are charged to no customer even if they have a key
    * @param isResumption whether the endpoint continues after the last event that the caller
    *     received
+   * @param isStream whether the response is a stream of events
    * @param isResumable whether another endpoint may continue if this attempt breaks off
    * @param isRepeatable whether the request may run more than once
    */
@@ -41,6 +42,7 @@
       Duration streamIdleTimeout,
       Optional<CustomerId> customer,
       boolean isResumption,
+      boolean isStream,
       boolean isResumable,
       boolean isRepeatable)
       implements ForwardAction {}
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -376,6 +376,7 @@
             STREAM_IDLE_TIMEOUT,
             call.customerIfAny().map(Customer::id),
             call.isResponsePassed(),
+            call.route().retrySemantics().isStream(),
             isResumable(call),
             call.route().retrySemantics().allowsRetry()));
   }
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
@@ -36,9 +36,10 @@
  * Sends attempts to endpoints, through a relay gateway where the action names one, and passes their
  * responses to callers.
  *
- * <p>Resumable event streams are passed on by whole events; if one breaks off, the caller's stream
- * stays open until another attempt continues it or the request is aborted. Progress and end of each
- * attempt are reported through {@link ForwardAttempt}. Thread safe.
+ * <p>An event stream that ends within an event has broken off, whatever its framing says. Resumable
+ * event streams are passed on by whole events; if one breaks off, the caller's stream stays open
+ * until another attempt continues it or the request is aborted. Progress and end of each attempt
+ * are reported through {@link ForwardAttempt}. Thread safe.
  */
 final class ForwardClient {
 
@@ -216,7 +217,9 @@
             .getDataBytes()
             .mapMaterializedValue(_ -> NotUsed.getInstance());
     if (!attempt.sendAction().isResumable() || response.status().isFailure()) {
-      return bytes;
+      return attempt.sendAction().isStream() && EventBoundaryCheck.appliesTo(response)
+          ? bytes.via(new EventBoundaryCheck())
+          : bytes;
     }
     Source<ByteString, NotUsed> events =
         bytes
--- a/shell/src/test/java/org/cuminwell/shell/forward/StreamEndedInsideEventTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/forward/StreamEndedInsideEventTest.java
@@ -84,11 +84,31 @@
 
   @ParameterizedTest(name = "{0}, {1}, {2}, relayed {3}: complete {4}")
   @CsvSource({
+    "stream_once,      UNTIL_CLOSE,         AFTER_EVENT,        false, true",
+    "stream_once,      UNTIL_CLOSE,         AFTER_EVENT,        true,  true",
+    "stream_once,      UNTIL_CLOSE,         AFTER_CRLF_EVENT,   false, true",
+    "stream_once,      UNTIL_CLOSE,         INSIDE_EVENT,       false, false",
+    "stream_once,      UNTIL_CLOSE,         INSIDE_EVENT,       true,  false",
+    "stream_once,      UNTIL_CLOSE,         AFTER_LINE,         false, false",
+    "stream_once,      UNTIL_CLOSE,         RESET_AFTER_EVENT,  false, false",
+    "stream_once,      UNTIL_CLOSE,         RESET_AFTER_EVENT,  true,  false",
+    "stream_once,      UNTIL_CLOSE,         RESET_INSIDE_EVENT, false, false",
+    "stream_once,      UNTIL_CLOSE_UNTYPED, AFTER_EVENT,        false, true",
+    "stream_once,      UNTIL_CLOSE_UNTYPED, INSIDE_EVENT,       false, false",
+    "stream_once,      UNTIL_CLOSE_UNTYPED, INSIDE_EVENT,       true,  false",
+    "stream_once,      CHUNKED,             AFTER_EVENT,        false, true",
+    "stream_once,      CHUNKED,             INSIDE_EVENT,       false, false",
+    "stream_once,      CHUNKED,             INSIDE_EVENT,       true,  false",
     "resumable_stream, UNTIL_CLOSE,         AFTER_EVENT,        false, true",
     "resumable_stream, UNTIL_CLOSE,         AFTER_CRLF_EVENT,   true,  true",
     "resumable_stream, UNTIL_CLOSE,         INSIDE_EVENT,       false, false",
     "resumable_stream, UNTIL_CLOSE,         INSIDE_EVENT,       true,  false",
     "resumable_stream, UNTIL_CLOSE,         RESET_AFTER_EVENT,  true,  false",
+    "idempotent,       PLAIN_UNTIL_CLOSE,   INSIDE_EVENT,       false, true",
+    "idempotent,       PLAIN_UNTIL_CLOSE,   INSIDE_EVENT,       true,  true",
+    "idempotent,       PLAIN_UNTIL_CLOSE,   RESET_AFTER_EVENT,  false, false",
+    "idempotent,       PLAIN_UNTIL_CLOSE,   RESET_AFTER_EVENT,  true,  false",
+    "once,             PLAIN_UNTIL_CLOSE,   RESET_AFTER_EVENT,  false, false",
   })
   void responsesThatBrokeOffDoNotLookComplete(
       String repeat, Framing framing, End end, boolean relayed, boolean complete)
