Confirm a crash also by an endpoint that comes back under another id

Endpoints mostly start again under a new id at the address they had. A crash that cost fewer than three attempts was confirmed by a later incarnation of the same id only, so that on a lightly loaded endpoint it would never have counted. The table now remembers, for as long as departures, whose address was taken over by a later endpoint.

CrashFleet's endpoints now come back under either id; all rows of RequestsKeepCrashingEndpointsTest pass.

--- a/core/src/main/java/org/cuminwell/core/membership/EndpointTable.java
+++ b/core/src/main/java/org/cuminwell/core/membership/EndpointTable.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -30,6 +31,9 @@
   private final TreeMap<EndpointId, Entry> entries = new TreeMap<>();
   private final TreeMap<EndpointId, Departure> departures = new TreeMap<>();
 
+  /** Endpoints whose addresses others have taken over, with the last incarnation known. */
+  private final TreeMap<EndpointId, Departure> replaced = new TreeMap<>();
+
   /**
    * Describes one endpoint. Immutable and thread safe.
    *
@@ -55,7 +59,7 @@
     }
   }
 
-  /** Records that an incarnation has said that it leaves. */
+  /** Records that an incarnation is gone, or has said that it leaves. */
   private record Departure(long incarnation, Instant at) {}
 
   /**
@@ -90,7 +94,7 @@
       return;
     }
     Optional<LoadReport> load = sameIncarnation.flatMap(Entry::load);
-    removeOthersAt(announcement);
+    removeOthersAt(announcement, receivedAt);
     entries.put(
         announcement.endpoint(),
         new Entry(announcement, receivedAt, isLeaving(announcement), load));
@@ -123,9 +127,8 @@
 
   /** Removes the endpoints whose announcements have expired, and returns them. */
   public List<Entry> removeExpired(Instant now) {
-    departures
-        .values()
-        .removeIf(departure -> !now.isBefore(departure.at().plus(DEPARTURE_RETENTION)));
+    removeOld(departures, now);
+    removeOld(replaced, now);
     List<Entry> expiredEntries = new ArrayList<>();
     entries
         .values()
@@ -158,11 +161,16 @@
     return Optional.ofNullable(entries.get(endpoint));
   }
 
-  /** Returns whether a later incarnation of the endpoint is known. */
+  /**
+   * Returns whether the incarnation is known to have ended: a later one has announced itself, or a
+   * later endpoint has taken over its address, as one that starts again under another id does.
+   */
   public boolean hasRestarted(EndpointIncarnation earlier) {
-    return find(earlier.endpoint())
-        .filter(entry -> entry.announcement().incarnation() > earlier.incarnation())
-        .isPresent();
+    Departure replacement = replaced.get(earlier.endpoint());
+    return (replacement != null && replacement.incarnation() >= earlier.incarnation())
+        || find(earlier.endpoint())
+            .filter(entry -> entry.announcement().incarnation() > earlier.incarnation())
+            .isPresent();
   }
 
   /** Returns all entries, including endpoints that leave. */
@@ -173,14 +181,24 @@
   /**
    * Removes endpoints that had the address before, that is, other ids with an earlier incarnation.
    */
-  private void removeOthersAt(Announcement announcement) {
-    entries
+  private void removeOthersAt(Announcement announcement, Instant receivedAt) {
+    List<Announcement> others =
+        entries.values().stream()
+            .map(Entry::announcement)
+            .filter(other -> other.address().equals(announcement.address()))
+            .filter(other -> !other.endpoint().equals(announcement.endpoint()))
+            .filter(other -> other.incarnation() < announcement.incarnation())
+            .toList();
+    for (Announcement other : others) {
+      entries.remove(other.endpoint());
+      replaced.put(other.endpoint(), new Departure(other.incarnation(), receivedAt));
+    }
+  }
+
+  private static void removeOld(Map<EndpointId, Departure> departures, Instant now) {
+    departures
         .values()
-        .removeIf(
-            entry ->
-                entry.announcement().address().equals(announcement.address())
-                    && !entry.announcement().endpoint().equals(announcement.endpoint())
-                    && entry.announcement().incarnation() < announcement.incarnation());
+        .removeIf(departure -> !now.isBefore(departure.at().plus(DEPARTURE_RETENTION)));
   }
 
   /** Returns whether this incarnation has said that it leaves. */
--- a/wire/src/test/java/org/cuminwell/wire/CrashFleet.java
+++ b/wire/src/test/java/org/cuminwell/wire/CrashFleet.java
@@ -115,16 +115,25 @@
 
   private static final class Endpoint {
     final int number;
+    final Set<EndpointId> ids = new HashSet<>();
+    EndpointId id;
     long incarnation = 1;
     Instant downUntil = Instant.MIN;
     Instant announcedAt = Instant.MIN;
 
     Endpoint(int number) {
       this.number = number;
+      this.id = new EndpointId("i-%04x".formatted(number));
+      ids.add(id);
     }
 
-    EndpointId id() {
-      return new EndpointId("i-%04x".formatted(number));
+    /** Starts again, under a new name or the one that it had. */
+    void restart(boolean renamed) {
+      incarnation++;
+      if (renamed) {
+        id = new EndpointId("i-%04x-%d".formatted(number, incarnation));
+        ids.add(id);
+      }
     }
   }
 
@@ -245,7 +254,7 @@
 
   private void onSend(HostId gateway, ForwardAction.Send send) {
     Endpoint endpoint =
-        endpoints.stream().filter(e -> e.id().equals(send.endpoint())).findFirst().orElseThrow();
+        endpoints.stream().filter(e -> e.ids.contains(send.endpoint())).findFirst().orElseThrow();
     Instant arrival = fleet.now().plusMillis(10 + random.nextInt(100));
     Instant begin = arrival.plusMillis(100 + random.nextInt(500));
     Instant end = begin.plusMillis(200 + random.nextInt(2_500));
@@ -270,6 +279,15 @@
         end(run, new ForwardAttemptOutcome.Failed(refused));
         return true;
       }
+      if (!run.endpoint.id.equals(run.send.endpoint())) {
+        handle(
+            run,
+            new ForwardEvent.ResponseHeadReceived(
+                run.send.id(),
+                run.send.attempt(),
+                new ResponseHead.NotRun(421, true, Optional.empty())));
+        return true;
+      }
       run.arrived = true;
       if (request(run).lethal) {
         lethalSentAt.add(run.arrivesAt);
@@ -393,7 +411,9 @@
       if (isDown(endpoint)) {
         endpoint.announcedAt = Instant.MIN;
       } else if (isDue) {
-        endpoint.incarnation += endpoint.announcedAt.equals(Instant.MIN) ? 1 : 0;
+        if (endpoint.announcedAt.equals(Instant.MIN)) {
+          endpoint.restart(random.nextBoolean());
+        }
         endpoint.announcedAt = fleet.now();
         fleet.handle(control, new ControlEvent.EndpointAnnounced(announcement(endpoint)));
       }
@@ -402,7 +422,7 @@
 
   private Announcement announcement(Endpoint endpoint) {
     return new Announcement(
-        endpoint.id(),
+        endpoint.id,
         endpoint.incarnation,
         CoreFleet.place(endpoint.number % gatewayCount),
         CoreFleet.address(100 + endpoint.number),
