Blame sound parts less often: wait for responses, and blame repetitions first

Crashes count 0.8 s after a host has learned of them (0.4 before); a response clears its traits after 0.25 s (0.5 before); a suspension whose crashes are all cleared is lifted at once; repetitions of one request are blamed before its parts, and crashes that a suspended trait explains blame no other. The first hold is 30 s (60 before), so that what is left of such errors ends sooner, and the trials of gateways are 5 s apart on average (2 before).

--- a/core/src/main/java/org/cuminwell/core/crash/CrashEvidence.java
+++ b/core/src/main/java/org/cuminwell/core/crash/CrashEvidence.java
@@ -26,10 +26,11 @@
   static final int MIN_LOST_ATTEMPTS = 3;
 
   /**
-   * How long the reports of other gateways on a crash are waited for. Until the one arrives that
-   * lost the request to blame, another trait seems to explain more crashes.
+   * How long reports on a crash are waited for. Until the gateway reports that lost the request to
+   * blame, another trait seems to explain more crashes, and a trait that is much used is cleared by
+   * the first responses after the crash.
    */
-  static final Duration COLLECTION = Duration.ofMillis(400);
+  static final Duration COLLECTION = Duration.ofMillis(800);
 
   /** The number of open crashes from which on a request is not sent to a further endpoint. */
   private static final int CRASHES_TO_STOP_RETRIES = 2;
@@ -63,7 +64,7 @@
 
   /** Creates the evidence of a control host, which also sends on what it has received. */
   public static CrashEvidence ofControlHost(HostId self) {
-    return new CrashEvidence(self, true, () -> 1, new SplittableRandom());
+    return new CrashEvidence(self, true, () -> 1, new SplittableRandom(self.hashCode()));
   }
 
   /** Records attempts that this gateway lost at an endpoint. */
@@ -89,10 +90,12 @@
 
   /** Records a good response, which started at {@code startedAt}, to a request with the traits. */
   public void recordWorked(List<Trait> traits, Instant startedAt, Instant now) {
-    changedCrashes.addAll(pool.clear(traits, startedAt));
+    Set<EndpointIncarnation> cleared = pool.clear(traits, startedAt);
+    changedCrashes.addAll(cleared);
     for (Trait trait : traits) {
-      if (suspensions.isSuspendedBefore(trait, startedAt)) {
-        suspensions.lift(trait, now).ifPresent(this::recordLifted);
+      boolean isRefuted = !cleared.isEmpty() && pool.countOpen(trait) == 0;
+      if (isRefuted || suspensions.isSuspendedBefore(trait, startedAt)) {
+        lift(trait, now);
       }
     }
   }
@@ -121,6 +124,9 @@
     for (CrashRecord crash : update.crashes()) {
       if (pool.merge(crash, now)) {
         scheduleEvaluation(now);
+        crash.cleared().stream()
+            .filter(trait -> pool.countOpen(trait) == 0)
+            .forEach(trait -> lift(trait, now));
         if (relaysMerged) {
           changedCrashes.add(crash.endpoint());
         }
@@ -197,18 +203,22 @@
             .filter(this::isConfirmed)
             .toList();
     confirmed.forEach(known -> suspendFailedTrials(known, now));
-    List<SuspicionRules.Evidence> evidence =
-        confirmed.stream()
-            .map(
-                known ->
-                    new SuspicionRules.Evidence(
-                        known.crash(), known.learnedAt(), isExplained(known)))
-            .toList();
-    for (var finding : SuspicionRules.findTraits(evidence, suspensions.suspended())) {
-      suspend(finding.trait(), finding.incidents(), now);
+    List<SuspicionRules.Finding> findings = findTraits(confirmed);
+    while (!findings.isEmpty()) {
+      findings.forEach(finding -> suspend(finding.trait(), finding.incidents(), now));
+      findings = findTraits(confirmed);
     }
   }
 
+  private List<SuspicionRules.Finding> findTraits(List<CrashPool.Known> confirmed) {
+    Set<Trait> suspended = suspensions.suspended();
+    return SuspicionRules.findTraits(
+        confirmed.stream()
+            .filter(known -> !isExplained(known, suspended))
+            .map(known -> new SuspicionRules.Evidence(known.crash(), known.learnedAt()))
+            .toList());
+  }
+
   private boolean isConfirmed(CrashPool.Known known) {
     return !known.crash().refuted()
         && (known.crash().totalLostAttempts() >= MIN_LOST_ATTEMPTS
@@ -224,20 +234,9 @@
     }
   }
 
-  /**
-   * Returns whether a suspended trait explains the crash. A part explains all crashes of requests
-   * with it; content only those since its suspension, since one of its parts may be to blame.
-   */
-  private boolean isExplained(CrashPool.Known known) {
-    Set<Trait> suspended = suspensions.suspended();
-    return known.crash().openSuspects().stream()
-        .filter(suspended::contains)
-        .anyMatch(
-            trait ->
-                switch (trait) {
-                  case Trait.SharedPart t -> true;
-                  case Trait.Content t -> suspensions.isSuspendedBefore(t, known.learnedAt());
-                });
+  /** Returns whether a suspended trait explains the crash, so that it blames no other. */
+  private static boolean isExplained(CrashPool.Known known, Set<Trait> suspended) {
+    return suspended.stream().anyMatch(known.crash()::isOpenSuspect);
   }
 
   private void suspend(Trait trait, int incidents, Instant now) {
@@ -247,8 +246,14 @@
         new CrashLogEvent.Suspended(trait, suspension.strikes(), incidents, suspension.hold()));
   }
 
-  private void recordLifted(Suspension lifted) {
-    changedSuspensions.add(lifted.trait());
-    logEvents.add(new CrashLogEvent.Lifted(lifted.trait(), lifted.strikes()));
+  /** Lifts the suspension of a trait that no crash is blamed on any more, if there is one. */
+  private void lift(Trait trait, Instant now) {
+    suspensions
+        .lift(trait, now)
+        .ifPresent(
+            lifted -> {
+              changedSuspensions.add(trait);
+              logEvents.add(new CrashLogEvent.Lifted(trait, lifted.strikes()));
+            });
   }
 }
--- a/core/src/main/java/org/cuminwell/core/crash/Suspension.java
+++ b/core/src/main/java/org/cuminwell/core/crash/Suspension.java
@@ -13,9 +13,9 @@
  */
 public record Suspension(Trait trait, int strikes, boolean lifted) {
 
-  private static final Duration FIRST_HOLD = Duration.ofSeconds(60);
+  private static final Duration FIRST_HOLD = Duration.ofSeconds(30);
   private static final Duration MAX_HOLD = Duration.ofHours(1);
-  private static final int MAX_DOUBLINGS = 6;
+  private static final int MAX_DOUBLINGS = 7;
 
   /**
    * Checks the number of strikes.
--- a/core/src/main/java/org/cuminwell/core/crash/SuspensionTable.java
+++ b/core/src/main/java/org/cuminwell/core/crash/SuspensionTable.java
@@ -31,7 +31,7 @@
   static final Duration RETENTION = Duration.ofMinutes(10);
 
   /** The mean time between the first trials of two gateways. */
-  private static final Duration TRIAL_SPACING = Duration.ofSeconds(2);
+  private static final Duration TRIAL_SPACING = Duration.ofSeconds(5);
 
   /** How long a gateway waits for the end of one trial before the next. */
   private static final Duration TRIAL_PERIOD = Duration.ofSeconds(10);
--- a/core/src/main/java/org/cuminwell/core/crash/SuspicionRules.java
+++ b/core/src/main/java/org/cuminwell/core/crash/SuspicionRules.java
@@ -40,9 +40,8 @@
    * A crash that counts as evidence. Immutable and thread safe.
    *
    * @param learnedAt when this host learned of it
-   * @param isExplained whether a trait that was suspended before explains it
    */
-  record Evidence(CrashRecord crash, Instant learnedAt, boolean isExplained) {}
+  record Evidence(CrashRecord crash, Instant learnedAt) {}
 
   /**
    * Names a trait to suspend. Immutable and thread safe.
@@ -52,25 +51,26 @@
   record Finding(Trait trait, int incidents) {}
 
   /**
-   * Returns the traits to suspend.
+   * Returns the traits to suspend. As long as repetitions of a request are to blame, its parts are
+   * not, which may be in other crashes by chance.
    *
-   * @param evidence crashes in the order in which this host learned of them
-   * @param suspended the traits that are suspended already
+   * @param evidence the crashes that no suspended trait explains, in the order in which this host
+   *     learned of them
    */
-  static List<Finding> findTraits(List<Evidence> evidence, Set<Trait> suspended) {
-    List<Evidence> unexplained = evidence.stream().filter(e -> !e.isExplained()).toList();
-    Map<Trait, Set<Integer>> crashesByTrait = groupByTrait(unexplained);
+  static List<Finding> findTraits(List<Evidence> evidence) {
+    Map<Trait, Set<Integer>> crashesByTrait = groupByTrait(evidence);
     List<Finding> findings = new ArrayList<>();
     crashesByTrait.forEach(
         (trait, crashes) -> {
-          int incidents = countIncidents(crashes, unexplained);
-          if (!suspended.contains(trait)
-              && incidents >= INCIDENTS
-              && incidents >= requiredIncidents(trait, crashes, crashesByTrait, unexplained)) {
+          int incidents = countIncidents(crashes, evidence);
+          if (incidents >= INCIDENTS
+              && incidents >= requiredIncidents(trait, crashes, crashesByTrait, evidence)) {
             findings.add(new Finding(trait, incidents));
           }
         });
-    return findings;
+    List<Finding> contents =
+        findings.stream().filter(finding -> finding.trait() instanceof Trait.Content).toList();
+    return contents.isEmpty() ? findings : contents;
   }
 
   /** Returns, for each open suspect, the indices of its crashes in ascending order. */
--- a/core/src/main/java/org/cuminwell/core/crash/Trait.java
+++ b/core/src/main/java/org/cuminwell/core/crash/Trait.java
@@ -1,6 +1,5 @@
 package org.cuminwell.core.crash;
 
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -68,7 +67,7 @@
       sha256.update((bytes.length + ":").getBytes(StandardCharsets.US_ASCII));
       sha256.update(bytes);
     }
-    return ByteBuffer.wrap(sha256.digest()).getLong();
+    return HexFormat.fromHexDigitsToLong(HexFormat.of().formatHex(sha256.digest(), 0, Long.BYTES));
   }
 
   private static MessageDigest sha256() {
--- a/core/src/main/java/org/cuminwell/core/forward/CrashWatch.java
+++ b/core/src/main/java/org/cuminwell/core/forward/CrashWatch.java
@@ -22,9 +22,12 @@
  */
 final class CrashWatch {
 
-  /** How long a response must have been arriving to show that its request is harmless. */
+  /** How long a response must have been arriving before its request is no longer suspected. */
   static final Duration HARMLESS = Duration.ofMillis(500);
 
+  /** How long a response must have been arriving to clear the traits of its request. */
+  static final Duration WORKING = Duration.ofMillis(250);
+
   private static final String MESSAGE =
       "requests like this one crashed several endpoints; do not repeat it";
 
@@ -55,7 +58,7 @@
     Instant sentAt = now.minus(call.attemptElapsed(now));
     detector.recordAlive(endpoint, sentAt, now);
     evidence.recordAlive(endpoint, sentAt, now);
-    if (call.attemptResponding(now).filter(t -> t.compareTo(HARMLESS) >= 0).isPresent()) {
+    if (call.attemptResponding(now).filter(t -> t.compareTo(WORKING) >= 0).isPresent()) {
       recordWorked(call, now);
     }
   }
--- a/core/src/test/java/org/cuminwell/core/crash/CrashEvidenceTest.java
+++ b/core/src/test/java/org/cuminwell/core/crash/CrashEvidenceTest.java
@@ -77,6 +77,26 @@
     assertThat(isSuspended(LETHAL)).isEqualTo(suspended);
   }
 
+  @ParameterizedTest(name = "a response started {0} ms after the last crash, told by another {1}")
+  @CsvSource({"-500, false, true", "100, false, false", "100, true, false"})
+  void responsesAfterTheLastCrashLiftTheSuspensionAtOnce(
+      long startedAfterMillis, boolean toldByAnother, boolean suspended) {
+    crash(2, LETHAL);
+    Instant lastCrash = now;
+    crash(1, LETHAL);
+    assertThat(isSuspended(LETHAL)).isTrue();
+    Instant startedAt = lastCrash.plusMillis(startedAfterMillis);
+    if (toldByAnother) {
+      CrashEvidence other = gateway("g1");
+      other.merge(evidence.all(lastCrash), lastCrash);
+      other.recordWorked(List.of(LETHAL), startedAt, now);
+      evidence.merge(other.takeChanges(now), now);
+    } else {
+      evidence.recordWorked(List.of(LETHAL), startedAt, now);
+    }
+    assertThat(isSuspended(LETHAL)).isEqualTo(suspended);
+  }
+
   @ParameterizedTest(name = "{0} gateways see one crash each")
   @ValueSource(ints = {3, 5})
   void crashesAtDifferentGatewaysAddUp(int gateways) {
@@ -139,6 +159,19 @@
                 assertThat(crash.suspects()).hasSizeLessThanOrEqualTo(CrashRecord.MAX_SUSPECTS));
   }
 
+  @ParameterizedTest(name = "{0} crashes with both traits, then {1} with the second alone")
+  @CsvSource({"3, 0, false", "3, 2, false", "3, 3, true", "2, 3, true"})
+  void crashesThatASuspendedTraitExplainsBlameNoOther(int both, int alone, boolean suspended) {
+    Trait content = new Trait.Content(3);
+    for (int i = 0; i < both; i++) {
+      evidence.recordCrash(
+          new CrashDetector.Report(endpoint(), "service", 10, Set.of(content, LETHAL)), now);
+      advance(Duration.ofSeconds(1));
+    }
+    crash(alone, LETHAL);
+    assertThat(isSuspended(LETHAL)).isEqualTo(suspended);
+  }
+
   @ParameterizedTest(name = "after {0} crashes: retried {1}")
   @CsvSource({"0, true", "1, true", "2, false"})
   void suspectsAreNotSentToAFurtherEndpoint(int count, boolean retried) {
