Let libraries write 20 lines a second

StructuredLog now leaves out what libraries write beyond 20 lines a second and counts it in a line, as it does for lines that find no room.

--- a/app/src/main/java/org/cuminwell/app/StructuredLog.java
+++ b/app/src/main/java/org/cuminwell/app/StructuredLog.java
@@ -33,6 +33,7 @@
   private final AtomicLong accepted = new AtomicLong();
   private final AtomicLong written = new AtomicLong();
   private final AtomicLong dropped = new AtomicLong();
+  private final LibraryLineLimit libraryLines = new LibraryLineLimit();
   private final Formatter formatter = new JsonLines();
   private final PrintStream out;
   private final Duty<LogRecord> writer;
@@ -57,7 +58,8 @@
 
   @Override
   public void publish(LogRecord line) {
-    if (line.getLevel().intValue() < Level.INFO.intValue()) {
+    if (line.getLevel().intValue() < Level.INFO.intValue()
+        || !libraryLines.allows(line.getLoggerName(), line.getInstant())) {
       return;
     }
     if (lines.offer(line)) {
@@ -93,12 +95,8 @@
 
   private void write(LogRecord first) {
     StringBuilder batch = new StringBuilder();
-    long lost = dropped.getAndSet(0);
-    if (lost > 0) {
-      LogRecord note = new LogRecord(Level.WARNING, "lines dropped: " + lost);
-      note.setLoggerName(StructuredLog.class.getName());
-      batch.append(formatter.format(note));
-    }
+    appendNote("lines dropped: ", dropped.getAndSet(0), batch);
+    appendNote("lines of libraries left out: ", libraryLines.takeSuppressed(), batch);
     Optional<LogRecord> next = Optional.of(first);
     int taken = 0;
     while (next.isPresent()) {
@@ -112,6 +110,14 @@
     written.addAndGet(taken);
   }
 
+  private void appendNote(String text, long count, StringBuilder batch) {
+    if (count > 0) {
+      LogRecord note = new LogRecord(Level.WARNING, text + count);
+      note.setLoggerName(StructuredLog.class.getName());
+      batch.append(formatter.format(note));
+    }
+  }
+
   /** Makes one JSON object of a line; a message that is one already is taken apart. Stateless. */
   private static final class JsonLines extends Formatter {
 
