Index crashes by suspect, so that responses cost little while there are many

The pool now holds the crashes of each open suspect, and a tick looks for suspended attempts only while something is suspended. The tests of core.crash and RequestsKeepCrashingEndpointsTest pass; the cost was not measured.

--- a/core/src/main/java/org/cuminwell/core/crash/CrashEvidence.java
+++ b/core/src/main/java/org/cuminwell/core/crash/CrashEvidence.java
@@ -100,6 +100,11 @@
     }
   }
 
+  /** Returns whether no trait is suspended or was lately. */
+  public boolean hasNoSuspensions() {
+    return suspensions.isEmpty();
+  }
+
   /** Returns how long requests with one of the traits are still refused; zero if they are not. */
   public Duration remainingHold(List<Trait> traits, Instant now) {
     return suspensions.remainingHold(traits, now);
--- a/core/src/main/java/org/cuminwell/core/crash/CrashPool.java
+++ b/core/src/main/java/org/cuminwell/core/crash/CrashPool.java
@@ -3,20 +3,19 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BiPredicate;
-import java.util.function.UnaryOperator;
 
 /**
  * Holds the records of recent crashes that a host knows of.
  *
  * <p>Invariants: at most {@link #MAX_CRASHES} are held, each for {@link #RETENTION} after this host
- * learned of it; they are in the order in which it did. Not thread safe: the {@link CrashEvidence}
- * owns it.
+ * learned of it; they are in the order in which it did; the index holds exactly their open
+ * suspects. Not thread safe: the {@link CrashEvidence} owns it.
  */
 final class CrashPool {
 
@@ -28,6 +27,9 @@
 
   private final Map<EndpointIncarnation, Known> crashes = new LinkedHashMap<>();
 
+  /** The crashes of each open suspect, so that responses to other requests cost little. */
+  private final Map<Trait, Set<EndpointIncarnation>> crashesBySuspect = new HashMap<>();
+
   /** A crash and the time when this host learned of it. */
   record Known(CrashRecord crash, Instant learnedAt) {}
 
@@ -35,7 +37,7 @@
   boolean merge(CrashRecord record, Instant now) {
     Known known = crashes.get(record.endpoint());
     if (known == null) {
-      crashes.put(record.endpoint(), new Known(record, now));
+      put(new Known(record, now));
       evictOldest();
       return true;
     }
@@ -49,10 +51,14 @@
   Set<EndpointIncarnation> clear(List<Trait> traits, Instant startedAt) {
     Set<EndpointIncarnation> changed = new HashSet<>();
     for (Trait trait : traits) {
-      changed.addAll(
-          update(
-              (crash, learnedAt) -> crash.isOpenSuspect(trait) && startedAt.isAfter(learnedAt),
-              crash -> crash.withCleared(trait)));
+      for (EndpointIncarnation endpoint : Set.copyOf(crashesOf(trait))) {
+        Known known = crashes.get(endpoint);
+        if (known != null
+            && startedAt.isAfter(known.learnedAt())
+            && replace(known, known.crash().withCleared(trait))) {
+          changed.add(endpoint);
+        }
+      }
     }
     return changed;
   }
@@ -71,12 +77,15 @@
 
   /** Removes what is too old. */
   void expire(Instant now) {
-    crashes.values().removeIf(known -> !now.isBefore(known.learnedAt().plus(RETENTION)));
+    crashes.values().stream()
+        .filter(known -> !now.isBefore(known.learnedAt().plus(RETENTION)))
+        .toList()
+        .forEach(this::remove);
   }
 
   /** Returns how many crashes have the trait as a suspect that was not cleared. */
-  long countOpen(Trait trait) {
-    return crashes.values().stream().filter(known -> known.crash().isOpenSuspect(trait)).count();
+  int countOpen(Trait trait) {
+    return crashesOf(trait).size();
   }
 
   /** Returns the known crashes, in the order in which this host learned of them. */
@@ -95,29 +104,46 @@
     return records;
   }
 
-  private Set<EndpointIncarnation> update(
-      BiPredicate<CrashRecord, Instant> applies, UnaryOperator<CrashRecord> change) {
-    Set<EndpointIncarnation> changed = new HashSet<>();
-    for (Known known : List.copyOf(crashes.values())) {
-      if (applies.test(known.crash(), known.learnedAt())
-          && replace(known, change.apply(known.crash()))) {
-        changed.add(known.crash().endpoint());
-      }
-    }
-    return changed;
+  private Set<EndpointIncarnation> crashesOf(Trait suspect) {
+    return crashesBySuspect.getOrDefault(suspect, Set.of());
   }
 
   private boolean replace(Known known, CrashRecord record) {
     if (record.equals(known.crash())) {
       return false;
     }
-    crashes.put(record.endpoint(), new Known(record, known.learnedAt()));
+    removeFromIndex(known.crash());
+    put(new Known(record, known.learnedAt()));
     return true;
   }
 
   private void evictOldest() {
     if (crashes.size() > MAX_CRASHES) {
-      crashes.remove(crashes.keySet().iterator().next());
+      remove(crashes.values().iterator().next());
+    }
+  }
+
+  private void put(Known known) {
+    EndpointIncarnation endpoint = known.crash().endpoint();
+    crashes.put(endpoint, known);
+    for (Trait suspect : known.crash().openSuspects()) {
+      crashesBySuspect.computeIfAbsent(suspect, _ -> new HashSet<>()).add(endpoint);
+    }
+  }
+
+  private void remove(Known known) {
+    crashes.remove(known.crash().endpoint());
+    removeFromIndex(known.crash());
+  }
+
+  private void removeFromIndex(CrashRecord crash) {
+    for (Trait suspect : crash.openSuspects()) {
+      crashesBySuspect.computeIfPresent(
+          suspect,
+          (_, endpoints) -> {
+            endpoints.remove(crash.endpoint());
+            return endpoints.isEmpty() ? null : endpoints;
+          });
     }
   }
 }
--- a/core/src/main/java/org/cuminwell/core/crash/SuspensionTable.java
+++ b/core/src/main/java/org/cuminwell/core/crash/SuspensionTable.java
@@ -107,6 +107,11 @@
         .collect(Collectors.toSet());
   }
 
+  /** Returns whether no suspension is held, lifted ones included. */
+  boolean isEmpty() {
+    return suspensions.isEmpty();
+  }
+
   /** Returns whether the trait is suspended since a time before {@code at}. */
   boolean isSuspendedBefore(Trait trait, Instant at) {
     Active active = suspensions.get(trait);
--- a/core/src/main/java/org/cuminwell/core/forward/CrashWatch.java
+++ b/core/src/main/java/org/cuminwell/core/forward/CrashWatch.java
@@ -87,6 +87,11 @@
         : Optional.of(suspended(hold));
   }
 
+  /** Returns whether {@link #findSuspensionOfAttempt} finds nothing for any request. */
+  boolean hasNoSuspensions() {
+    return evidence.hasNoSuspensions();
+  }
+
   /** Returns whether a request that lost its endpoint may be sent to another one. */
   boolean allowsRetry(ForwardedCall call) {
     return !evidence.forbidsRetry(call.traits());
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -173,6 +173,9 @@
 
   /** Cancels attempts that would crash their endpoints as soon as these begin to respond. */
   private void cancelSuspended(Context context, Instant now, List<ForwardAction> actions) {
+    if (crashWatch.hasNoSuspensions()) {
+      return;
+    }
     for (ForwardedCall call : List.copyOf(calls.values())) {
       crashWatch
           .findSuspensionOfAttempt(call, now)
