Log a suspension at each gateway that learns of it, and keep no log events at control hosts

A play with the evidence of all gateways logged the suspension at 3 of 7 gateways: the others had learned of it before they came to it themselves, and said nothing. They write a line 'told' now. Control hosts took part in the same evidence, and their log events were never taken, so that they grew without a bound; found while looking for who takes them.

--- a/core/src/main/java/org/cuminwell/core/control/CrashHandler.java
+++ b/core/src/main/java/org/cuminwell/core/control/CrashHandler.java
@@ -52,9 +52,13 @@
     exchange.onMessage(update, now);
   }
 
-  /** Sends the changes that are due. */
+  /**
+   * Sends the changes that are due. What this host concludes itself is not logged, since it refuses
+   * no request.
+   */
   void onTick(Instant now, List<ControlAction> actions) {
     evidence.tick(endpoints::hasRestarted, now);
+    var _ = evidence.takeLogEvents();
     addSends(exchange.tick(now), actions);
   }
 
--- a/core/src/main/java/org/cuminwell/core/crash/CrashEvidence.java
+++ b/core/src/main/java/org/cuminwell/core/crash/CrashEvidence.java
@@ -138,8 +138,11 @@
       }
     }
     for (CrashUpdate.Aged aged : update.suspensions()) {
-      if (suspensions.merge(aged.suspension(), aged.age(), now) && relaysMerged) {
-        changedSuspensions.add(aged.suspension().trait());
+      if (suspensions.merge(aged.suspension(), aged.age(), now)) {
+        logEvents.add(new CrashLogEvent.Told(aged.suspension()));
+        if (relaysMerged) {
+          changedSuspensions.add(aged.suspension().trait());
+        }
       }
     }
   }
--- a/core/src/main/java/org/cuminwell/core/crash/CrashLogEvent.java
+++ b/core/src/main/java/org/cuminwell/core/crash/CrashLogEvent.java
@@ -16,6 +16,9 @@
   /** Reports that requests with the trait are refused from now on. */
   record Suspended(Trait trait, int strikes, int crashes, Duration hold) implements CrashLogEvent {}
 
+  /** Reports that another host has suspended the trait, or has lifted its suspension. */
+  record Told(Suspension suspension) implements CrashLogEvent {}
+
   /** Reports that a request with a suspended trait is sent to find out whether it still crashes. */
   record Tried(Trait trait, int strikes) implements CrashLogEvent {}
 
--- a/shell/src/main/java/org/cuminwell/shell/gateway/CrashLog.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/CrashLog.java
@@ -38,6 +38,9 @@
           step("suspended", e.trait(), e.strikes())
               .put("crashes", e.crashes())
               .put("hold_ms", e.hold().toMillis());
+      case CrashLogEvent.Told e ->
+          step("told", e.suspension().trait(), e.suspension().strikes())
+              .put("lifted", e.suspension().lifted());
       case CrashLogEvent.Tried e -> step("tried", e.trait(), e.strikes());
       case CrashLogEvent.Lifted e -> step("lifted", e.trait(), e.strikes());
     };
@@ -47,6 +50,7 @@
     return switch (event) {
       case CrashLogEvent.CrashSeen e -> "endpoint_crashes_seen";
       case CrashLogEvent.Suspended e -> "traits_suspended";
+      case CrashLogEvent.Told e -> "suspensions_told";
       case CrashLogEvent.Tried e -> "suspended_traits_tried";
       case CrashLogEvent.Lifted e -> "suspensions_lifted";
     };
