Divide limits once a tick, so that a leader keeps its lead among many gateways

Granting ran on the thread that also leads: every report of 94 gateways divided every changed limit among all holders, and every event of any kind looked through all sessions. Ruled out: headroom of engines (no refusal names it), cold gateways (requests were read in time).

Change: reports are recorded when they come and answered by the next tick (50 ms), which divides each limit once. The granter runs at ticks only. Tokens that come back join the pool at the division. The price: a grant leaves up to 50 ms later.

--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -60,7 +60,6 @@
   /** Handles an event and returns the resulting actions in order. */
   public List<ControlAction> handle(ControlEvent event, Instant now) {
     List<ControlAction> actions = new ArrayList<>();
-    shareHandler.update(fencingNumber(now), state.configuration(), now, actions);
     switch (event) {
       case ControlEvent.TicketSubmitted e ->
           perform(
@@ -90,6 +89,7 @@
       case ControlEvent.PeerDisconnected e -> onPeerDisconnected(e.peer(), now);
       case ControlEvent.PeerMessageReceived e -> onMessage(e.peer(), e.message(), now, actions);
       case ControlEvent.Ticked e -> {
+        shareHandler.update(fencingNumber(now), state.configuration(), now, actions);
         onTick(now, actions);
         rolloutHandler.onTick(leads(now), connectedGateways(), now, actions);
       }
@@ -221,7 +221,7 @@
       }
       case PeerMessage.Consensus m ->
           perform(replicatedStateMachine.onMessage(peer, m.message(), now), actions);
-      case PeerMessage.Limits m -> shareHandler.onMessage(peer, m.message(), now, actions);
+      case PeerMessage.Limits m -> shareHandler.onMessage(peer, m.message(), now);
       case PeerMessage.Directory m -> {
         switch (m.message()) {
           case DirectoryMessage.GatewayHello gatewayHello ->
--- a/core/src/main/java/org/cuminwell/core/control/ShareHandler.java
+++ b/core/src/main/java/org/cuminwell/core/control/ShareHandler.java
@@ -36,8 +36,9 @@
     send(granter.tick(now), actions);
   }
 
-  void onMessage(HostId gateway, LimitMessage message, Instant now, List<ControlAction> actions) {
-    send(granter.onMessage(gateway, message, now), actions);
+  /** Records a gateway's message, which the next update answers. */
+  void onMessage(HostId gateway, LimitMessage message, Instant now) {
+    granter.onMessage(gateway, message, now);
   }
 
   void onConnected(HostId gateway, List<ControlAction> actions) {
--- a/core/src/main/java/org/cuminwell/core/limit/LimitAllocator.java
+++ b/core/src/main/java/org/cuminwell/core/limit/LimitAllocator.java
@@ -52,6 +52,7 @@
   private long limitRate;
   private long grantableRate;
   private long grantableBurst;
+  private long returnedTokens;
 
   /** Schedules grants for shares that change. */
   interface GrantScheduler {
@@ -127,10 +128,9 @@
     resizePool(now);
   }
 
-  /** Adds tokens that a holder returned to the pool. */
-  void returnTokens(long tokens, Instant now) {
-    resizePool(now);
-    pool.charge(-tokens, now);
+  /** Records tokens that a holder returned; {@link #divide} adds them to the pool. */
+  void returnTokens(long tokens) {
+    returnedTokens += tokens;
   }
 
   /**
@@ -141,6 +141,9 @@
    * granted for single requests and last only until these are admitted.
    */
   void divide(GrantScheduler scheduler, Instant now) {
+    resizePool(now);
+    pool.charge(-returnedTokens, now);
+    returnedTokens = 0;
     List<Map.Entry<HostId, GrantedShare>> entries = new ArrayList<>(activeHolders.entrySet());
     List<GrantedShare> shares = List.copyOf(activeHolders.values());
     boolean bySingleRequest = SingleRequestAllocator.exceedBurst(grantableBurst, shares);
--- a/core/src/main/java/org/cuminwell/core/limit/ShareGranter.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareGranter.java
@@ -30,8 +30,11 @@
  * earlier leaders must have expired; until then it only lets holders keep the shares they report.
  * Invariant: a holder's share stays reserved until the holder has acknowledged a smaller one, has
  * started another session, or {@link ShareLease#LEASE} plus {@link ShareLease#CLOCK_MARGIN} have
- * elapsed since its last report arrived; the holder counts the lease from sending that report. Not
- * thread safe: one thread owns it.
+ * elapsed since its last report arrived; the holder counts the lease from sending that report.
+ *
+ * <p>Reports are only recorded when they arrive. All that arrived since are answered by the next
+ * {@link #tick}, which divides each limit once, so that the work of a leader does not grow with the
+ * product of gateways and reports. Not thread safe: one thread owns it.
  */
 public final class ShareGranter {
 
@@ -56,7 +59,7 @@
     long lastReport;
     long acknowledgedGrant;
     long lastGrant;
-    boolean hasUnsentGrant;
+    boolean mustAnswer;
     boolean adoptsHeldShares;
     Instant expiresAt;
 
@@ -120,13 +123,13 @@
     gateways.remove(gateway);
   }
 
-  /** Handles a gateway's message, and returns the answers. */
-  public List<AddressedMessage> onMessage(HostId from, LimitMessage message, Instant now) {
-    return switch (message) {
+  /** Records a gateway's message, which the next {@link #tick} answers. */
+  public void onMessage(HostId from, LimitMessage message, Instant now) {
+    switch (message) {
       case Report report -> onReport(from, report, now);
-      case LeaderAnnouncement m -> List.of();
-      case Grant m -> List.of();
-    };
+      case LeaderAnnouncement m -> {}
+      case Grant m -> {}
+    }
   }
 
   /**
@@ -140,7 +143,7 @@
     divideChanged(now);
     List<AddressedMessage> out = new ArrayList<>();
     for (Map.Entry<HostId, Session> entry : sessions.entrySet()) {
-      if (entry.getValue().hasUnsentGrant) {
+      if (entry.getValue().mustAnswer) {
         out.add(buildGrant(entry.getKey(), entry.getValue()));
       }
     }
@@ -158,26 +161,24 @@
         : new Share(allocator.reservedRate(), allocator.reservedBurst());
   }
 
-  /** Records a report if it is in order, and returns the grant that answers it. */
-  private List<AddressedMessage> onReport(HostId from, Report report, Instant now) {
+  /** Records a report if it is in order. */
+  private void onReport(HostId from, Report report, Instant now) {
     if (!leading || report.epoch() != epoch) {
-      return List.of();
+      return;
     }
-    dropExpired(now);
     Session session = findOrStartSession(from, report, now);
     boolean outOfOrder =
         session.number != report.session()
             || report.sequence() <= session.lastReport
             || report.acknowledgedGrant() > session.lastGrant;
     if (outOfOrder) {
-      return List.of();
+      return;
     }
     session.lastReport = report.sequence();
     session.expiresAt = expiry(now);
     acknowledge(from, session, report.acknowledgedGrant());
     report.demands().forEach(demand -> recordDemand(from, session, demand, now));
-    divideChanged(now);
-    return List.of(buildGrant(from, session));
+    session.mustAnswer = true;
   }
 
   /** Returns the session of the report, or a later one; an earlier session is dropped first. */
@@ -241,7 +242,7 @@
     session.customers.add(customer.id());
     long returned = allocator.activate(from).updateDemand(demand, now);
     if (session.acknowledgedGrant > 0 && !now.isBefore(grantsFrom)) {
-      allocator.returnTokens(returned, now);
+      allocator.returnTokens(returned);
     }
     changedCustomers.add(customer.id());
   }
@@ -275,7 +276,7 @@
     if (session == null) {
       throw new IllegalStateException("shares of " + host + " are reserved without a session");
     }
-    session.hasUnsentGrant = true;
+    session.mustAnswer = true;
     session.unacknowledgedCustomers.add(customer);
     return session.lastGrant + 1;
   }
@@ -287,7 +288,7 @@
       findShare(to, id).ifPresent(grantedShare -> allotments.add(grantedShare.allotment()));
     }
     session.lastGrant++;
-    session.hasUnsentGrant = false;
+    session.mustAnswer = false;
     return new AddressedMessage(
         to,
         new Grant(
--- a/core/src/test/java/org/cuminwell/core/limit/ShareFleet.java
+++ b/core/src/test/java/org/cuminwell/core/limit/ShareFleet.java
@@ -225,9 +225,7 @@
       return;
     }
     if (to.equals(leader)) {
-      send(
-          leader,
-          granter.onMessage(inFlightMessage.from(), inFlightMessage.addressed().message(), now));
+      granter.onMessage(inFlightMessage.from(), inFlightMessage.addressed().message(), now);
       return;
     }
     holder(to).configure(configuration, localTime(to));
--- a/wire/src/test/java/org/cuminwell/wire/LimitBench.java
+++ b/wire/src/test/java/org/cuminwell/wire/LimitBench.java
@@ -170,7 +170,7 @@
         return;
       }
       if (toLeader) {
-        post(-1, granter.onMessage(host(late.holder()), late.message().message(), now));
+        granter.onMessage(host(late.holder()), late.message().message(), now);
       } else {
         holders.get(late.holder()).onMessage(new HostId("leader"), late.message().message(), now);
       }
