Tell operators why requests were refused, by cause and data centre, in one command

Change: each gateway counts refusals of the last minute by cause (refused_last_minute in its metrics; only requests that have certainly not run). `cuminwell refusals` asks a control host for the gateways and sums their counts by data centre; a gateway that does not answer is named, and the exit code says so. The status of a control host now names the inner address of each gateway. Connections closed unread are not among them: those have no request (callers_connections_shed).

--- a/app/src/main/java/org/cuminwell/app/Main.java
+++ b/app/src/main/java/org/cuminwell/app/Main.java
@@ -31,6 +31,7 @@
     commands.put("ticket", new TicketCommand());
     commands.put("status", new StatusCommand());
     commands.put("watch", new WatchCommand());
+    commands.put("refusals", new RefusalsCommand());
     commands.put("load", new LoadCommand());
   }
 
--- a/app/src/main/java/org/cuminwell/app/OperatorClient.java
+++ b/app/src/main/java/org/cuminwell/app/OperatorClient.java
@@ -35,6 +35,25 @@
     this.credentials = credentials;
   }
 
+  /** Returns the answer to a GET; empty if no control host gives one. */
+  Optional<String> read(String path) throws InterruptedException {
+    for (String host : hosts) {
+      try {
+        HttpResponse<String> answer =
+            client.send(
+                proven(HttpRequest.newBuilder(uri(host, path))).timeout(TIMEOUT).GET().build(),
+                HttpResponse.BodyHandlers.ofString());
+        if (answer.statusCode() < 400) {
+          return Optional.of(answer.body());
+        }
+        System.err.println(host + " answers " + answer.statusCode() + ": " + answer.body());
+      } catch (IOException e) {
+        System.err.println(host + " does not answer: " + e);
+      }
+    }
+    return Optional.empty();
+  }
+
   /** Prints the answer to a GET, and returns the exit code. */
   int get(String path) throws InterruptedException {
     return print(path, HttpRequest.newBuilder().GET());
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -2,6 +2,7 @@
 
 import java.security.SecureRandom;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -53,7 +54,7 @@
   private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(3);
 
   private final MonotonicTime time = new MonotonicTime();
-  private final Telemetry telemetry = new Telemetry();
+  private final Telemetry telemetry = new Telemetry(InstantSource.system());
   private final Ring<ControlEvent> events = new Ring<>(RING_CAPACITY);
   private final Ring<ControlAction> actions = new Ring<>(RING_CAPACITY);
   private final Journal journal;
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -64,7 +64,7 @@
   private static final Duration LAST_BYTES = Duration.ofMillis(100);
 
   private final MonotonicTime time = new MonotonicTime();
-  private final Telemetry telemetry = new Telemetry();
+  private final Telemetry telemetry = new Telemetry(time);
   private final CrashLog crashLog = new CrashLog(telemetry);
   private final PendingCalls calls = new PendingCalls();
   private final EventSink events = new EventSink();
--- a/shell/src/test/java/org/cuminwell/shell/journal/FailingDiskTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/journal/FailingDiskTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -89,7 +90,8 @@
     Path data = folder.resolve("data");
     CompletableFuture<Long> synced = new CompletableFuture<>();
     try (Journal journal = Journal.open(data, () -> HARD_STATE);
-        JournalDuty duty = new JournalDuty(journal, synced::complete, new Telemetry())) {
+        JournalDuty duty =
+            new JournalDuty(journal, synced::complete, new Telemetry(InstantSource.system()))) {
       Path unfinished = data.resolve("journal-2.tmp");
       Files.createSymbolicLink(unfinished, Path.of("/dev/full"));
       duty.enqueue(new ReplicaAction.Replace<>(1, state(3)));
--- a/shell/src/test/java/org/cuminwell/shell/peer/PeerTrafficTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/peer/PeerTrafficTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.InstantSource;
 import java.util.stream.Stream;
 import org.cuminwell.core.distribution.DistributionMessage;
 import org.cuminwell.core.membership.MembershipMessage;
@@ -37,7 +38,7 @@
   @ParameterizedTest
   @MethodSource("frames")
   void framesAreCountedByKind(String kind, PeerFrame frame) {
-    Telemetry telemetry = new Telemetry();
+    Telemetry telemetry = new Telemetry(InstantSource.system());
     PeerTraffic traffic = new PeerTraffic();
     traffic.registerGauges(telemetry, "sent");
     traffic.count(frame, BYTES);
--- a/wire/src/main/java/org/cuminwell/wire/ViewJson.java
+++ b/wire/src/main/java/org/cuminwell/wire/ViewJson.java
@@ -100,6 +100,7 @@
     node.put("region", gateway.host().place().region().value());
     node.put("data_centre", gateway.host().place().dataCentre().value());
     node.put("callers", gateway.host().callerAddress().toString());
+    node.put("inner", gateway.host().internalAddress().toString());
     node.put("revision", gateway.revisionInForce().value());
     node.put("connected", gateway.connected());
     node.put("since", gateway.connectionChangedAt().toString());
