--- a/shell/src/test/java/org/cuminwell/shell/gateway/StoppingGatewayTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/gateway/StoppingGatewayTest.java
@@ -18,7 +18,6 @@
 import org.cuminwell.shell.http.HttpResponses;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -99,19 +98,8 @@
   }
 
   @ParameterizedTest(name = "relayed request that ends {0} the stop begins to refuse")
-  @CsvSource({"before, true"})
+  @CsvSource({"before, true", "after, false"})
   void relayedAnswersAreNotCutByTheStop(String when, boolean before) throws Exception {
-    checkRelayedAnswerIsNotCut(before);
-  }
-
-  @Tag("known-red")
-  @ParameterizedTest(name = "relayed request that ends {0} the stop begins to refuse")
-  @CsvSource({"after, false"})
-  void lateRelayedAnswersAreNotCutByTheStop(String when, boolean before) throws Exception {
-    checkRelayedAnswerIsNotCut(before);
-  }
-
-  private void checkRelayedAnswerIsNotCut(boolean before) throws Exception {
     CountDownLatch answers = new CountDownLatch(1);
     FakeEndpoint.Script script =
         x -> {
