--- a/app/src/main/java/org/cuminwell/app/RefusalTable.java
+++ b/app/src/main/java/org/cuminwell/app/RefusalTable.java
@@ -11,6 +11,8 @@
   private static final Pattern LINE =
       Pattern.compile("cuminwell_refused_last_minute\\{cause=\"([a-z_]+)\"\\} ([0-9]+)");
 
+  private static final Object[] HEADINGS = {"data_centre", "cause", "refused"};
+
   private final Map<String, Map<String, Long>> refusals = new TreeMap<>();
 
   /** Adds the metrics of one gateway, in the text format of Prometheus. */
@@ -38,6 +40,4 @@
                                 dataCentre, cause.getKey(), cause.getValue()))));
     return text.toString();
   }
-
-  private static final Object[] HEADINGS = {"data_centre", "cause", "refused"};
 }
--- a/shell/src/main/java/org/cuminwell/shell/forward/CallerResponse.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/CallerResponse.java
@@ -45,7 +45,10 @@
   private final Consumer<ForwardEvent> events;
   private @Nullable ResponseStart head;
   private @Nullable ForwardAttempt passing;
+
+  /** Measures the gaps between the parts; there is none until the head has been written. */
   private @Nullable GapMeter gaps;
+
   private @Nullable Future<?> stallTimer;
   private BodyFilter filter = new UnchangedBody();
   private Instant lastPartAt = Instant.MIN;
@@ -121,7 +124,7 @@
       return;
     }
     endAttempt(outcome);
-    if (gaps != null) {
+    if (isStarted()) {
       ended = true;
       writer.abort();
     }
@@ -134,10 +137,10 @@
     }
     ended = true;
     cancelStallCheck();
-    if (gaps == null) {
-      writer.respond(failure);
-    } else {
+    if (isStarted()) {
       writer.abort();
+    } else {
+      writer.respond(failure);
     }
   }
 
@@ -152,6 +155,11 @@
     return writer.isWritable();
   }
 
+  /** Returns whether the head has been written. */
+  private boolean isStarted() {
+    return gaps != null;
+  }
+
   private void write(byte[] bytes) {
     Instant now = time.instant();
     GapMeter meter = gaps;
@@ -171,7 +179,7 @@
   }
 
   private void startIfNotStarted(Instant now) {
-    if (gaps == null && head != null) {
+    if (!isStarted() && head != null) {
       gaps = new GapMeter(now);
       writer.start(head);
       events.accept(new ForwardEvent.BodyStarted(call.head().id()));
