--- a/core/src/test/java/org/cuminwell/core/limit/ManyReportsTest.java
+++ b/core/src/test/java/org/cuminwell/core/limit/ManyReportsTest.java
@@ -26,8 +26,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Checks that the reports of many gateways cost a leader one grant each per tick. Granting at every
- * report once kept the thread that also leads the control hosts so busy that it lost the lead.
+ * Checks that a leader answers any number of reports with one grant per gateway and tick, since it
+ * divides limits on the thread that keeps its lead.
  */
 final class ManyReportsTest {
 
--- a/shell/src/main/java/org/cuminwell/shell/exchange/ServerConnection.java
+++ b/shell/src/main/java/org/cuminwell/shell/exchange/ServerConnection.java
@@ -243,7 +243,10 @@
     }
   }
 
-  /** Responds with the failure, once a response that is due has ended, and closes. */
+  /**
+   * Responds with the failure and closes the connection; while another response is due, only that
+   * one is written before.
+   */
   private void refuse(ChannelHandlerContext ctx, Failure failure) {
     refusesInput = true;
     if (incoming != null) {
