--- a/shell/src/main/java/org/cuminwell/shell/control/OperatorFrontEnd.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/OperatorFrontEnd.java
@@ -98,7 +98,7 @@
    */
   CompletionStage<HttpResponse> handle(HttpRequest request) {
     String path = request.getUri().path();
-    Optional<HttpResponse> monitoring = pages.find(request);
+    Optional<HttpResponse> monitoring = findMonitoringPage(path);
     if (monitoring.isEmpty() && !access.allows(request)) {
       BodyReader.leaveUnread(request, http.actorSystem());
       return CompletableFuture.completedFuture(unauthorized());
@@ -117,10 +117,14 @@
           HttpResponses.json(200, ViewJson.write(view).retain("revision", "tickets"));
       case "/v1/status" -> HttpResponses.json(200, ViewJson.write(view));
       case "/v1/events" -> eventStream();
-      default -> pages.find(request).orElseGet(() -> error(404, "there is no such page"));
+      default -> findMonitoringPage(path).orElseGet(() -> error(404, "there is no such page"));
     };
   }
 
+  private Optional<HttpResponse> findMonitoringPage(String path) {
+    return pages.find(path).map(page -> HttpResponses.text(page.status(), page.text()));
+  }
+
   private CompletionStage<HttpResponse> handleTicket(String text, HttpRequest request) {
     Optional<TicketNumber> number = parseTicketNumber(text);
     if (number.isEmpty()) {
--- /dev/null
+++ b/shell/src/main/java/org/cuminwell/shell/exchange/HttpServer.java
@@ -0,0 +1,114 @@
+package org.cuminwell.shell.exchange;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.time.InstantSource;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.shell.duty.FailedProcess;
+import org.cuminwell.shell.duty.MonotonicTime;
+
+/**
+ * Serves HTTP/1.1 at an address, with a handler of its own for each connection.
+ *
+ * <p>Invariant: a connection that can't be set up is closed and has no effect on others. Stateless
+ * and thread safe.
+ */
+public final class HttpServer {
+
+  private static final System.Logger LOG = System.getLogger(HttpServer.class.getName());
+
+  /** The maximum number of connections that the operating system holds until they are accepted. */
+  private static final int BACKLOG = 128;
+
+  private static final int MAX_REQUEST_LINE_BYTES = 8 * 1024;
+  private static final int MAX_HEADER_BYTES = 64 * 1024;
+  private static final int MAX_PART_BYTES = 64 * 1024;
+  private static final int IDLE_TIMEOUT_SECONDS = 300;
+
+  private HttpServer() {}
+
+  /**
+   * Starts to serve at the address.
+   *
+   * @throws IllegalStateException if the address can't be bound
+   */
+  public static ServerListener bind(
+      HttpEventLoops loops, HostAddress address, Supplier<ExchangeHandler> handlerFactory) {
+    InstantSource time = new MonotonicTime();
+    ServerListener listener = new ServerListener();
+    AcceptHandler acceptor = new AcceptHandler(listener, time);
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(loops.accepting(), loops.exchanges())
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .handler(acceptor)
+            .childHandler(initializer(listener, acceptor, time, handlerFactory))
+            .bind(address.host(), address.port())
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IllegalStateException("can't listen at HTTP address " + address, bound.cause());
+    }
+    Channel channel = bound.channel();
+    listener.setChannel(channel);
+    var _ = channel.closeFuture().addListener(_ -> onClosed(listener, loops));
+    return listener;
+  }
+
+  /**
+   * Ends the process if connections are no longer accepted though nobody asked for it, since
+   * callers would still be sent to it.
+   */
+  private static void onClosed(ServerListener listener, HttpEventLoops loops) {
+    if (!listener.isUnbindRequested() && !loops.accepting().isShuttingDown()) {
+      FailedProcess.halt("an HTTP listener no longer accepts connections", null);
+    }
+  }
+
+  private static ChannelInitializer<SocketChannel> initializer(
+      ServerListener listener,
+      AcceptHandler acceptor,
+      InstantSource time,
+      Supplier<ExchangeHandler> handlerFactory) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel channel) {
+        try {
+          setUp(channel);
+        } catch (RuntimeException e) {
+          LOG.log(System.Logger.Level.ERROR, "closed a connection that could not be set up", e);
+          var _ = channel.close();
+          acceptor.onSetUp();
+        }
+      }
+
+      private void setUp(SocketChannel channel) {
+        ServerConnection connection =
+            new ServerConnection(
+                listener, handlerFactory.get(), acceptor.isLate(channel), time, acceptor::onSetUp);
+        channel
+            .pipeline()
+            .addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS))
+            .addLast(
+                new HttpServerCodec(
+                    new HttpDecoderConfig()
+                        .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setMaxChunkSize(MAX_PART_BYTES)))
+            .addLast(connection);
+      }
+    };
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/forward/AttemptFailures.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/AttemptFailures.java
@@ -1,24 +1,35 @@
 package org.cuminwell.shell.forward;
 
-import java.util.concurrent.TimeoutException;
 import org.cuminwell.core.forward.ForwardAttemptOutcome;
+import org.cuminwell.core.forward.ForwardAttemptOutcome.ConnectionLost;
+import org.cuminwell.core.forward.ForwardAttemptOutcome.Failed;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.Verdict;
-import org.cuminwell.shell.http.MalformedResponseException;
-import org.cuminwell.shell.http.SingleCall;
+import org.cuminwell.shell.exchange.CallFailure;
 
-/** Maps the errors of an attempt to its outcome. Stateless and thread safe. */
+/** Maps the failures of an attempt to its outcome. Stateless and thread safe. */
 final class AttemptFailures {
 
   private AttemptFailures() {}
 
-  /** Returns the outcome of an attempt that got no response head because of {@code error}. */
-  static ForwardAttemptOutcome beforeResponse(Throwable error) {
-    Failure failure = SingleCall.failureOf(error);
-    return SingleCall.isMalformedResponse(error)
-        ? new ForwardAttemptOutcome.Failed(failure)
-        : lostIfRun(failure);
+  /** Returns the failure of a call that got no response head. */
+  static Failure beforeHead(CallFailure failure) {
+    return switch (failure) {
+      case CallFailure.NotConnected f ->
+          Failure.notRun(
+              ErrorCode.ENDPOINT_FAILED, "the connection to the endpoint could not be established");
+      case CallFailure.Malformed f -> Failure.mayHaveRun(ErrorCode.ENDPOINT_FAILED, f.message());
+      case CallFailure.Broken f ->
+          Failure.mayHaveRun(ErrorCode.ENDPOINT_FAILED, "the connection to the endpoint failed");
+    };
+  }
+
+  /** Returns the outcome of an attempt that got no response head. */
+  static ForwardAttemptOutcome beforeResponse(CallFailure failure) {
+    return failure instanceof CallFailure.Malformed
+        ? new Failed(beforeHead(failure))
+        : lostIfRun(beforeHead(failure));
   }
 
   /** Returns the outcome of an attempt for which the relaying gateway reports a failure. */
@@ -26,27 +37,43 @@
     return lostIfRun(failure);
   }
 
-  /** Returns the outcome of an attempt whose response body ended with {@code error}. */
-  static ForwardAttemptOutcome inBody(Throwable error) {
-    return switch (error) {
-      case OverlongResponseException e ->
-          new ForwardAttemptOutcome.Failed(
-              Failure.ran(ErrorCode.ANSWER_TOO_LONG, String.valueOf(e.getMessage())));
-      case MalformedResponseException e ->
-          new ForwardAttemptOutcome.Failed(incomplete(String.valueOf(e.getMessage())));
-      case TimeoutException e ->
-          new ForwardAttemptOutcome.Failed(incomplete("the response from the endpoint stalled"));
-      default ->
-          new ForwardAttemptOutcome.ConnectionLost(
-              incomplete("the response from the endpoint broke off"));
+  /** Returns the outcome of an attempt whose response body was not received whole. */
+  static ForwardAttemptOutcome inBody(CallFailure failure) {
+    return switch (failure) {
+      case CallFailure.Malformed f -> new Failed(incomplete(f.message()));
+      case CallFailure.NotConnected f -> brokenOff();
+      case CallFailure.Broken f -> brokenOff();
     };
   }
 
+  /** Returns the outcome of an attempt whose response body ended too early. */
+  static ForwardAttemptOutcome brokenOff() {
+    return new ConnectionLost(incomplete("the response from the endpoint broke off"));
+  }
+
+  /** Returns the outcome of an attempt whose response body did not go on. */
+  static ForwardAttemptOutcome stalled() {
+    return new Failed(incomplete("the response from the endpoint stalled"));
+  }
+
+  /** Returns the outcome of an attempt whose response body is no event stream. */
+  static ForwardAttemptOutcome noEventStream(String why) {
+    return new Failed(incomplete(why));
+  }
+
+  /** Returns the outcome of an attempt whose response has more events than it may have. */
+  static ForwardAttemptOutcome tooManyEvents() {
+    return new Failed(
+        Failure.ran(
+            ErrorCode.ANSWER_TOO_LONG,
+            "the endpoint sent more events than the request declared tokens"));
+  }
+
   /** A request that has certainly not run was never on a connection to the endpoint. */
   private static ForwardAttemptOutcome lostIfRun(Failure failure) {
     return failure.verdict() instanceof Verdict.NotRun
-        ? new ForwardAttemptOutcome.Failed(failure)
-        : new ForwardAttemptOutcome.ConnectionLost(failure);
+        ? new Failed(failure)
+        : new ConnectionLost(failure);
   }
 
   private static Failure incomplete(String message) {
--- a/shell/src/main/java/org/cuminwell/shell/forward/ContentHash.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ContentHash.java
@@ -2,8 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.zip.CRC32C;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.util.ByteString;
+import org.cuminwell.shell.exchange.RequestMessage;
 
 /**
  * Computes a hash of what a request holds apart from its headers, to recognise repetitions.
@@ -16,11 +15,11 @@
   private ContentHash() {}
 
   /** Returns a hash of the method, the query and the body. */
-  static long of(HttpRequest request, ByteString body) {
+  static long of(RequestMessage request) {
     CRC32C checksum = new CRC32C();
-    String line = request.method().value() + " " + request.getUri().rawQueryString().orElse("");
+    String line = request.method() + " " + request.query().orElse("");
     checksum.update(line.getBytes(StandardCharsets.UTF_8));
-    body.getByteBuffers().forEach(checksum::update);
-    return ((long) body.length() << Integer.SIZE) | checksum.getValue();
+    checksum.update(request.body());
+    return ((long) request.body().length << Integer.SIZE) | checksum.getValue();
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/forward/EventBoundaryCheck.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/EventBoundaryCheck.java
@@ -1,84 +1,42 @@
 package org.cuminwell.shell.forward;
 
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.MediaType;
-import org.apache.pekko.http.javadsl.model.MediaTypes;
-import org.apache.pekko.stream.Attributes;
-import org.apache.pekko.stream.FlowShape;
-import org.apache.pekko.stream.Inlet;
-import org.apache.pekko.stream.Outlet;
-import org.apache.pekko.stream.stage.AbstractInHandler;
-import org.apache.pekko.stream.stage.AbstractOutHandler;
-import org.apache.pekko.stream.stage.GraphStage;
-import org.apache.pekko.stream.stage.GraphStageLogic;
-import org.apache.pekko.util.ByteString;
-import org.cuminwell.shell.http.CallEndedException;
+import java.util.Locale;
+import java.util.Optional;
+import org.cuminwell.core.forward.ForwardAttemptOutcome;
+import org.cuminwell.shell.exchange.ResponseStart;
 
 /**
- * Passes a stream of server-sent events through unchanged, and fails it if it ends within an event.
+ * Passes a stream of server-sent events on unchanged, and finds fault with it if it ends within an
+ * event.
  *
  * <p>A response without a length ends with its connection, so that nothing else tells a broken
- * stream from a whole one. Thread safe; each materialization has its own state.
+ * stream from a whole one. Not thread safe: it belongs to one response.
  */
-final class EventBoundaryCheck extends GraphStage<FlowShape<ByteString, ByteString>> {
+final class EventBoundaryCheck implements BodyFilter {
 
-  private final Inlet<ByteString> in = Inlet.create("EventBoundaryCheck.in");
-  private final Outlet<ByteString> out = Outlet.create("EventBoundaryCheck.out");
+  private static final String EVENT_STREAM = "text/event-stream";
+  private static final String UNTYPED = "application/octet-stream";
+
+  private final EventScanner scanner = new EventScanner();
+  private boolean isInEvent;
 
   /** Returns whether the response holds events, as far as its content type tells. */
-  static boolean appliesTo(HttpResponse response) {
-    MediaType type = response.entity().getContentType().mediaType();
-    return response.status().isSuccess()
-        && (type.equals(MediaTypes.TEXT_EVENT_STREAM)
-            || type.equals(MediaTypes.APPLICATION_OCTET_STREAM));
+  static boolean appliesTo(ResponseStart response) {
+    String type = response.headers().first("Content-Type").orElse(UNTYPED);
+    String mediaType = type.split(";", -1)[0].strip().toLowerCase(Locale.ROOT);
+    return response.isSuccess() && (mediaType.equals(EVENT_STREAM) || mediaType.equals(UNTYPED));
   }
 
   @Override
-  public FlowShape<ByteString, ByteString> shape() {
-    return FlowShape.of(in, out);
+  public Result accept(byte[] part) {
+    if (part.length > 0) {
+      isInEvent = scanner.scan(part, 0) < part.length;
+    }
+    return new Result.Pass(part);
   }
 
   @Override
-  public GraphStageLogic createLogic(Attributes attributes) {
-    return new Logic();
-  }
-
-  private final class Logic extends GraphStageLogic {
-
-    private final EventScanner scanner = new EventScanner();
-    private boolean isInEvent;
-
-    Logic() {
-      super(EventBoundaryCheck.this.shape());
-      setHandler(
-          in,
-          new AbstractInHandler() {
-            @Override
-            public void onPush() {
-              ByteString part = grab(in);
-              if (!part.isEmpty()) {
-                isInEvent = scanner.scan(part.toArrayUnsafe(), 0) < part.length();
-              }
-              push(out, part);
-            }
-
-            @Override
-            public void onUpstreamFinish() {
-              if (isInEvent) {
-                failStage(new CallEndedException("the event stream ended within an event"));
-              } else {
-                completeStage();
-              }
-            }
-          });
-      setHandler(
-          out,
-          new AbstractOutHandler() {
-            @Override
-            public void onPull() {
-              pull(in);
-            }
-          });
-    }
+  public Optional<ForwardAttemptOutcome> findFaultAtEnd() {
+    return isInEvent ? Optional.of(AttemptFailures.brokenOff()) : Optional.empty();
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/forward/EventIds.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/EventIds.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import org.apache.pekko.util.ByteString;
 
 /** Finds the ids of whole server-sent events, whose lines end with LF. Stateless, thread safe. */
 final class EventIds {
@@ -12,8 +11,7 @@
   private EventIds() {}
 
   /** Returns whether at least one of the events has an id. */
-  static boolean containsId(ByteString events) {
-    byte[] bytes = events.toArrayUnsafe();
+  static boolean containsId(byte[] bytes) {
     boolean atLineStart = true;
     for (int i = 0; i + FIELD.length() <= bytes.length; i++) {
       if (atLineStart && isField(bytes, i)) {
@@ -25,8 +23,8 @@
   }
 
   /** Returns the id of the last event that has an id. */
-  static Optional<String> findLast(ByteString events) {
-    String[] lines = events.decodeString(StandardCharsets.UTF_8).split("\n", -1);
+  static Optional<String> findLast(byte[] events) {
+    String[] lines = new String(events, StandardCharsets.UTF_8).split("\n", -1);
     for (int i = lines.length - 1; i >= 0; i--) {
       if (lines[i].startsWith(FIELD)) {
         return Optional.of(lines[i].substring(FIELD.length()).strip());
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
@@ -1,24 +1,33 @@
 package org.cuminwell.shell.forward;
 
-import java.util.concurrent.atomic.AtomicReference;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
 import java.util.function.Consumer;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
+import java.util.function.Function;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardAttemptOutcome;
 import org.cuminwell.core.forward.ForwardEvent;
 import org.cuminwell.core.forward.ResponseHead;
-import org.cuminwell.shell.http.CallEndedException;
-import org.cuminwell.shell.http.KeptCall;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.shell.exchange.CallFailure;
+import org.cuminwell.shell.exchange.ClientCall;
+import org.cuminwell.shell.exchange.ResponseReceiver;
+import org.cuminwell.shell.exchange.ResponseStart;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Tracks one attempt, which has a connection to itself while it runs, and reports its progress as
  * events.
  *
- * <p>Invariants: the response head and the end are each reported at most once; nothing is reported
- * after the end or after {@link #cancel}. Thread safe.
+ * <p>What arrives before the response is passed on is kept; reading stops while much is.
+ * Invariants: the response head and the end are each reported at most once; nothing is reported
+ * after the end or after {@link #cancel}. Confined to the event loop of the exchanges.
  */
-final class ForwardAttempt {
+final class ForwardAttempt implements ResponseReceiver {
+
+  /** The bytes that are kept of a response that is not passed on yet before reading stops. */
+  private static final int MAX_KEPT_BYTES = 64 * 1024;
 
   private enum State {
     WAITING,
@@ -28,52 +37,136 @@
 
   private final ForwardAction.Send sendAction;
   private final Consumer<ForwardEvent> events;
-  private final KeptCall call;
-  private final AtomicReference<State> state = new AtomicReference<>(State.WAITING);
-  private volatile @Nullable HttpResponse response;
+  private final ClientCall call;
+  private final Function<ResponseStart, ResponseHead> parser;
+  private final Runnable onHeadOrFailure;
+  private final Deque<byte[]> keptParts = new ArrayDeque<>();
+  private int keptBytes;
+  private boolean endReceived;
+  private @Nullable CallFailure failure;
+  private State state = State.WAITING;
+  private @Nullable ResponseStart response;
+  private @Nullable CallerResponse passedTo;
 
-  ForwardAttempt(ForwardAction.Send sendAction, KeptCall call, Consumer<ForwardEvent> events) {
+  /**
+   * Creates an attempt that has not been sent.
+   *
+   * @param parser parses the endpoint's response head
+   * @param onHeadOrFailure runs when the first byte is not awaited any more
+   */
+  ForwardAttempt(
+      ForwardAction.Send sendAction,
+      ClientCall call,
+      Consumer<ForwardEvent> events,
+      Function<ResponseStart, ResponseHead> parser,
+      Runnable onHeadOrFailure) {
     this.sendAction = sendAction;
     this.call = call;
     this.events = events;
+    this.parser = parser;
+    this.onHeadOrFailure = onHeadOrFailure;
   }
 
   ForwardAction.Send sendAction() {
     return sendAction;
   }
 
-  KeptCall call() {
+  ClientCall call() {
     return call;
   }
 
   /**
-   * Returns the response.
+   * Returns the response head.
    *
-   * @throws IllegalStateException if its head has not been received yet
+   * @throws IllegalStateException if it has not been received yet
    */
-  HttpResponse response() {
-    HttpResponse received = response;
-    if (received == null) {
+  ResponseStart response() {
+    if (response == null) {
       throw new IllegalStateException(
           "no response head has been received for request " + sendAction.id());
     }
-    return received;
+    return response;
   }
 
-  /** Reports the response head; closes the connection instead if the attempt has ended. */
-  void onResponseHead(HttpResponse response, ResponseHead head) {
-    this.response = response;
-    if (state.compareAndSet(State.WAITING, State.HEAD_RECEIVED)) {
-      events.accept(
-          new ForwardEvent.ResponseHeadReceived(sendAction.id(), sendAction.attempt(), head));
-    } else {
+  @Override
+  public void onHead(ResponseStart head) {
+    onHeadOrFailure.run();
+    if (state != State.WAITING) {
       close();
+      return;
+    }
+    Optional<Failure> relayFailure =
+        sendAction.relay().flatMap(_ -> RelayHeaders.findFailure(head));
+    if (relayFailure.isPresent()) {
+      endIfWaiting(AttemptFailures.atRelay(relayFailure.get()));
+      return;
+    }
+    response = head;
+    state = State.HEAD_RECEIVED;
+    events.accept(
+        new ForwardEvent.ResponseHeadReceived(
+            sendAction.id(), sendAction.attempt(), parser.apply(head)));
+  }
+
+  @Override
+  public void onPart(byte[] part) {
+    if (state != State.HEAD_RECEIVED) {
+      return;
+    }
+    if (passedTo != null) {
+      passedTo.onPart(part);
+      return;
+    }
+    keptParts.add(part);
+    keptBytes += part.length;
+    if (keptBytes > MAX_KEPT_BYTES) {
+      call.setReading(false);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    endReceived = true;
+    if (passedTo != null && state == State.HEAD_RECEIVED) {
+      passedTo.onEnd();
+    }
+  }
+
+  @Override
+  public void onFailure(CallFailure why) {
+    onHeadOrFailure.run();
+    if (state == State.WAITING) {
+      endIfWaiting(AttemptFailures.beforeResponse(why));
+    } else if (passedTo != null && state == State.HEAD_RECEIVED) {
+      passedTo.onFailure(AttemptFailures.inBody(why));
+    } else {
+      failure = why;
+    }
+  }
+
+  /** Passes the body on to the caller's response: what has arrived now, and the rest as it does. */
+  void passTo(CallerResponse callerResponse) {
+    passedTo = callerResponse;
+    while (state == State.HEAD_RECEIVED && !keptParts.isEmpty()) {
+      callerResponse.onPart(keptParts.remove());
+    }
+    keptParts.clear();
+    if (state != State.HEAD_RECEIVED) {
+      return;
+    }
+    if (failure != null) {
+      callerResponse.onFailure(AttemptFailures.inBody(failure));
+    } else if (endReceived) {
+      callerResponse.onEnd();
+    } else {
+      call.setReading(callerResponse.isWritable());
     }
   }
 
   /** Ends the attempt and closes its connection, unless the response head was received. */
   void endIfWaiting(ForwardAttemptOutcome outcome) {
-    if (state.compareAndSet(State.WAITING, State.ENDED)) {
+    if (state == State.WAITING) {
+      state = State.ENDED;
       report(outcome);
       close();
     }
@@ -84,9 +177,10 @@
    * response; does nothing if the attempt has ended.
    */
   void end(ForwardAttemptOutcome outcome) {
-    if (state.getAndSet(State.ENDED) == State.ENDED) {
+    if (state == State.ENDED) {
       return;
     }
+    state = State.ENDED;
     report(outcome);
     switch (outcome) {
       case ForwardAttemptOutcome.Completed o -> call.release();
@@ -101,12 +195,13 @@
    * ended.
    */
   void cancel() {
-    state.set(State.ENDED);
+    state = State.ENDED;
+    onHeadOrFailure.run();
     close();
   }
 
   private void close() {
-    call.abort(new CallEndedException("the attempt has ended"));
+    call.abort();
   }
 
   private void report(ForwardAttemptOutcome outcome) {
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardConnection.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardConnection.java
@@ -1,55 +1,42 @@
 package org.cuminwell.shell.forward;
 
-import java.util.concurrent.CompletionStage;
-import java.util.concurrent.atomic.AtomicReference;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.cuminwell.shell.http.HttpConnectionHandler;
+import java.time.Instant;
+import java.util.Optional;
+import org.cuminwell.core.model.Failure;
+import org.cuminwell.shell.exchange.ExchangeHandler;
+import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.ResponseMessage;
+import org.cuminwell.shell.exchange.ResponseWriter;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Handles one connection of a caller: passes its requests to {@link ForwardFront} and reports when
- * the caller has disconnected, so that no endpoint keeps working for it.
- *
- * <p>Thread safe.
+ * the caller has disconnected, so that no endpoint keeps working for it. Confined to the event loop
+ * of the exchanges.
  */
-final class ForwardConnection implements HttpConnectionHandler {
+final class ForwardConnection implements ExchangeHandler {
 
   private final ForwardFront front;
-  private final AtomicReference<@Nullable PendingForward> latestRequest = new AtomicReference<>();
-  private volatile boolean disconnected;
+  private @Nullable PendingForward latestRequest;
 
   ForwardConnection(ForwardFront front) {
     this.front = front;
   }
 
   @Override
-  public CompletionStage<HttpResponse> handle(HttpRequest request) {
-    return front.handle(request, this);
+  public void onRequest(RequestMessage request, Instant headReceivedAt, ResponseWriter writer) {
+    latestRequest = front.handle(request, headReceivedAt, writer).orElse(null);
   }
 
   @Override
-  public void onDisconnected() {
-    disconnected = true;
-    PendingForward call = latestRequest.get();
-    if (call != null && front.isOpen(call)) {
-      front.onCallerDisconnected(call);
-    }
-  }
-
-  /** Returns whether the caller has disconnected. */
-  boolean isDisconnected() {
-    return disconnected;
+  public ResponseMessage unreadable(Failure failure) {
+    return front.failureResponse(Optional.empty(), failure);
   }
 
-  /**
-   * Records a request that was opened, so that a disconnect is reported after {@link
-   * org.cuminwell.core.forward.ForwardEvent.RequestReceived} and never missed.
-   */
-  void onRequestOpened(PendingForward call) {
-    latestRequest.set(call);
-    if (disconnected) {
-      front.onCallerDisconnected(call);
+  @Override
+  public void onDisconnected() {
+    if (latestRequest != null) {
+      front.onCallerDisconnected(latestRequest);
     }
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardDialect.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardDialect.java
@@ -2,14 +2,14 @@
 
 import java.time.Instant;
 import java.util.Optional;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardRequest;
 import org.cuminwell.core.forward.ResponseHead;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.RequestId;
+import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.ResponseMessage;
+import org.cuminwell.shell.exchange.ResponseStart;
 
 /**
  * Translates between a deployment's HTTP conventions (headers, statuses, error bodies) and the
@@ -19,44 +19,46 @@
 public interface ForwardDialect {
 
   /**
-   * Parses the head of a caller's request.
+   * Parses a caller's request.
    *
    * @throws IllegalArgumentException if a header that the dialect uses is malformed
    */
-  ForwardRequest parseRequest(RequestId id, HttpRequest request, Instant arrivedAt);
+  ForwardRequest parseRequest(RequestId id, RequestMessage request, Instant arrivedAt);
 
   /**
    * Builds the request that is sent to an endpoint.
    *
-   * @param callerRequest the caller's request, whose entity has been read into {@code body}
+   * @param callerRequest the caller's request
    * @param head what was parsed from the caller's request
    * @param sendAction the attempt, with its endpoint and the time left
    * @param lastEventId the id of the last event that the caller received, if the endpoint must
    *     resume the stream after it
    */
-  HttpRequest endpointRequest(
-      HttpRequest callerRequest,
-      ByteString body,
+  RequestMessage endpointRequest(
+      RequestMessage callerRequest,
       ForwardRequest head,
       ForwardAction.Send sendAction,
       Optional<String> lastEventId);
 
   /** Parses the head of an endpoint's response to a request. */
-  ResponseHead parseResponseHead(HttpResponse response, ForwardRequest head);
+  ResponseHead parseResponseHead(ResponseStart response, ForwardRequest head);
 
   /**
    * Builds the response that reports a failure to the caller.
    *
    * @param head what was parsed from the request; empty if the request was malformed
    */
-  HttpResponse failureResponse(Optional<ForwardRequest> head, Failure failure);
+  ResponseMessage failureResponse(Optional<ForwardRequest> head, Failure failure);
 
   /** Builds a request like a caller's for {@link WarmUp}, distinguished by its number. */
-  HttpRequest warmUpRequest(int number);
+  RequestMessage warmUpRequest(int number);
 
-  /** Builds the response of an endpoint to a request of {@link #warmUpRequest}. */
-  HttpResponse warmUpResponse(HttpRequest request);
+  /**
+   * Builds the response of an endpoint to a request of {@link #warmUpRequest}; {@link WarmUp} sends
+   * the body of one that is an event stream in parts.
+   */
+  ResponseMessage warmUpResponse(RequestMessage request);
 
   /** Builds the response to a probe at the readiness address. */
-  HttpResponse readinessResponse(HttpRequest request, boolean ready);
+  ResponseMessage readinessResponse(RequestMessage request, boolean ready);
 }
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
@@ -1,56 +1,51 @@
 package org.cuminwell.shell.forward;
 
+import io.netty.channel.EventLoop;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.StatusCodes;
-import org.apache.pekko.util.ByteString;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardEvent;
 import org.cuminwell.core.forward.ForwardRequest;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.RequestId;
-import org.cuminwell.shell.http.BodyReader;
-import org.cuminwell.shell.http.ClientConnections;
-import org.cuminwell.shell.http.HttpConnectionHandler;
-import org.cuminwell.shell.http.HttpResponses;
-import org.cuminwell.shell.http.HttpSystem;
+import org.cuminwell.shell.exchange.ClientConnections;
+import org.cuminwell.shell.exchange.ExchangeHandler;
+import org.cuminwell.shell.exchange.HttpEventLoops;
+import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.ResponseMessage;
+import org.cuminwell.shell.exchange.ResponseWriter;
 
 /**
  * Front end for callers whose requests are forwarded: turns their requests into {@link
  * ForwardEvent}s and performs the resulting {@link ForwardAction}s.
  *
  * <p>Invariant: a new request is refused as busy while {@link #MAX_OPEN_REQUESTS} requests are
- * open. Thread safe.
+ * open. {@link #newConnection} and {@link #perform} are thread safe; all else is confined to the
+ * event loop of the exchanges.
  */
 public final class ForwardFront {
 
   /** The maximum number of requests that a gateway forwards at the same time. */
   static final int MAX_OPEN_REQUESTS = 4_096;
 
-  /** Ends the exchange of a caller that has disconnected; nobody reads it. */
-  private static final HttpResponse UNREAD_RESPONSE =
-      HttpResponse.create().withStatus(StatusCodes.INTERNAL_SERVER_ERROR);
-
-  private final HttpSystem http;
+  private final EventLoop loop;
   private final InstantSource time;
   private final ForwardDialect dialect;
   private final Predicate<ForwardEvent> offer;
   private final Consumer<ForwardEvent> force;
   private final ForwardClient client;
   private final ForwardLog log = new ForwardLog();
-  private final Map<RequestId, PendingForward> openRequests = new ConcurrentHashMap<>();
-  private volatile boolean connectionReuseDisabled;
+  private final Map<RequestId, OpenForward> openRequests = new HashMap<>();
+
+  /** Holds an open request and its response. Immutable. */
+  private record OpenForward(PendingForward call, CallerResponse response) {}
 
   /**
    * Creates a front end that delivers its events to the given consumers.
@@ -59,140 +54,116 @@
    * @param force receives events of requests that were accepted before; must accept all of them
    */
   public ForwardFront(
-      HttpSystem http,
+      HttpEventLoops loops,
       InstantSource time,
       ClientConnections connections,
       ForwardDialect dialect,
       Predicate<ForwardEvent> offer,
       Consumer<ForwardEvent> force) {
-    this.http = http;
+    this.loop = loops.exchangeLoop();
     this.time = time;
     this.dialect = dialect;
     this.offer = offer;
     this.force = force;
-    this.client = new ForwardClient(http, time, connections, dialect, force);
+    this.client = new ForwardClient(loop, connections, dialect, force);
   }
 
   /** Returns the handler for a new connection of a caller. */
-  public HttpConnectionHandler newConnection() {
+  public ExchangeHandler newConnection() {
     return new ForwardConnection(this);
   }
 
-  /** Adds {@code Connection: close} to every response from now on. */
-  public void disableConnectionReuse() {
-    connectionReuseDisabled = true;
-  }
-
   /** Performs an action; one for a request that is no longer open has no effect. */
   public void perform(ForwardAction action) {
-    switch (action) {
-      case ForwardAction.Send a -> ifOpen(a.id(), call -> client.send(call, a));
-      case ForwardAction.PassResponse a -> ifOpen(a.id(), client::passResponse);
-      case ForwardAction.CancelAttempt a ->
-          ifOpen(a.id(), call -> call.latestAttempt().ifPresent(ForwardAttempt::cancel));
-      case ForwardAction.Refuse a ->
-          ifOpen(
-              a.id(),
-              call -> {
-                call.response()
-                    .complete(dialect.failureResponse(Optional.of(call.head()), a.failure()));
-                openRequests.remove(a.id());
-              });
-      case ForwardAction.AbortResponse a ->
-          ifOpen(
-              a.id(),
-              call -> {
-                call.response()
-                    .complete(dialect.failureResponse(Optional.of(call.head()), a.failure()));
-                call.abort();
-              });
-      case ForwardAction.Log a -> log.write(a);
-      case ForwardAction.Ended a -> openRequests.remove(a.id());
+    if (action instanceof ForwardAction.Log line) {
+      log.write(line);
+    } else if (!loop.isShuttingDown()) {
+      loop.execute(() -> performInLoop(action));
     }
   }
 
-  /** Handles one request of a connection; the returned stage never fails. */
-  CompletionStage<HttpResponse> handle(HttpRequest request, ForwardConnection connection) {
-    Instant arrivedAt = time.instant();
+  /**
+   * Handles one request of a connection.
+   *
+   * @return the request if it is open now
+   */
+  Optional<PendingForward> handle(
+      RequestMessage request, Instant headReceivedAt, ResponseWriter writer) {
     RequestId id = new RequestId(UUID.randomUUID().toString());
     ForwardRequest head;
     try {
-      head = dialect.parseRequest(id, request, arrivedAt);
+      head = dialect.parseRequest(id, request, headReceivedAt);
     } catch (IllegalArgumentException e) {
-      BodyReader.leaveUnread(request, http.actorSystem());
-      return CompletableFuture.completedFuture(
-          withConnectionClose(
-              notRunResponse(
-                  Optional.empty(), ErrorCode.BAD_REQUEST, String.valueOf(e.getMessage()))));
+      Failure malformed = Failure.notRun(ErrorCode.BAD_REQUEST, String.valueOf(e.getMessage()));
+      writer.respond(
+          failureResponse(Optional.empty(), malformed).withHeader("Connection", "close"));
+      return Optional.empty();
     }
-    return BodyReader.read(request, http.actorSystem())
-        .thenCompose(body -> open(head, request, body, connection))
-        .exceptionally(
-            error ->
-                withConnectionClose(
-                    dialect.failureResponse(Optional.of(head), BodyReader.failureOf(error))))
-        .thenApply(response -> connectionReuseDisabled ? withConnectionClose(response) : response);
+    return open(new PendingForward(head, request), writer);
   }
 
-  /**
-   * Reports that the caller of a request has disconnected, if the request is still open, and
-   * responds to it, since the connection stays open until there is a response.
-   */
+  /** Reports that the caller of a request has disconnected, if the request is still open. */
   void onCallerDisconnected(PendingForward call) {
     RequestId id = call.head().id();
-    if (openRequests.containsKey(id)) {
+    OpenForward open = openRequests.get(id);
+    if (open != null) {
+      open.response().onDisconnected();
       force.accept(new ForwardEvent.CallerDisconnected(id));
-      call.response().complete(UNREAD_RESPONSE);
     }
   }
 
-  /** Returns whether the request has been opened and has not ended yet. */
-  boolean isOpen(PendingForward call) {
-    return openRequests.containsKey(call.head().id());
+  /** Returns the response that reports the failure; {@code head} is empty if there is none. */
+  ResponseMessage failureResponse(Optional<ForwardRequest> head, Failure failure) {
+    return dialect.failureResponse(head, failure);
   }
 
-  /** Opens a request whose body has been read, unless the caller disconnected or it is busy. */
-  private CompletionStage<HttpResponse> open(
-      ForwardRequest head, HttpRequest request, ByteString body, ForwardConnection connection) {
-    if (connection.isDisconnected()) {
-      return CompletableFuture.completedFuture(
-          notRunResponse(Optional.of(head), ErrorCode.CALL_DROPPED, "the caller disconnected"));
-    }
-    PendingForward call = new PendingForward(head, request, body);
-    if (openRequests.size() >= MAX_OPEN_REQUESTS) {
-      return CompletableFuture.completedFuture(busyResponse(head));
+  private Optional<PendingForward> open(PendingForward call, ResponseWriter writer) {
+    ForwardRequest head = call.head();
+    CallerResponse response = new CallerResponse(call, writer, loop, time, force);
+    openRequests.put(head.id(), new OpenForward(call, response));
+    boolean isTaken =
+        openRequests.size() <= MAX_OPEN_REQUESTS
+            && offer.test(new ForwardEvent.RequestReceived(head, ContentHash.of(call.request())));
+    if (isTaken) {
+      return Optional.of(call);
     }
-    openRequests.put(head.id(), call);
-    if (!offer.test(new ForwardEvent.RequestReceived(head, ContentHash.of(request, body)))) {
-      openRequests.remove(head.id());
-      return CompletableFuture.completedFuture(busyResponse(head));
+    openRequests.remove(head.id());
+    Failure busy = Failure.notRun(ErrorCode.BUSY, "this host is busy; try again");
+    response.fail(failureResponse(Optional.of(head), busy));
+    return Optional.empty();
+  }
+
+  private void performInLoop(ForwardAction action) {
+    switch (action) {
+      case ForwardAction.Send a -> ifOpen(a.id(), open -> client.send(open.call(), a));
+      case ForwardAction.PassResponse a -> ifOpen(a.id(), ForwardFront::passResponse);
+      case ForwardAction.CancelAttempt a ->
+          ifOpen(a.id(), open -> open.call().latestAttempt().ifPresent(ForwardAttempt::cancel));
+      case ForwardAction.Refuse a -> {
+        ifOpen(a.id(), open -> fail(open, a.failure()));
+        openRequests.remove(a.id());
+      }
+      case ForwardAction.AbortResponse a -> ifOpen(a.id(), open -> fail(open, a.failure()));
+      case ForwardAction.Log a -> log.write(a);
+      case ForwardAction.Ended a -> openRequests.remove(a.id());
     }
-    connection.onRequestOpened(call);
-    return call.response();
   }
 
-  private HttpResponse busyResponse(ForwardRequest head) {
-    return notRunResponse(Optional.of(head), ErrorCode.BUSY, "this host is busy; try again");
+  private static void passResponse(OpenForward open) {
+    open.call().latestAttempt().ifPresent(open.response()::pass);
   }
 
-  /** Returns the response for a failure of a request that has not run. */
-  private HttpResponse notRunResponse(
-      Optional<ForwardRequest> head, ErrorCode code, String message) {
-    return dialect.failureResponse(head, Failure.notRun(code, message));
+  /** Ends a request with a failure, or closes its connection if its response has started. */
+  private void fail(OpenForward open, Failure failure) {
+    open.response().fail(failureResponse(Optional.of(open.call().head()), failure));
+    open.call().abort();
   }
 
   /** Runs the task with the request if it is still open. */
-  private void ifOpen(RequestId id, Consumer<PendingForward> task) {
-    PendingForward call = openRequests.get(id);
-    if (call != null) {
-      task.accept(call);
+  private void ifOpen(RequestId id, Consumer<OpenForward> task) {
+    OpenForward open = openRequests.get(id);
+    if (open != null) {
+      task.accept(open);
     }
   }
-
-  /** Adds {@code Connection: close} unless the response has a {@code Connection} header. */
-  private static HttpResponse withConnectionClose(HttpResponse response) {
-    return response.getHeader("Connection").isEmpty()
-        ? response.addHeader(HttpResponses.CONNECTION_CLOSE)
-        : response;
-  }
 }
--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
@@ -1,33 +1,23 @@
 package org.cuminwell.shell.forward;
 
 import java.time.Duration;
-import java.time.InstantSource;
+import java.time.Instant;
 import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.Function;
-import org.apache.pekko.http.javadsl.model.HttpEntities;
-import org.apache.pekko.http.javadsl.model.HttpEntity;
-import org.apache.pekko.http.javadsl.model.HttpHeader;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.ResponseEntity;
-import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-import org.apache.pekko.stream.javadsl.Source;
-import org.apache.pekko.util.ByteString;
-import org.cuminwell.core.forward.ForwardAttemptOutcome;
+import java.util.function.BiConsumer;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
-import org.cuminwell.shell.http.CallEndedException;
-import org.cuminwell.shell.http.ClientConnections;
-import org.cuminwell.shell.http.HttpConnectionHandler;
-import org.cuminwell.shell.http.KeptCall;
-import org.cuminwell.shell.http.SingleCall;
+import org.cuminwell.shell.exchange.CallFailure;
+import org.cuminwell.shell.exchange.ClientCall;
+import org.cuminwell.shell.exchange.ClientConnections;
+import org.cuminwell.shell.exchange.ExchangeHandler;
+import org.cuminwell.shell.exchange.HeaderList;
+import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.ResponseMessage;
+import org.cuminwell.shell.exchange.ResponseReceiver;
+import org.cuminwell.shell.exchange.ResponseStart;
+import org.cuminwell.shell.exchange.ResponseWriter;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -43,24 +33,23 @@
   private static final Failure STOPPING =
       Failure.notRun(ErrorCode.STOPPING, "this gateway is stopping; use another gateway");
 
-  /** Announces the idle timeout of this gateway's connections, which is longer. */
-  private static final HttpHeader KEEP_ALIVE = RawHeader.create("Keep-Alive", "timeout=60");
+  /** The idle timeout that is announced to other gateways; connections are kept longer. */
+  private static final String KEEP_ALIVE = "timeout=60";
 
   private final ClientConnections connections;
-  private final Function<HttpRequest, CompletionStage<HttpResponse>> fallback;
+  private final BiConsumer<RequestMessage, ResponseWriter> fallback;
   private boolean refusing;
   private int openRelays;
 
   /** Creates a front end; {@code fallback} handles requests that are not to be relayed. */
   public RelayFront(
-      ClientConnections connections,
-      Function<HttpRequest, CompletionStage<HttpResponse>> fallback) {
+      ClientConnections connections, BiConsumer<RequestMessage, ResponseWriter> fallback) {
     this.connections = connections;
     this.fallback = fallback;
   }
 
   /** Returns the handler for a new connection of another gateway. */
-  public HttpConnectionHandler newConnection() {
+  public ExchangeHandler newConnection() {
     return new Connection();
   }
 
@@ -98,121 +87,125 @@
     notifyAll();
   }
 
-  /** One relayed request. Its end is counted once. Thread safe. */
-  private final class RelayedRequest {
+  /**
+   * One relayed request, whose end is counted once. Confined to the event loop of the exchanges.
+   */
+  private final class RelayedRequest implements ResponseReceiver {
 
-    private final KeptCall call = connections.newCall();
-    private final AtomicBoolean ended = new AtomicBoolean();
+    private final ClientCall call = connections.newCall();
+    private final ResponseWriter writer;
+    private boolean started;
+    private boolean ended;
 
-    /** Ends the request after a whole response; further calls have no effect. */
-    void complete() {
-      if (ended.compareAndSet(false, true)) {
-        call.release();
-        recordRelayEnded();
+    RelayedRequest(ResponseWriter writer) {
+      this.writer = writer;
+      writer.onWritable(() -> call.setReading(true));
+    }
+
+    @Override
+    public void onHead(ResponseStart head) {
+      started = true;
+      writer.start(
+          head.withHeaders(
+              HopByHopHeaders.endToEnd(head.headers()).with("Keep-Alive", KEEP_ALIVE)));
+    }
+
+    @Override
+    public void onPart(byte[] part) {
+      writer.write(part);
+      if (!writer.isWritable()) {
+        call.setReading(false);
       }
     }
 
-    /** Closes the connection to the endpoint and ends the request, unless it has ended. */
-    void abort() {
-      if (ended.compareAndSet(false, true)) {
-        call.abort(new CallEndedException("the relayed request has ended"));
-        recordRelayEnded();
+    @Override
+    public void onEnd() {
+      writer.end();
+      if (tryEnd()) {
+        call.release();
       }
     }
 
-    /**
-     * Returns the same body and ends the request once the body has been passed on or has failed.
-     */
-    ResponseEntity trackEnd(ResponseEntity body) {
-      if (body instanceof HttpEntity.Strict) {
-        complete();
-        return body;
+    @Override
+    public void onFailure(CallFailure failure) {
+      if (started) {
+        writer.abort();
+      } else {
+        writer.respond(RelayHeaders.failureResponse(AttemptFailures.beforeHead(failure)));
       }
-      Source<ByteString, ?> bytes = body.getDataBytes().via(endTracker());
-      OptionalLong length = body.getContentLengthOption();
-      return length.isPresent()
-          ? HttpEntities.create(body.getContentType(), length.getAsLong(), bytes)
-          : HttpEntities.createChunked(body.getContentType(), bytes);
+      abort();
     }
 
-    /** Returns a stage that passes bytes unchanged and ends the request when they end. */
-    private ResponseMonitor endTracker() {
-      return new ResponseMonitor(InstantSource.system(), () -> {}, _ -> {}, this::endWith);
+    /** Closes the connection to the endpoint and ends the request, unless it has ended. */
+    void abort() {
+      if (tryEnd()) {
+        call.abort();
+      }
     }
 
-    private void endWith(ForwardAttemptOutcome outcome) {
-      switch (outcome) {
-        case ForwardAttemptOutcome.Completed o -> complete();
-        case ForwardAttemptOutcome.Failed o -> abort();
-        case ForwardAttemptOutcome.ConnectionLost o -> abort();
-        case ForwardAttemptOutcome.CallerDisconnected o -> abort();
+    private boolean tryEnd() {
+      boolean first = !ended;
+      ended = true;
+      if (first) {
+        recordRelayEnded();
       }
+      return first;
     }
   }
 
   /**
    * Handles one connection of another gateway; aborts its latest request when the gateway
-   * disconnects. Thread safe.
+   * disconnects. Confined to the event loop of the exchanges.
    */
-  private final class Connection implements HttpConnectionHandler {
+  private final class Connection implements ExchangeHandler {
 
-    private final AtomicReference<@Nullable RelayedRequest> latestRequest = new AtomicReference<>();
+    private @Nullable RelayedRequest latestRequest;
 
     @Override
-    public CompletionStage<HttpResponse> handle(HttpRequest request) {
+    public void onRequest(RequestMessage request, Instant headReceivedAt, ResponseWriter writer) {
       Optional<HostAddress> endpoint;
       try {
         endpoint = RelayHeaders.findRelayTarget(request);
       } catch (IllegalArgumentException e) {
-        return CompletableFuture.completedFuture(
+        writer.respond(
             RelayHeaders.failureResponse(
                 Failure.notRun(
                     ErrorCode.BAD_REQUEST,
                     "the header Cuminwell-Relay-To is not a valid HOST:PORT address")));
+        return;
+      }
+      if (endpoint.isPresent()) {
+        relay(request, endpoint.get(), writer);
+      } else {
+        fallback.accept(request, writer);
       }
-      return endpoint.isPresent() ? relay(request, endpoint.get()) : fallback.apply(request);
+    }
+
+    @Override
+    public ResponseMessage unreadable(Failure failure) {
+      return RelayHeaders.failureResponse(failure);
     }
 
     @Override
     public void onDisconnected() {
-      RelayedRequest active = latestRequest.get();
-      if (active != null) {
-        active.abort();
+      if (latestRequest != null) {
+        latestRequest.abort();
       }
     }
 
     /** Sends the request to the endpoint without its hop-by-hop headers and the relay header. */
-    private CompletionStage<HttpResponse> relay(HttpRequest request, HostAddress endpoint) {
+    private void relay(RequestMessage request, HostAddress endpoint, ResponseWriter writer) {
       if (!tryBegin()) {
-        return CompletableFuture.completedFuture(RelayHeaders.failureResponse(STOPPING));
+        writer.respond(RelayHeaders.failureResponse(STOPPING));
+        return;
       }
-      RelayedRequest relayedRequest = new RelayedRequest();
-      latestRequest.set(relayedRequest);
-      HttpRequest forwarded =
-          HttpRequest.create()
-              .withMethod(request.method())
-              .withUri(request.getUri())
-              .addHeaders(
-                  HopByHopHeaders.endToEnd(request.getHeaders()).stream()
-                      .filter(header -> !RelayHeaders.isForRelay(header))
-                      .toList())
-              .addHeaders(RawTarget.headerOf(request))
-              .withEntity(request.entity());
-      return relayedRequest
-          .call
-          .send(endpoint, forwarded, RelayHeaders.isRepeatable(request))
-          .thenApply(
-              response ->
-                  HttpResponse.create()
-                      .withStatus(response.status())
-                      .addHeaders(HopByHopHeaders.endToEnd(response.getHeaders()))
-                      .addHeader(KEEP_ALIVE)
-                      .withEntity(relayedRequest.trackEnd(response.entity())))
-          .exceptionally(
-              error -> {
-                relayedRequest.abort();
-                return RelayHeaders.failureResponse(SingleCall.failureOf(error));
-              });
+      RelayedRequest relayed = new RelayedRequest(writer);
+      latestRequest = relayed;
+      HeaderList headers =
+          HopByHopHeaders.endToEnd(request.headers())
+              .filter(header -> !RelayHeaders.isForRelay(header));
+      relayed.call.send(
+          endpoint, request.withHeaders(headers), RelayHeaders.isRepeatable(request), relayed);
     }
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayHeaders.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayHeaders.java
@@ -1,16 +1,15 @@
 package org.cuminwell.shell.forward;
 
-import java.util.Locale;
 import java.util.Optional;
-import org.apache.pekko.http.javadsl.model.HttpHeader;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.StatusCodes;
-import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.Verdict;
+import org.cuminwell.shell.exchange.Header;
+import org.cuminwell.shell.exchange.HeaderList;
+import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.ResponseMessage;
+import org.cuminwell.shell.exchange.ResponseStart;
 import org.cuminwell.shell.http.HttpResponses;
 
 /**
@@ -22,6 +21,7 @@
 
   private static final String RELAY_TO = "Cuminwell-Relay-To";
   private static final String REPEATABLE = "Cuminwell-Relay-Repeatable";
+  private static final int BAD_GATEWAY = 502;
 
   private RelayHeaders() {}
 
@@ -29,28 +29,21 @@
    * Returns the request with headers that name the endpoint to relay it to, and say whether the
    * request may run more than once. Such headers of the caller are replaced.
    */
-  static HttpRequest addRelayTarget(
-      HttpRequest request, HostAddress endpoint, boolean isRepeatable) {
-    HttpRequest marked =
-        request
-            .removeHeader(RELAY_TO)
-            .removeHeader(REPEATABLE)
-            .addHeader(RawHeader.create(RELAY_TO, endpoint.toString()));
-    return isRepeatable ? marked.addHeader(RawHeader.create(REPEATABLE, "true")) : marked;
+  static RequestMessage addRelayTarget(
+      RequestMessage request, HostAddress endpoint, boolean isRepeatable) {
+    HeaderList marked =
+        request.headers().filter(header -> !isForRelay(header)).with(RELAY_TO, endpoint.toString());
+    return request.withHeaders(isRepeatable ? marked.with(REPEATABLE, "true") : marked);
   }
 
   /** Returns whether the header is meant for the relaying gateway only. */
-  static boolean isForRelay(HttpHeader header) {
-    return header.is(RELAY_TO.toLowerCase(Locale.ROOT))
-        || header.is(REPEATABLE.toLowerCase(Locale.ROOT));
+  static boolean isForRelay(Header header) {
+    return header.is(RELAY_TO) || header.is(REPEATABLE);
   }
 
   /** Returns whether the request may run more than once. */
-  static boolean isRepeatable(HttpRequest request) {
-    return request
-        .getHeader(REPEATABLE)
-        .filter(header -> header.value().equals("true"))
-        .isPresent();
+  static boolean isRepeatable(RequestMessage request) {
+    return request.headers().first(REPEATABLE).filter(value -> value.equals("true")).isPresent();
   }
 
   /**
@@ -58,23 +51,21 @@
    *
    * @throws IllegalArgumentException if the header holds no valid address
    */
-  static Optional<HostAddress> findRelayTarget(HttpRequest request) {
-    return request.getHeader(RELAY_TO).map(HttpHeader::value).map(HostAddress::parse);
+  static Optional<HostAddress> findRelayTarget(RequestMessage request) {
+    return request.headers().first(RELAY_TO).map(HostAddress::parse);
   }
 
   /** Builds the response that reports to the requesting gateway why the relay failed. */
-  static HttpResponse failureResponse(Failure failure) {
-    return HttpResponse.create()
-        .withStatus(StatusCodes.BAD_GATEWAY)
-        .addHeader(RawHeader.create(HttpResponses.VERDICT_HEADER, failure.verdict().label()))
-        .withEntity(failure.message());
+  static ResponseMessage failureResponse(Failure failure) {
+    return ResponseMessage.text(BAD_GATEWAY, failure.message())
+        .withHeader(HttpResponses.VERDICT_HEADER, failure.verdict().label());
   }
 
   /** Returns the failure that the relaying gateway reports; empty if the endpoint responded. */
-  static Optional<Failure> findFailure(HttpResponse response) {
+  static Optional<Failure> findFailure(ResponseStart response) {
     return response
-        .getHeader(HttpResponses.VERDICT_HEADER)
-        .map(HttpHeader::value)
+        .headers()
+        .first(HttpResponses.VERDICT_HEADER)
         .map(
             label ->
                 label.equals(Verdict.notRun().label())
--- a/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
@@ -1,22 +1,20 @@
 package org.cuminwell.shell.forward;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
-import org.apache.pekko.http.javadsl.ServerBinding;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.settings.ClientConnectionSettings;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationIndex;
 import org.cuminwell.core.config.Forwarding;
@@ -35,6 +33,7 @@
 import org.cuminwell.core.model.CustomerId;
 import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.ForwardRoute;
 import org.cuminwell.core.model.ForwardService;
 import org.cuminwell.core.model.HostAddress;
@@ -49,10 +48,16 @@
 import org.cuminwell.core.model.VersionId;
 import org.cuminwell.shell.duty.Duty;
 import org.cuminwell.shell.duty.Ring;
-import org.cuminwell.shell.http.ClientConnections;
-import org.cuminwell.shell.http.HttpListener;
-import org.cuminwell.shell.http.HttpSystem;
-import org.cuminwell.shell.http.SingleCall;
+import org.cuminwell.shell.exchange.ClientConnections;
+import org.cuminwell.shell.exchange.ExchangeHandler;
+import org.cuminwell.shell.exchange.HttpEventLoops;
+import org.cuminwell.shell.exchange.HttpServer;
+import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.ResponseMessage;
+import org.cuminwell.shell.exchange.ResponseStart;
+import org.cuminwell.shell.exchange.ResponseWriter;
+import org.cuminwell.shell.exchange.ServerListener;
+import org.cuminwell.shell.exchange.WholeResponse;
 
 /**
  * Sends requests through the forwarding code before the gateway accepts callers, since code runs
@@ -79,6 +84,8 @@
 
   private static final System.Logger LOG = System.getLogger(WarmUp.class.getName());
 
+  private static final int OK = 200;
+
   /** How many requests are sent at the same time. */
   private static final int BATCH_SIZE = 4;
 
@@ -92,7 +99,7 @@
       new Place(new RegionId("here"), new DataCentreId("here"));
 
   private final AtomicInteger successCount = new AtomicInteger();
-  private final HttpSystem http;
+  private final HttpEventLoops loops;
   private final InstantSource time;
   private final WarmUpSettings settings;
   private final ForwardDialect dialect;
@@ -100,11 +107,11 @@
   private final ForwardFront front;
   private final Forwarder forwarder;
   private final Forwarder.Context context;
-  private final ClientConnectionSettings connectionSettings;
+  private final ClientConnections connections;
 
   private WarmUp(
-      HttpSystem http, InstantSource time, ForwardDialect dialect, WarmUpSettings settings) {
-    this.http = http;
+      HttpEventLoops loops, InstantSource time, ForwardDialect dialect, WarmUpSettings settings) {
+    this.loops = loops;
     this.time = time;
     this.settings = settings;
     this.dialect = dialect;
@@ -125,9 +132,8 @@
             now,
             new ShareHolder(LOCAL_PLACE, 1, now),
             new AcceptancePolicy.All());
-    ClientConnections connections = new ClientConnections(http, time, ClientConnections.NONE_IDLE);
-    front = new ForwardFront(http, time, connections, dialect, events::offer, events::offer);
-    connectionSettings = SingleCall.clientSettings(http, ClientConnections.CONNECT_TIMEOUT);
+    connections = new ClientConnections(loops, time, ClientConnections.NONE_IDLE);
+    front = new ForwardFront(loops, time, connections, dialect, events::offer, events::offer);
   }
 
   /**
@@ -137,17 +143,15 @@
    * @return the number of responses with a success status
    */
   public static int run(
-      HttpSystem http, InstantSource time, ForwardDialect dialect, WarmUpSettings settings) {
-    return new WarmUp(http, time, dialect, settings).run();
+      HttpEventLoops loops, InstantSource time, ForwardDialect dialect, WarmUpSettings settings) {
+    return new WarmUp(loops, time, dialect, settings).run();
   }
 
   private int run() {
     Instant startedAt = time.instant();
-    HttpListener callers = http.serveConnections(settings.callerAddress(), front::newConnection);
-    ServerBinding endpoint =
-        http.serve(
-            settings.endpointAddress(),
-            request -> CompletableFuture.completedFuture(dialect.warmUpResponse(request)));
+    ServerListener callers = HttpServer.bind(loops, settings.callerAddress(), front::newConnection);
+    ServerListener endpoint =
+        HttpServer.bind(loops, settings.endpointAddress(), EndpointConnection::new);
     int sent = 0;
     try (var _ = Duty.start("warm-up", events, this::handleEvent)) {
       while (sent < settings.requestCount() && isTimeLeft(startedAt)) {
@@ -185,27 +189,25 @@
     Duration timeLeft = Duration.between(time.instant(), startedAt.plus(settings.timeLimit()));
     CompletableFuture<?>[] responses =
         IntStream.range(first, first + BATCH_SIZE)
-            .mapToObj(number -> send(number).toCompletableFuture())
+            .mapToObj(this::send)
             .toArray(CompletableFuture[]::new);
     CompletableFuture.allOf(responses)
         .completeOnTimeout(null, Math.max(1, timeLeft.toMillis()), TimeUnit.MILLISECONDS)
         .join();
   }
 
-  private CompletionStage<?> send(int number) {
-    HttpRequest request = dialect.warmUpRequest(number);
-    return new SingleCall()
-        .send(http, connectionSettings, settings.callerAddress(), request)
-        .thenCompose(
-            response ->
-                response
-                    .entity()
-                    .toStrict(LONG_TIMEOUT.toMillis(), http.actorSystem())
-                    .thenAccept(_ -> countIfSuccessful(response)));
+  private CompletableFuture<?> send(int number) {
+    WholeResponse response = new WholeResponse();
+    RequestMessage request = dialect.warmUpRequest(number);
+    loops
+        .exchangeLoop()
+        .execute(
+            () -> connections.newCall().send(settings.callerAddress(), request, false, response));
+    return response.future().thenAccept(this::countIfSuccessful);
   }
 
-  private void countIfSuccessful(HttpResponse response) {
-    if (response.status().isSuccess()) {
+  private void countIfSuccessful(Optional<ResponseMessage> response) {
+    if (response.filter(r -> r.status() == OK).isPresent()) {
       successCount.incrementAndGet();
     }
   }
@@ -219,6 +221,33 @@
     }
   }
 
+  /** Responds as an endpoint: sends event streams event by event. Stateless. */
+  private final class EndpointConnection implements ExchangeHandler {
+
+    @Override
+    public void onRequest(RequestMessage request, Instant headReceivedAt, ResponseWriter writer) {
+      ResponseMessage response = dialect.warmUpResponse(request);
+      if (!request.path().startsWith(STREAM_PATH)) {
+        writer.respond(response);
+        return;
+      }
+      writer.start(new ResponseStart(response.status(), response.headers(), OptionalLong.empty()));
+      String body = new String(response.body(), StandardCharsets.UTF_8);
+      for (String event : body.split("(?<=\n\n)", -1)) {
+        writer.write(event.getBytes(StandardCharsets.UTF_8));
+      }
+      writer.end();
+    }
+
+    @Override
+    public ResponseMessage unreadable(Failure failure) {
+      return ResponseMessage.empty(failure.code().httpStatus());
+    }
+
+    @Override
+    public void onDisconnected() {}
+  }
+
   /** Returns the announcement of the only endpoint. */
   private static Announcement announcement(HostAddress address) {
     return new Announcement(
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -4,10 +4,9 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardAttemptOutcome;
@@ -19,6 +18,7 @@
 import org.cuminwell.core.gateway.GatewayEvent;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.Usage;
@@ -28,13 +28,15 @@
 import org.cuminwell.shell.duty.Ring;
 import org.cuminwell.shell.duty.StopTimeBudget;
 import org.cuminwell.shell.duty.TimerDuty;
+import org.cuminwell.shell.exchange.ClientConnections;
+import org.cuminwell.shell.exchange.HttpEventLoops;
+import org.cuminwell.shell.exchange.HttpServer;
+import org.cuminwell.shell.exchange.ServerListener;
 import org.cuminwell.shell.forward.ForwardFront;
 import org.cuminwell.shell.forward.ForwardSettings;
 import org.cuminwell.shell.forward.RelayFront;
 import org.cuminwell.shell.forward.WarmUp;
-import org.cuminwell.shell.http.ClientConnections;
-import org.cuminwell.shell.http.HttpListener;
-import org.cuminwell.shell.http.HttpSystem;
+import org.cuminwell.shell.http.Listener;
 import org.cuminwell.shell.http.OpsPages;
 import org.cuminwell.shell.metrics.StartSteps;
 import org.cuminwell.shell.metrics.Telemetry;
@@ -70,11 +72,10 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final StartSteps steps = StartSteps.ofThisProcess();
   private final Gateway gateway;
-  private final HttpSystem http;
+  private final HttpEventLoops loops = new HttpEventLoops();
   private final Optional<PeerTls> tls;
   private final PeerNode peers;
-  private final CallerFront callers;
-  private final EndpointClient endpoints;
+  private final Optional<ApiFront> api;
   private final ClientConnections connections;
   private final Optional<ForwardFront> forwarding;
   private final ConfigurationKeeper keeper;
@@ -85,8 +86,9 @@
   private final TimerDuty listenerLog;
   private final TimerDuty idleConnections;
   private volatile boolean ready;
-  private volatile @Nullable HttpListener listener;
-  private volatile @Nullable HttpListener innerListener;
+  private volatile @Nullable Listener listener;
+  private volatile @Nullable ServerListener forwardListener;
+  private volatile @Nullable Listener innerListener;
   private volatile @Nullable RelayFront relay;
 
   private GatewayProcess(GatewaySettings settings) {
@@ -100,14 +102,15 @@
     Optional<ConfigurationStore> store = settings.data().map(ConfigurationStore::new);
     store.flatMap(ConfigurationStore::load).ifPresent(gateway::restore);
     keeper = new ConfigurationKeeper(store);
-    http = HttpSystem.start("gateway");
-    steps.recordStepEnd("actor_system");
+    api =
+        settings.forwarding().isPresent()
+            ? Optional.empty()
+            : Optional.of(new ApiFront(calls, events));
+    steps.recordStepEnd("api");
     tls = settings.tls().map(PeerTls::loadOrFail);
     peers = new PeerNode(settings.self().id(), listener(), tls);
     peers.registerGauges(telemetry);
-    callers = new CallerFront(http, calls, events);
-    endpoints = new EndpointClient(http, events::force);
-    connections = new ClientConnections(http, time, ClientConnections.NONE_IDLE);
+    connections = new ClientConnections(loops, time, ClientConnections.NONE_IDLE);
     registerConnectionGauges();
     forwarding = settings.forwarding().map(this::forwardFront);
     decide = Duty.start("decide", events.ring(), this::decide);
@@ -132,17 +135,12 @@
     settings.forwarding().ifPresent(process::warmUp);
     process.steps.recordStepEnd("warm_up");
     OpsPages pages = new OpsPages(() -> process.ready, process.telemetry);
-    InnerFront inner = new InnerFront(process.http, process.events, pages);
-    process.listener =
-        process.http.serveConnections(
-            settings.self().callerAddress(),
-            process.forwarding.isPresent()
-                ? process.forwarding.get()::newConnection
-                : process.callers::connection);
+    InnerFront inner = new InnerFront(process.events, pages);
+    process.listenForCallers(settings.self().callerAddress());
     RelayFront relay = new RelayFront(process.connections, inner::handle);
     process.relay = relay;
     process.innerListener =
-        process.http.serveConnections(settings.self().internalAddress(), relay::newConnection);
+        HttpServer.bind(process.loops, settings.self().internalAddress(), relay::newConnection);
     settings.forwarding().ifPresent(process::serveReadiness);
     process.peers.listen(settings.self().peerAddress());
     settings.controls().forEach(process.peers::dial);
@@ -159,8 +157,11 @@
    */
   public void stop(Duration timeout) throws InterruptedException {
     StopTimeBudget clock = StopTimeBudget.start(timeout, time.instant());
-    callers.closeConnections();
-    forwarding.ifPresent(ForwardFront::disableConnectionReuse);
+    api.ifPresent(front -> front.callers().closeConnections());
+    ServerListener forwarded = forwardListener;
+    if (forwarded != null) {
+      forwarded.disableConnectionReuse();
+    }
     events.force(new GatewayEvent.StopRequested(clock.drainTime()));
     stopped.await(clock.drainTimeLeft(time.instant()).toMillis(), TimeUnit.MILLISECONDS);
     endRelays(clock);
@@ -183,7 +184,8 @@
     dispatch.close();
     keeper.close();
     peers.close();
-    http.close(atMost);
+    api.ifPresent(front -> front.close(atMost));
+    loops.close(atMost);
   }
 
   private void endRelays(StopTimeBudget clock) throws InterruptedException {
@@ -198,8 +200,7 @@
   /** Gives the answers that are still on their way the rest of the time but a moment. */
   private void endConnections(StopTimeBudget clock) throws InterruptedException {
     int cut = 0;
-    for (HttpListener open :
-        Stream.of(listener, innerListener).flatMap(Stream::ofNullable).toList()) {
+    for (Listener open : Stream.of(listener, innerListener).flatMap(Stream::ofNullable).toList()) {
       cut += open.drainConnections(clock.drainTimeLeft(time.instant()));
     }
     Thread.sleep(LAST_BYTES);
@@ -246,20 +247,21 @@
 
   private void perform(GatewayAction action) {
     switch (action) {
-      case GatewayAction.ReadBody a -> calls.with(a.id(), callers::readBody);
-      case GatewayAction.Refuse a -> end(a.id(), call -> callers.refuse(call, a.failure()));
-      case GatewayAction.SendToEndpoint a -> calls.with(a.id(), call -> endpoints.send(call, a));
+      case GatewayAction.ReadBody a -> withApi(a.id(), (front, call) -> front.readBody(call));
+      case GatewayAction.Refuse a -> end(a.id(), (front, call) -> front.refuse(call, a.failure()));
+      case GatewayAction.SendToEndpoint a ->
+          api.ifPresent(front -> calls.with(a.id(), call -> front.endpoints().send(call, a)));
       case GatewayAction.Forward a -> {
         forwarding.ifPresent(front -> front.perform(a.action()));
         if (a.action() instanceof ForwardAction.Ended ended) {
           telemetry.record(ended.callRecord());
         }
       }
-      case GatewayAction.Replay a -> end(a.id(), call -> callers.replay(call, a.response()));
+      case GatewayAction.Replay a -> end(a.id(), (front, call) -> front.replay(call, a.response()));
       case GatewayAction.ListModels a ->
-          end(a.id(), call -> callers.answerModels(call, a.models()));
+          end(a.id(), (front, call) -> front.answerModels(call, a.models()));
       case GatewayAction.ListEntryHosts a ->
-          end(a.id(), call -> callers.answerEntryHosts(call, a.hosts()));
+          end(a.id(), (front, call) -> front.answerEntryHosts(call, a.hosts()));
       case GatewayAction.SendToPeer a -> {
         if (!peers.send(a.peer(), a.message())) {
           telemetry.count("peer_messages_dropped", 1);
@@ -282,7 +284,7 @@
 
   private ForwardFront forwardFront(ForwardSettings settings) {
     return new ForwardFront(
-        http,
+        loops,
         time,
         connections,
         settings.dialect(),
@@ -291,7 +293,7 @@
   }
 
   private void warmUp(ForwardSettings settings) {
-    settings.warmUp().ifPresent(how -> WarmUp.run(http, time, settings.dialect(), how));
+    settings.warmUp().ifPresent(how -> WarmUp.run(loops, time, settings.dialect(), how));
   }
 
   private void serveReadiness(ForwardSettings settings) {
@@ -299,11 +301,10 @@
         .readinessAddress()
         .ifPresent(
             address ->
-                http.serve(
+                HttpServer.bind(
+                    loops,
                     address,
-                    request ->
-                        CompletableFuture.completedFuture(
-                            settings.dialect().readinessResponse(request, ready))));
+                    () -> new ReadinessConnection(settings.dialect(), () -> ready)));
   }
 
   private void registerConnectionGauges() {
@@ -327,7 +328,7 @@
   }
 
   private void closeListener() {
-    HttpListener open = listener;
+    Listener open = listener;
     RelayFront front = relay;
     if (open == null || front == null) {
       return;
@@ -340,8 +341,21 @@
                 () -> StopLog.write("listener_closed", Duration.between(begun, time.instant())));
   }
 
-  private void end(RequestId id, Consumer<PendingCall> step) {
-    calls.with(id, step);
+  private void listenForCallers(HostAddress address) {
+    if (forwarding.isPresent()) {
+      ServerListener bound = HttpServer.bind(loops, address, forwarding.get()::newConnection);
+      forwardListener = bound;
+      listener = bound;
+    }
+    api.ifPresent(front -> listener = front.listen(address));
+  }
+
+  private void withApi(RequestId id, BiConsumer<CallerFront, PendingCall> step) {
+    api.ifPresent(front -> calls.with(id, call -> step.accept(front.callers(), call)));
+  }
+
+  private void end(RequestId id, BiConsumer<CallerFront, PendingCall> step) {
+    withApi(id, step);
     calls.remove(id);
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/gateway/InnerFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/InnerFront.java
@@ -1,15 +1,10 @@
 package org.cuminwell.shell.gateway;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-import org.apache.pekko.http.javadsl.model.HttpMethods;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.cuminwell.core.gateway.GatewayEvent;
-import org.cuminwell.shell.http.BodyReader;
-import org.cuminwell.shell.http.HttpResponses;
-import org.cuminwell.shell.http.HttpSystem;
+import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.ResponseMessage;
+import org.cuminwell.shell.exchange.ResponseWriter;
 import org.cuminwell.shell.http.OpsPages;
 import org.cuminwell.wire.EndpointJson;
 import org.cuminwell.wire.WireFormatException;
@@ -21,45 +16,41 @@
   private static final String LOAD = "/v1/endpoints/load";
   private static final String LEAVE = "/v1/endpoints/leave";
 
-  private final HttpSystem http;
   private final EventSink events;
   private final OpsPages pages;
 
-  InnerFront(HttpSystem http, EventSink events, OpsPages pages) {
-    this.http = http;
+  InnerFront(EventSink events, OpsPages pages) {
     this.events = events;
     this.pages = pages;
   }
 
-  /** Handles one request; the stage never fails. */
-  CompletionStage<HttpResponse> handle(HttpRequest request) {
-    String path = request.getUri().path();
+  /** Handles one request. */
+  void handle(RequestMessage request, ResponseWriter writer) {
+    writer.respond(respond(request));
+  }
+
+  private ResponseMessage respond(RequestMessage request) {
+    String path = request.path();
     return switch (path) {
-      case ANNOUNCE, LOAD, LEAVE -> hear(path, request);
+      case ANNOUNCE, LOAD, LEAVE ->
+          request.method().equals("POST")
+              ? hear(path, request.body())
+              : ResponseMessage.text(405, "use POST\n");
       default ->
-          CompletableFuture.completedFuture(
-              pages.find(request).orElseGet(() -> HttpResponses.text(404, "no such page\n")));
+          pages
+              .find(path)
+              .map(page -> ResponseMessage.text(page.status(), page.text()))
+              .orElseGet(() -> ResponseMessage.text(404, "no such page\n"));
     };
   }
 
-  private CompletionStage<HttpResponse> hear(String path, HttpRequest request) {
-    if (!request.method().equals(HttpMethods.POST)) {
-      BodyReader.leaveUnread(request, http.actorSystem());
-      return CompletableFuture.completedFuture(HttpResponses.text(405, "use POST\n"));
-    }
-    return BodyReader.read(request, http.actorSystem())
-        .thenApply(body -> hear(path, body.toArray()))
-        .exceptionally(
-            error -> HttpResponses.text(400, BodyReader.failureOf(error).message() + "\n"));
-  }
-
-  private HttpResponse hear(String path, byte[] body) {
+  private ResponseMessage hear(String path, byte[] body) {
     try {
       return events.offer(eventOf(path, body))
-          ? HttpResponses.json(200, JsonNodeFactory.instance.objectNode().put("heard", true))
-          : HttpResponses.text(503, "busy; try again\n");
+          ? ResponseMessage.json(200, JsonNodeFactory.instance.objectNode().put("heard", true))
+          : ResponseMessage.text(503, "busy; try again\n");
     } catch (WireFormatException e) {
-      return HttpResponses.text(400, e.getMessage() + "\n");
+      return ResponseMessage.text(400, e.getMessage() + "\n");
     }
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/gateway/ListenerLog.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/ListenerLog.java
@@ -2,7 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.function.Supplier;
-import org.cuminwell.shell.http.HttpListener;
+import org.cuminwell.shell.http.Listener;
 import org.cuminwell.shell.http.ListenerFigures;
 import org.cuminwell.shell.metrics.Telemetry;
 import org.jspecify.annotations.Nullable;
@@ -17,10 +17,10 @@
   private static final ListenerFigures NONE = new ListenerFigures(0, 0, 0, 0);
 
   private final String name;
-  private final Supplier<@Nullable HttpListener> listener;
+  private final Supplier<@Nullable Listener> listener;
   private ListenerFigures logged = NONE;
 
-  ListenerLog(String name, Supplier<@Nullable HttpListener> listener) {
+  ListenerLog(String name, Supplier<@Nullable Listener> listener) {
     this.name = name;
     this.listener = listener;
   }
@@ -54,7 +54,7 @@
   }
 
   private ListenerFigures figures() {
-    HttpListener current = listener.get();
+    Listener current = listener.get();
     return current == null ? NONE : current.figures();
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/http/ConnectionQueue.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/ConnectionQueue.java
@@ -17,7 +17,7 @@
  * #MAX_SETTING_UP} connections are being set up and {@link #MAX_WAITING} wait; a connection waits
  * only while no further one can be set up. Not thread safe.
  */
-final class ConnectionQueue<C> {
+public final class ConnectionQueue<C> {
 
   /** The maximum number of connections that are set up at the same time. */
   static final int MAX_SETTING_UP = 8;
@@ -39,7 +39,7 @@
    *
    * @param waited how long it has waited
    */
-  record Next<C>(C connection, Duration waited) {}
+  public record Next<C>(C connection, Duration waited) {}
 
   /**
    * Holds what is to be done. Immutable.
@@ -47,10 +47,10 @@
    * @param next the connection to set up now
    * @param closed the connections to close now
    */
-  record Decision<C>(Optional<Next<C>> next, List<C> closed) {}
+  public record Decision<C>(Optional<Next<C>> next, List<C> closed) {}
 
   /** Decides on a connection that was accepted now. */
-  Decision<C> add(C connection, Instant now) {
+  public Decision<C> add(C connection, Instant now) {
     if (settingUp < MAX_SETTING_UP) {
       settingUp++;
       return new Decision<>(Optional.of(new Next<>(connection, Duration.ZERO)), List.of());
@@ -60,7 +60,7 @@
   }
 
   /** Decides which connection follows one that has been set up. */
-  Decision<C> recordSetUp(Instant now) {
+  public Decision<C> recordSetUp(Instant now) {
     settingUp--;
     List<C> closed = removeOverdue(now);
     if (waiting.isEmpty()) {
--- a/shell/src/main/java/org/cuminwell/shell/http/HttpListener.java
+++ b/shell/src/main/java/org/cuminwell/shell/http/HttpListener.java
@@ -19,7 +19,7 @@
  * <p>Invariant: after {@link #drainConnections} no further request is read from any connection.
  * Thread safe.
  */
-public final class HttpListener {
+public final class HttpListener implements Listener {
 
   private final SharedKillSwitch requestReading = KillSwitches.shared("requests");
   private Tcp.@Nullable ServerBinding binding;
@@ -29,11 +29,7 @@
   private long shedConnections;
   private long droppedRequests;
 
-  /**
-   * Stops accepting connections; the stage completes when the address is free.
-   *
-   * @throws IllegalStateException if the listener has not been bound
-   */
+  @Override
   public CompletionStage<Done> unbind() {
     Tcp.ServerBinding currentBinding;
     synchronized (this) {
@@ -46,12 +42,7 @@
     return currentBinding.unbind().thenApply(_ -> Done.getInstance());
   }
 
-  /**
-   * Stops reading requests and waits until every connection has sent its pending responses or the
-   * time is up.
-   *
-   * @return the number of connections that have not ended
-   */
+  @Override
   public synchronized int drainConnections(Duration atMost) throws InterruptedException {
     requestReading.shutdown();
     long end = System.nanoTime() + atMost.toNanos();
@@ -78,7 +69,7 @@
     return Flow.of(HttpRequest.class).via(requestReading.flow());
   }
 
-  /** Returns the figures of this listener. */
+  @Override
   public synchronized ListenerFigures figures() {
     return new ListenerFigures(
         acceptedConnections, openConnections, shedConnections, droppedRequests);
