review: show that an acknowledged configuration is lost to two majorities

Cause: a control host that lost its disk takes its voters from its present settings, and is admitted although the others count other voters. Change: review/2, a script with six control hosts, new seeds, one lost disk and two losses of power.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Runs this case; needs the build of the deploy file and review/build.sh. TROUBLE=0 leaves out the
+# disruption.
+cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+exec target/jdk/bin/java -cp review/kit/classes Case quorum . review/2
--- a/review/kit/Case.java
+++ b/review/kit/Case.java
@@ -46,6 +46,7 @@
         switch (args[0]) {
           case "memory" -> new MemoryCase();
           case "evacuation" -> new EvacuationCase();
+          case "quorum" -> new QuorumCase();
           case "disks" -> new DisksCase();
           case "stream" -> new StreamCase();
           default -> throw new IllegalArgumentException(args[0]);
--- a/review/kit/Fleet.java
+++ b/review/kit/Fleet.java
@@ -152,6 +152,23 @@
     return machines.stream().filter(machine -> machine.role.equals(role)).toList();
   }
 
+  /** Returns the machine whose log says last that it leads. */
+  Machine leader(List<Machine> among) throws IOException {
+    Machine found = among.get(0);
+    String latest = "";
+    for (Machine machine : among) {
+      for (String line : Files.readAllLines(folder.resolve(machine.name + ".log"))) {
+        // The time of a line is the first field of its JSON.
+        String time = line.startsWith("{\"time\":\"") ? line.substring(9, 30) : "";
+        if (line.contains("leads=true") && time.compareTo(latest) > 0) {
+          latest = time;
+          found = machine;
+        }
+      }
+    }
+    return found;
+  }
+
   /** Names the machines that the settings files give as seeds. */
   void seeds(List<Machine> named) {
     seeds = named.stream().map(Machine::control).toList();
