--- a/core/src/main/java/org/cuminwell/core/consensus/FollowerProgress.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/FollowerProgress.java
@@ -16,6 +16,9 @@
   /** The index of the next entry to send. */
   long nextIndex;
 
+  /** The index up to which entries are not in flight, because they were never sent. */
+  private long notSentUpTo;
+
   /** Whether the follower's acknowledgements count towards a quorum. */
   boolean isVoter;
 
@@ -36,6 +39,7 @@
 
   FollowerProgress(long next) {
     this.nextIndex = next;
+    this.notSentUpTo = next - 1;
   }
 
   /** Updates the progress from a reply. {@code lastIndex} is the last index of the leader's log. */
@@ -49,9 +53,15 @@
       nextIndex = Math.max(nextIndex, matchIndex + 1);
     } else {
       nextIndex = Math.min(nextIndex, reply.index() + 1);
+      notSentUpTo = Math.min(notSentUpTo, nextIndex - 1);
     }
   }
 
+  /** Returns the index after which entries were sent and are not yet acknowledged. */
+  long inFlightAfter() {
+    return Math.max(matchIndex, notSentUpTo);
+  }
+
   /** Stops counting a follower that is a learner, since its disk was empty. */
   void markLearner(OptionalLong incarnation, long lastIndex) {
     isVoter = false;
--- a/core/src/main/java/org/cuminwell/core/consensus/LogReplicator.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/LogReplicator.java
@@ -11,12 +11,20 @@
 /**
  * Replicates a leader's entries to its followers and tracks their progress.
  *
- * <p>Entries are pipelined: they are sent before earlier ones are acknowledged. A follower that
- * misses entries reports where to resume. Not thread safe: its replica owns it.
+ * <p>Entries are pipelined: they are sent before earlier ones are acknowledged, up to a bound in
+ * bytes. A follower that misses entries reports where to resume. Not thread safe: its replica owns
+ * it.
  */
 final class LogReplicator<C, S> {
 
   private static final int MAX_ENTRIES_PER_REQUEST = 256;
+
+  /** The maximum estimated memory of one request's entries, unless a single one is larger. */
+  static final long MAX_REQUEST_BYTES = 1024 * 1024;
+
+  /** The estimated memory of unacknowledged entries above which no more are sent to a follower. */
+  static final long MAX_IN_FLIGHT_BYTES = 8 * 1024 * 1024;
+
   private static final Duration MIN_SNAPSHOT_INTERVAL = Duration.ofSeconds(2);
 
   private final ReplicaLog<C, S> log;
@@ -71,11 +79,20 @@
       sendEntries(to, progress, log.baseIndex(), List.of(), term, commit, now);
       return;
     }
-    List<LogEntry<C>> entries = log.entriesFrom(progress.nextIndex, MAX_ENTRIES_PER_REQUEST);
+    List<LogEntry<C>> entries =
+        isWindowFull(progress)
+            ? List.of()
+            : log.entriesFrom(progress.nextIndex, MAX_ENTRIES_PER_REQUEST, MAX_REQUEST_BYTES);
     sendEntries(to, progress, progress.nextIndex - 1, entries, term, commit, now);
     progress.nextIndex += entries.size();
   }
 
+  /** Returns whether the follower must acknowledge entries before it gets more. */
+  private boolean isWindowFull(FollowerProgress progress) {
+    return log.bytesBetween(progress.inFlightAfter(), progress.nextIndex - 1)
+        >= MAX_IN_FLIGHT_BYTES;
+  }
+
   private void sendEntries(
       HostId to,
       FollowerProgress progress,
--- a/core/src/main/java/org/cuminwell/core/consensus/Replica.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Replica.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.function.ToLongFunction;
 import org.cuminwell.core.consensus.ConsensusMessage.AppendReply;
 import org.cuminwell.core.consensus.ConsensusMessage.AppendRequest;
 import org.cuminwell.core.consensus.ConsensusMessage.InstallSnapshot;
@@ -50,19 +51,21 @@
    * Creates a replica from its durable state.
    *
    * @param voters every host that may vote, including this one
+   * @param commandBytes estimates the memory of a command, in bytes
    * @param random the source of election timeouts and incarnations
    */
   public Replica(
       HostId self,
       Set<HostId> voters,
       DurableState<C, S> durable,
+      ToLongFunction<C> commandBytes,
       SplittableRandom random,
       Instant now) {
     this.self = self;
     this.others = new TreeSet<>(voters);
     this.others.remove(self);
     this.random = random;
-    this.store = new ReplicaStore<>(durable, outbox);
+    this.store = new ReplicaStore<>(durable, commandBytes, outbox);
     this.log = store.log();
     this.commits = new CommitProgress<>(self, store, outbox);
     this.replicator = new LogReplicator<>(log, outbox);
@@ -134,9 +137,14 @@
     return commits.appliedIndex();
   }
 
-  /** Returns the number of log entries after the snapshot. */
-  public int logSize() {
-    return log.size();
+  /** Returns whether the log entries after the snapshot exceed a limit. */
+  public boolean exceeds(LogLimits limits) {
+    return limits.areExceededBy(log.size(), log.bytes());
+  }
+
+  /** Returns the estimated memory of the log entries after the snapshot, in bytes. */
+  public long logBytes() {
+    return log.bytes();
   }
 
   private void onTick(Instant now) {
--- a/core/src/main/java/org/cuminwell/core/consensus/ReplicaLog.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/ReplicaLog.java
@@ -4,12 +4,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToLongFunction;
 
 /**
  * Holds the log entries after the snapshot and tracks which of them are durable.
  *
  * <p>Invariants: indexes have no gaps and terms don't decrease; {@code durableIndex} is at most the
- * last index. Not thread safe: one thread owns it.
+ * last index; {@code bytes} is the sum of the entries' sizes. Not thread safe: one thread owns it.
  */
 final class ReplicaLog<C, S> {
 
@@ -19,14 +20,24 @@
    */
   private record PendingWrite(long sequence, long index) {}
 
+  /** The estimated memory of an entry apart from its command, in bytes. */
+  private static final long ENTRY_BYTES = 256;
+
+  /** Holds an entry with its estimated memory, in bytes. */
+  private record SizedEntry<C>(LogEntry<C> entry, long bytes) {}
+
+  private final ToLongFunction<C> commandBytes;
   private Optional<Snapshot<S>> snapshot;
-  private final ArrayList<LogEntry<C>> entries;
+  private final ArrayList<SizedEntry<C>> entries = new ArrayList<>();
   private final List<PendingWrite> pendingWrites = new ArrayList<>();
+  private long bytes;
   private long durableIndex;
 
-  ReplicaLog(DurableState<C, S> durableState) {
+  /** Creates the log from its durable state; {@code commandBytes} estimates a command's memory. */
+  ReplicaLog(DurableState<C, S> durableState, ToLongFunction<C> commandBytes) {
+    this.commandBytes = commandBytes;
     snapshot = durableState.snapshot();
-    entries = new ArrayList<>(durableState.entries());
+    addAll(durableState.entries());
     durableIndex = lastIndex();
   }
 
@@ -47,7 +58,7 @@
   Instant lastCreatedAt() {
     return entries.isEmpty()
         ? snapshot.map(Snapshot::lastEntryCreatedAt).orElse(Instant.EPOCH)
-        : entries.getLast().createdAt();
+        : entries.getLast().entry().createdAt();
   }
 
   /** Returns the last index that is durable on this host. */
@@ -59,6 +70,21 @@
     return entries.size();
   }
 
+  /** Returns the estimated memory of the entries, in bytes. */
+  long bytes() {
+    return bytes;
+  }
+
+  /** Returns the estimated memory of the entries after {@code from} up to {@code to}, in bytes. */
+  long bytesBetween(long from, long to) {
+    long first = Math.max(from, baseIndex());
+    return to <= first
+        ? 0
+        : entries.subList(position(first + 1), position(to) + 1).stream()
+            .mapToLong(SizedEntry::bytes)
+            .sum();
+  }
+
   Optional<Snapshot<S>> snapshot() {
     return snapshot;
   }
@@ -75,7 +101,7 @@
   }
 
   LogEntry<C> get(long index) {
-    return entries.get(position(index));
+    return entries.get(position(index)).entry();
   }
 
   /**
@@ -89,26 +115,42 @@
     return index <= lastIndex() && termAt(index) == term;
   }
 
-  /** Returns up to {@code limit} entries, starting at {@code index}. */
-  List<LogEntry<C>> entriesFrom(long index, int limit) {
-    int start = position(index);
-    return List.copyOf(entries.subList(start, Math.min(entries.size(), start + limit)));
+  /** Returns all entries. */
+  List<LogEntry<C>> allEntries() {
+    return entries.stream().map(SizedEntry::entry).toList();
+  }
+
+  /**
+   * Returns up to {@code maxCount} entries of up to {@code maxBytes} together, starting at {@code
+   * index}; if the first one alone is larger, returns that one.
+   */
+  List<LogEntry<C>> entriesFrom(long index, int maxCount, long maxBytes) {
+    List<LogEntry<C>> result = new ArrayList<>();
+    long total = 0;
+    for (SizedEntry<C> next : entries.subList(position(index), entries.size())) {
+      total += next.bytes();
+      if (result.size() == maxCount || (total > maxBytes && !result.isEmpty())) {
+        break;
+      }
+      result.add(next.entry());
+    }
+    return result;
   }
 
   /** Appends entries, first removing existing entries from the first new index on. */
   void append(List<LogEntry<C>> newEntries) {
     long first = newEntries.getFirst().index();
     if (first <= lastIndex()) {
-      entries.subList(position(first), entries.size()).clear();
+      remove(position(first), entries.size());
       durableIndex = Math.min(durableIndex, first - 1);
       pendingWrites.replaceAll(w -> new PendingWrite(w.sequence(), Math.min(w.index(), first - 1)));
     }
-    entries.addAll(newEntries);
+    addAll(newEntries);
   }
 
   /** Drops the entries covered by a snapshot of this log. */
   void compact(Snapshot<S> newSnapshot) {
-    entries.subList(0, position(newSnapshot.index() + 1)).clear();
+    remove(0, position(newSnapshot.index() + 1));
     snapshot = Optional.of(newSnapshot);
   }
 
@@ -121,7 +163,7 @@
       compact(received);
       return;
     }
-    entries.clear();
+    remove(0, entries.size());
     snapshot = Optional.of(received);
     durableIndex = 0;
     pendingWrites.clear();
@@ -139,6 +181,29 @@
     }
   }
 
+  private void addAll(List<LogEntry<C>> added) {
+    for (LogEntry<C> entry : added) {
+      SizedEntry<C> sized = new SizedEntry<>(entry, bytesOf(entry));
+      entries.add(sized);
+      bytes += sized.bytes();
+    }
+  }
+
+  /** Removes the entries at the positions from {@code start} to before {@code end}. */
+  private void remove(int start, int end) {
+    List<SizedEntry<C>> removed = entries.subList(start, end);
+    bytes -= removed.stream().mapToLong(SizedEntry::bytes).sum();
+    removed.clear();
+  }
+
+  private long bytesOf(LogEntry<C> entry) {
+    return switch (entry.content()) {
+      case EntryContent.Proposed<C> c -> ENTRY_BYTES + commandBytes.applyAsLong(c.command());
+      case EntryContent.NoOp<C> c -> ENTRY_BYTES;
+      case EntryContent.Admit<C> c -> ENTRY_BYTES;
+    };
+  }
+
   private int position(long index) {
     return Math.toIntExact(index - baseIndex() - 1);
   }
--- a/core/src/main/java/org/cuminwell/core/consensus/ReplicaStore.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/ReplicaStore.java
@@ -1,6 +1,7 @@
 package org.cuminwell.core.consensus;
 
 import java.util.List;
+import java.util.function.ToLongFunction;
 import org.cuminwell.core.consensus.ReplicaAction.Append;
 import org.cuminwell.core.consensus.ReplicaAction.Replace;
 
@@ -16,8 +17,8 @@
   private final Outbox<C, S> outbox;
   private HardState hardState;
 
-  ReplicaStore(DurableState<C, S> durable, Outbox<C, S> outbox) {
-    this.log = new ReplicaLog<>(durable);
+  ReplicaStore(DurableState<C, S> durable, ToLongFunction<C> commandBytes, Outbox<C, S> outbox) {
+    this.log = new ReplicaLog<>(durable, commandBytes);
     this.outbox = outbox;
     this.hardState = durable.hardState();
   }
@@ -77,11 +78,6 @@
     long sequence = outbox.nextSequence();
     log.onWriteIssued(sequence);
     outbox.write(
-        new Replace<>(
-            sequence,
-            new DurableState<>(
-                hardState,
-                log.snapshot(),
-                log.entriesFrom(log.baseIndex() + 1, Integer.MAX_VALUE))));
+        new Replace<>(sequence, new DurableState<>(hardState, log.snapshot(), log.allEntries())));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/Command.java
+++ b/core/src/main/java/org/cuminwell/core/control/Command.java
@@ -3,6 +3,8 @@
 import java.time.Duration;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationDocument;
+import org.cuminwell.core.config.ConfigurationSize;
+import org.cuminwell.core.idempotency.CallOutcome;
 import org.cuminwell.core.idempotency.ClaimChange;
 import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.rollout.RolloutAdvance;
@@ -22,6 +24,12 @@
   /** The timeout for the outcome of a command that a later command may undo. */
   Duration SHORT_OUTCOME_TIMEOUT = Duration.ofSeconds(1);
 
+  /** The estimated memory of a command without parts of unbounded size, in bytes. */
+  long SMALL_COMMAND_BYTES = 1_024;
+
+  /** The estimated memory of a claim's change with the largest response that is kept, in bytes. */
+  long MAX_CLAIM_BYTES = SMALL_COMMAND_BYTES + CallOutcome.MAX_BODY_BYTES;
+
   /** Puts a ticket in force under its number. */
   record AcceptTicket(Ticket ticket) implements Command {}
 
@@ -64,6 +72,17 @@
     };
   }
 
+  /** Returns the estimated memory of the command, in bytes. */
+  default long bytes() {
+    return switch (this) {
+      case AcceptTicket c -> ConfigurationSize.bytesOf(c.ticket().change());
+      case ReplaceConfiguration c ->
+          c.document().text().length() + ConfigurationSize.bytesOf(c.content());
+      case ChangeClaim _ -> MAX_CLAIM_BYTES;
+      case AdvanceRollout _, BeginRollout _, Evacuate _ -> SMALL_COMMAND_BYTES;
+    };
+  }
+
   /**
    * Returns whether applying the command twice gives the same state and result as applying it once.
    * Only such a command may be sent to a new leader while its outcome at the old one is unknown.
--- a/core/src/main/java/org/cuminwell/core/control/PendingCommand.java
+++ b/core/src/main/java/org/cuminwell/core/control/PendingCommand.java
@@ -24,12 +24,14 @@
   }
 
   private final Command command;
+  private final long bytes;
   private final Instant deadline;
   private boolean wasForwarded;
   private Stage stage = new Stage.Waiting();
 
   PendingCommand(Command command, Instant deadline) {
     this.command = command;
+    this.bytes = command.bytes();
     this.deadline = deadline;
   }
 
@@ -37,6 +39,11 @@
     return command;
   }
 
+  /** Returns the estimated memory of the command, in bytes. */
+  long bytes() {
+    return bytes;
+  }
+
   Stage stage() {
     return stage;
   }
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
@@ -15,6 +15,7 @@
 import org.cuminwell.core.consensus.DurableState;
 import org.cuminwell.core.consensus.EntryContent;
 import org.cuminwell.core.consensus.LogEntry;
+import org.cuminwell.core.consensus.LogLimits;
 import org.cuminwell.core.consensus.Replica;
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.consensus.ReplicaEvent;
@@ -33,14 +34,11 @@
  */
 public final class ReplicatedStateMachine {
 
-  /** The maximum number of log entries before they are replaced by a snapshot. */
-  public static final int MAX_LOG_ENTRIES = 1_024;
-
   private static final int MAX_PENDING = 1_024;
 
   private final Replica<Command, StateSnapshot> replica;
   private final HostId self;
-  private final int maxLogEntries;
+  private final LogLimits limits;
   private final ReplicatedState state = new ReplicatedState();
   private final ReadIndexTracker readIndex = new ReadIndexTracker();
   private final Map<RequestId, PendingCommand> pending = new LinkedHashMap<>();
@@ -51,19 +49,18 @@
    * Creates the state machine of one host from its durable state.
    *
    * @param voters every control host, including this one
-   * @param maxLogEntries the log size, in entries, above which a snapshot is made; {@link
-   *     #MAX_LOG_ENTRIES} in production
+   * @param limits the size of the log above which a snapshot is made
    */
   public ReplicatedStateMachine(
       HostId self,
       Set<HostId> voters,
       DurableState<Command, StateSnapshot> durable,
       SplittableRandom random,
-      int maxLogEntries,
+      LogLimits limits,
       Instant now) {
     this.self = self;
-    this.maxLogEntries = maxLogEntries;
-    this.replica = new Replica<>(self, voters, durable, random, now);
+    this.limits = limits;
+    this.replica = new Replica<>(self, voters, durable, Command::bytes, random, now);
     durable.snapshot().map(Snapshot::state).ifPresent(state::restore);
   }
 
@@ -75,15 +72,28 @@
     Optional<CommandResult> existingResult = findResult(command);
     if (existingResult.isPresent()) {
       answer(id, new CommandOutcome.Committed(existingResult.get()));
-    } else if (pending.size() >= MAX_PENDING) {
-      answer(id, PendingCommand.notRunOutcome("this control host has too many pending commands"));
     } else {
-      pending.put(id, new PendingCommand(command, now.plus(command.outcomeTimeout())));
-      submitWaiting(now);
+      addPending(id, new PendingCommand(command, now.plus(command.outcomeTimeout())), now);
     }
     return drain();
   }
 
+  private void addPending(RequestId id, PendingCommand command, Instant now) {
+    if (hasRoomFor(command)) {
+      pending.put(id, command);
+      submitWaiting(now);
+    } else {
+      answer(id, PendingCommand.notRunOutcome("this control host has too many pending commands"));
+    }
+  }
+
+  /** Returns whether the command may wait beside the pending ones; one may wait alone. */
+  private boolean hasRoomFor(PendingCommand command) {
+    long pendingBytes = pending.values().stream().mapToLong(PendingCommand::bytes).sum();
+    return pending.isEmpty()
+        || (pending.size() < MAX_PENDING && pendingBytes + command.bytes() <= limits.maxBytes());
+  }
+
   /** Handles a message of another control host. */
   public List<StateMachineAction> onMessage(HostId from, StateMachineMessage message, Instant now) {
     switch (message) {
@@ -164,6 +174,11 @@
         replica.appliedIndex());
   }
 
+  /** Returns the estimated memory of the log entries after the snapshot, in bytes. */
+  public long logBytes() {
+    return replica.logBytes();
+  }
+
   /** Returns the index of the last log entry that is applied to the state. */
   public long appliedIndex() {
     return replica.appliedIndex();
@@ -222,12 +237,12 @@
   }
 
   /**
-   * Passes an event to the replica, performs the resulting actions, and compacts the log if it is
-   * too long.
+   * Passes an event to the replica, performs the resulting actions, and compacts the log if it
+   * exceeds its limits.
    */
   private void handle(ReplicaEvent<Command, StateSnapshot> event, Instant now) {
     replica.handle(event, now).forEach(this::perform);
-    if (replica.logSize() > maxLogEntries && replica.appliedIndex() == replica.commitIndex()) {
+    if (replica.exceeds(limits) && replica.appliedIndex() == replica.commitIndex()) {
       replica.handle(new ReplicaEvent.Compact<>(state.snapshot()), now).forEach(this::perform);
     }
   }
--- a/core/src/test/java/org/cuminwell/core/control/SimulatedHost.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedHost.java
@@ -9,6 +9,7 @@
 import org.cuminwell.core.consensus.DurableState;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.LogEntry;
+import org.cuminwell.core.consensus.LogLimits;
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.consensus.VotingStatus;
 import org.cuminwell.core.model.HostId;
@@ -18,7 +19,7 @@
 final class SimulatedHost {
 
   /** Small, so that a run makes many snapshots. */
-  private static final int MAX_LOG_ENTRIES = 12;
+  private static final LogLimits LOG_LIMITS = new LogLimits(12, Long.MAX_VALUE);
 
   final HostId id;
   private final Set<HostId> voters;
@@ -50,8 +51,7 @@
   void start(Instant now) {
     startCount++;
     lastRevision = 0;
-    stateMachine =
-        new ReplicatedStateMachine(id, voters, disk, random.split(), MAX_LOG_ENTRIES, now);
+    stateMachine = new ReplicatedStateMachine(id, voters, disk, random.split(), LOG_LIMITS, now);
   }
 
   /** Crashes the process. A random prefix of the unsynced writes reaches the disk. */
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -17,6 +17,7 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.cuminwell.core.consensus.HardState;
+import org.cuminwell.core.consensus.LogLimits;
 import org.cuminwell.core.control.AgreementStatus;
 import org.cuminwell.core.control.Control;
 import org.cuminwell.core.control.ControlAction;
@@ -224,7 +225,7 @@
         settings.agreement().voters(),
         journal.recovered(),
         new SplittableRandom(new SecureRandom().nextLong()),
-        ReplicatedStateMachine.MAX_LOG_ENTRIES,
+        LogLimits.forHeap(Runtime.getRuntime().maxMemory()),
         time.instant());
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/journal/Journal.java
+++ b/shell/src/main/java/org/cuminwell/shell/journal/Journal.java
@@ -229,9 +229,8 @@
   private static Journal recoverNewest(
       Storage storage, Path folder, FileChannel lockFile, List<Path> journals) throws IOException {
     Path newest = journals.getLast();
-    byte[] bytes = Files.readAllBytes(newest);
     RecoveredState state = new RecoveredState(newest);
-    int endOffset = RecordFrames.readRecords(newest, bytes, state::addRecord);
+    long endOffset = RecordReader.readRecords(storage, newest, state::addRecord);
     DurableState<Command, StateSnapshot> recovered = state.toDurableState();
     FileChannel file = storage.open(newest, StandardOpenOption.WRITE);
     file.truncate(endOffset);
--- a/shell/src/test/java/org/cuminwell/shell/journal/FaultyStorage.java
+++ b/shell/src/test/java/org/cuminwell/shell/journal/FaultyStorage.java
@@ -28,6 +28,7 @@
   private Operation failingOperation = Operation.WRITE;
   private int operationsUntilFailure = Integer.MAX_VALUE;
   private int remainingFailures;
+  private int largestRead;
 
   /**
    * Makes the nth operation of the kind from now on fail, then the operations of any kind that
@@ -44,6 +45,11 @@
     return remainingFailures == 0;
   }
 
+  /** Returns the size of the largest buffer that was read into, in bytes. */
+  int largestRead() {
+    return largestRead;
+  }
+
   @Override
   public FileChannel open(Path path, OpenOption... options) throws IOException {
     return new FaultyChannel(FileChannel.open(path, options));
@@ -127,8 +133,9 @@
     }
 
     @Override
-    public int read(ByteBuffer bytes) {
-      throw new UnsupportedOperationException();
+    public int read(ByteBuffer bytes) throws IOException {
+      largestRead = Math.max(largestRead, bytes.remaining());
+      return file.read(bytes);
     }
 
     @Override
--- a/shell/src/test/java/org/cuminwell/shell/journal/JournalTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/journal/JournalTest.java
@@ -20,6 +20,7 @@
 import org.cuminwell.core.consensus.EntryContent;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.LogEntry;
+import org.cuminwell.core.consensus.LogLimits;
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.consensus.VotingStatus;
 import org.cuminwell.core.control.Command;
@@ -236,7 +237,7 @@
         Set.of(LOCAL_HOST),
         journal.recovered(),
         new SplittableRandom(1),
-        compactEntries,
+        new LogLimits(compactEntries, Long.MAX_VALUE),
         ENTRY_TIME);
   }
 
--- a/wire/src/test/java/org/cuminwell/wire/CoreFleet.java
+++ b/wire/src/test/java/org/cuminwell/wire/CoreFleet.java
@@ -11,6 +11,7 @@
 import java.util.stream.IntStream;
 import org.cuminwell.core.consensus.DurableState;
 import org.cuminwell.core.consensus.HardState;
+import org.cuminwell.core.consensus.LogLimits;
 import org.cuminwell.core.control.Control;
 import org.cuminwell.core.control.ControlAction;
 import org.cuminwell.core.control.ControlEvent;
@@ -152,7 +153,7 @@
             Set.copyOf(voters),
             DurableState.empty(HardState.founding()),
             new SplittableRandom(id.hashCode()),
-            ReplicatedStateMachine.MAX_LOG_ENTRIES,
+            LogLimits.forHeap(Runtime.getRuntime().maxMemory()),
             now);
     return new Control(id, Set.of(), replicatedStateMachine);
   }
