--- a/app/src/main/java/org/cuminwell/app/ControlCommand.java
+++ b/app/src/main/java/org/cuminwell/app/ControlCommand.java
@@ -33,7 +33,9 @@
       description = "HOST:PORT for messages of the system's own processes")
   private String peer = "";
 
-  @Parameter(names = "--control", description = "peer HOST:PORT of each control host")
+  @Parameter(
+      names = "--control",
+      description = "peer HOST:PORT of control hosts to ask; they name the others")
   private List<String> control = new ArrayList<>();
 
   @Parameter(
@@ -44,7 +46,9 @@
 
   @Parameter(
       names = "--voter",
-      description = "host id of each control host, this one among them; the same on all of them")
+      description =
+          "host id of each control host that founds the cluster, this one among them; the same on"
+              + " all of them, and without effect once a cluster is founded")
   private List<String> voter = new ArrayList<>();
 
   @Parameter(
@@ -116,8 +120,8 @@
       voters.add(self);
     }
     boolean votes = voters.contains(self);
-    if (!votes && seeds.ids().isEmpty()) {
-      throw new SettingException("--voter", "must name every control host, also " + self);
+    if (bootstrap && !votes && seeds.ids().isEmpty()) {
+      throw new SettingException("--voter", "must name every founding control host, also " + self);
     }
     return new AgreementSettings(
         Settings.checked("--data", data, Path::of), voters, bootstrap && votes);
--- a/core/src/main/java/org/cuminwell/core/consensus/CommitProgress.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/CommitProgress.java
@@ -2,7 +2,6 @@
 
 import org.cuminwell.core.consensus.ReplicaAction.Apply;
 import org.cuminwell.core.consensus.ReplicaAction.Restore;
-import org.cuminwell.core.model.HostId;
 
 /**
  * Tracks the commit index and applies committed entries.
@@ -12,14 +11,12 @@
  */
 final class CommitProgress<C, S> {
 
-  private final HostId self;
   private final ReplicaStore<C, S> store;
   private final Outbox<C, S> outbox;
   private long commitIndex;
   private long appliedIndex;
 
-  CommitProgress(HostId self, ReplicaStore<C, S> store, Outbox<C, S> outbox) {
-    this.self = self;
+  CommitProgress(ReplicaStore<C, S> store, Outbox<C, S> outbox) {
     this.store = store;
     this.outbox = outbox;
     this.commitIndex = store.log().baseIndex();
@@ -57,7 +54,11 @@
     if (appliedIndex > log.baseIndex()) {
       store.compact(
           new Snapshot<>(
-              appliedIndex, log.termAt(appliedIndex), log.get(appliedIndex).createdAt(), state));
+              appliedIndex,
+              log.termAt(appliedIndex),
+              log.get(appliedIndex).createdAt(),
+              log.membershipAt(appliedIndex),
+              state));
     }
   }
 
@@ -68,19 +69,7 @@
   void applyCommitted() {
     while (appliedIndex < commitIndex) {
       appliedIndex++;
-      LogEntry<C> entry = store.log().get(appliedIndex);
-      if (store.hardState().votingStatus() instanceof VotingStatus.Learner learner
-          && admits(entry, learner)) {
-        store.replaceHardState(store.hardState().with(new VotingStatus.Voter()));
-      }
-      outbox.add(new Apply<>(entry));
+      outbox.add(new Apply<>(store.log().get(appliedIndex)));
     }
   }
-
-  /** Returns whether the entry admits this host under its current incarnation. */
-  private boolean admits(LogEntry<C> entry, VotingStatus.Learner learner) {
-    return entry.content() instanceof EntryContent.Admit<C> admit
-        && admit.host().equals(self)
-        && admit.incarnation() == learner.incarnation();
-  }
 }
--- a/core/src/main/java/org/cuminwell/core/consensus/ConsensusMessage.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/ConsensusMessage.java
@@ -2,7 +2,6 @@
 
 import java.time.Instant;
 import java.util.List;
-import java.util.OptionalLong;
 
 /** Represents a message between replicas. Immutable and thread safe. */
 public sealed interface ConsensusMessage<C, S> {
@@ -24,8 +23,10 @@
 
   /**
    * Answers a vote request. The term is the request's if the vote is granted, else the replier's.
+   *
+   * @param voter the sender with the disk on which the vote is recorded
    */
-  record VoteReply<C, S>(long term, boolean preVote, boolean granted)
+  record VoteReply<C, S>(long term, boolean preVote, boolean granted, Member voter)
       implements ConsensusMessage<C, S> {}
 
   /**
@@ -55,17 +56,15 @@
    *
    * @param index if {@code matched}, the last index that matches the leader's log and is durable at
    *     the sender; otherwise the index after which the leader should retry
-   * @param learnerIncarnation the incarnation of a learner, whose acknowledgements don't count;
-   *     empty for a voter
+   * @param incarnation the incarnation of the sender's disk
    */
-  record AppendReply<C, S>(
-      long term, boolean matched, long index, OptionalLong learnerIncarnation, Instant sentAt)
+  record AppendReply<C, S>(long term, boolean matched, long index, long incarnation, Instant sentAt)
       implements ConsensusMessage<C, S> {}
 
   /** Sends the state to a host that needs entries which the leader's log no longer holds. */
   record InstallSnapshot<C, S>(long term, Snapshot<S> snapshot, Instant sentAt)
       implements ConsensusMessage<C, S> {}
 
-  /** Asks the leader to admit the sender as a voter. */
-  record JoinRequest<C, S>(long term, long incarnation) implements ConsensusMessage<C, S> {}
+  /** Asks the leader to send the log to the sender and to make it a voter. */
+  record JoinRequest<C, S>(long term, Member member) implements ConsensusMessage<C, S> {}
 }
--- a/core/src/main/java/org/cuminwell/core/consensus/ConsensusTimeouts.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/ConsensusTimeouts.java
@@ -29,8 +29,29 @@
   /** How long a write may wait for a sync before a leader resigns. */
   public static final Duration SYNC_TIMEOUT = Duration.ofMillis(1_500);
 
-  /** How often a learner asks to be admitted. */
+  /** How often a host asks to join. */
   public static final Duration JOIN_REQUEST_INTERVAL = Duration.ofMillis(300);
 
+  /** How recently a learner must have been heard to become a voter. */
+  public static final Duration LEARNER_HEARD_WITHIN = Duration.ofMillis(500);
+
+  /** How long a voter must be silent before a learner may take its place. */
+  public static final Duration REPLACE_SILENT_AFTER = Duration.ofMillis(1_500);
+
+  /**
+   * How long a learner waits before it is added without a voter whose place it takes, so that the
+   * silence of a predecessor is noticed first.
+   */
+  public static final Duration ADD_LEARNER_AFTER = REPLACE_SILENT_AFTER;
+
+  /** How long a voter must be silent before it may be dropped from an even number of voters. */
+  public static final Duration DROP_ONE_AFTER = Duration.ofSeconds(3);
+
+  /** How long two voters must be silent before they may be dropped together. */
+  public static final Duration DROP_TWO_AFTER = Duration.ofSeconds(10);
+
+  /** How long a learner must be silent before the leader stops sending to it. */
+  public static final Duration FORGET_LEARNER_AFTER = Duration.ofSeconds(10);
+
   private ConsensusTimeouts() {}
 }
--- a/core/src/main/java/org/cuminwell/core/consensus/EntryContent.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/EntryContent.java
@@ -1,7 +1,5 @@
 package org.cuminwell.core.consensus;
 
-import org.cuminwell.core.model.HostId;
-
 /** Represents the content of a log entry. Immutable and thread safe. */
 public sealed interface EntryContent<C> {
 
@@ -11,10 +9,6 @@
   /** Carries a command for the replicated state. */
   record Proposed<C>(C command) implements EntryContent<C> {}
 
-  /**
-   * Admits a host that started with an empty disk as a voter.
-   *
-   * @param incarnation the random number that the host drew for this disk
-   */
-  record Admit<C>(HostId host, long incarnation) implements EntryContent<C> {}
+  /** Replaces the membership; holds from the moment at which a host appends it. */
+  record ChangeMembership<C>(Membership membership) implements EntryContent<C> {}
 }
--- a/core/src/main/java/org/cuminwell/core/consensus/FollowerProgress.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/FollowerProgress.java
@@ -1,12 +1,14 @@
 package org.cuminwell.core.consensus;
 
+import java.time.Duration;
 import java.time.Instant;
-import java.util.OptionalLong;
+import java.util.Optional;
 
 /**
  * Tracks a leader's view of one follower. Not thread safe: one thread owns it.
  *
- * <p>Invariant: {@code matchIndex} never decreases.
+ * <p>Invariants: everything but {@code joining} is about the disk of one incarnation; {@code
+ * matchIndex} never decreases for it.
  */
 final class FollowerProgress {
 
@@ -19,14 +21,11 @@
   /** The index up to which entries are not in flight, because they were never sent. */
   private long notSentUpTo;
 
-  /** Whether the follower's acknowledgements count towards a quorum. */
-  boolean isVoter;
+  /** The incarnation of the follower's disk. */
+  private long incarnation;
 
-  /** The latest incarnation under which the follower was a learner. */
-  private OptionalLong learnerIncarnation = OptionalLong.empty();
-
-  /** The leader's last index when that incarnation was first seen. */
-  private long learnerSeenAtIndex;
+  /** The member that last asked to join at this host. */
+  private Optional<Member> joining = Optional.empty();
 
   /** The send time of the latest request that the follower has acknowledged. */
   Instant acknowledgedSentAt = Instant.MIN;
@@ -34,17 +33,32 @@
   /** The earliest time at which another snapshot may be sent. */
   Instant nextSnapshotAt = Instant.MIN;
 
-  /** The index of the latest entry that admits the follower; 0 if there is none. */
-  long admitIndex;
+  /** When the member asked to join for the first time. */
+  private Instant joiningSince = Instant.MAX;
+
+  /** When the follower was last heard, or when this leader began to send to it. */
+  private Instant heardAt;
 
-  FollowerProgress(long next) {
+  FollowerProgress(long next, long incarnation, Instant now) {
     this.nextIndex = next;
     this.notSentUpTo = next - 1;
+    this.incarnation = incarnation;
+    this.heardAt = now;
   }
 
-  /** Updates the progress from a reply. {@code lastIndex} is the last index of the leader's log. */
-  void onReply(ConsensusMessage.AppendReply<?, ?> reply, long lastIndex) {
-    updateVoting(reply, lastIndex);
+  /**
+   * Updates the progress from a reply. The reply of another incarnation counts only if it answers a
+   * later request than any before it; a delayed one of a lost disk doesn't.
+   */
+  void onReply(ConsensusMessage.AppendReply<?, ?> reply, Instant now) {
+    if (reply.incarnation() != incarnation) {
+      if (!reply.sentAt().isAfter(acknowledgedSentAt)) {
+        return;
+      }
+      incarnation = reply.incarnation();
+      matchIndex = 0;
+    }
+    heardAt = now;
     if (reply.sentAt().isAfter(acknowledgedSentAt)) {
       acknowledgedSentAt = reply.sentAt();
     }
@@ -57,31 +71,42 @@
     }
   }
 
+  /** Records that the member asks to join. */
+  void onJoinRequest(Member member, Instant now) {
+    if (!joining.equals(Optional.of(member))) {
+      joining = Optional.of(member);
+      joiningSince = now;
+    }
+    heardAt = now;
+  }
+
   /** Returns the index after which entries were sent and are not yet acknowledged. */
   long inFlightAfter() {
     return Math.max(matchIndex, notSentUpTo);
   }
 
-  /** Stops counting a follower that is a learner, since its disk was empty. */
-  void markLearner(OptionalLong incarnation, long lastIndex) {
-    isVoter = false;
-    if (!learnerIncarnation.equals(incarnation)) {
-      learnerIncarnation = incarnation;
-      learnerSeenAtIndex = lastIndex;
-    }
+  /** Returns whether the follower is the member, with its disk. */
+  boolean is(Member member) {
+    return member.incarnation() == incarnation;
   }
 
-  /**
-   * Updates whether the follower votes. A delayed reply from before the follower lost its disk
-   * still claims that it votes; such a reply cannot acknowledge an entry made after the follower
-   * was first seen as a learner.
-   */
-  private void updateVoting(ConsensusMessage.AppendReply<?, ?> reply, long lastIndex) {
-    if (reply.learnerIncarnation().isPresent()) {
-      markLearner(reply.learnerIncarnation(), lastIndex);
-    } else if (learnerIncarnation.isEmpty()
-        || (reply.matched() && reply.index() > learnerSeenAtIndex)) {
-      isVoter = true;
-    }
+  /** Returns when the follower was last heard, or when this leader began to send to it. */
+  Instant heardAt() {
+    return heardAt;
+  }
+
+  /** Returns whether nothing was heard of the follower for that long. */
+  boolean isSilentFor(Duration time, Instant now) {
+    return !now.isBefore(heardAt.plus(time));
+  }
+
+  /** Returns whether the member has been asking to join for that long. */
+  boolean hasBeenJoiningFor(Duration time, Instant now) {
+    return joining.isPresent() && !now.isBefore(joiningSince.plus(time));
+  }
+
+  /** Returns the member that asks to join, if it is the follower and has acknowledged the index. */
+  Optional<Member> joiningWith(long index) {
+    return joining.filter(member -> is(member) && matchIndex >= index);
   }
 }
--- a/core/src/main/java/org/cuminwell/core/consensus/HardState.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/HardState.java
@@ -2,51 +2,58 @@
 
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import org.cuminwell.core.model.HostId;
 
 /**
- * Holds the state besides the log that a host must persist: Raft's hard state and the voting
- * status. Immutable and thread safe.
+ * Holds the state besides the log that a host must persist: Raft's hard state, the incarnation of
+ * the disk, and the founding while it lasts. Immutable and thread safe.
  *
  * @param term the latest term that the host has seen
  * @param votedFor the host that it voted for in that term
+ * @param incarnation the random number drawn for this disk; never 0
+ * @param founding the founding that the host takes part in, if it has heard no leader yet
  */
-public record HardState(long term, Optional<HostId> votedFor, VotingStatus votingStatus) {
+public record HardState(
+    long term, Optional<HostId> votedFor, long incarnation, Optional<Founding> founding) {
+
+  /**
+   * Checks the incarnation.
+   *
+   * @throws IllegalArgumentException if the incarnation is 0
+   */
+  public HardState {
+    if (incarnation == 0) {
+      throw new IllegalArgumentException("the hard state has no incarnation");
+    }
+  }
 
-  /** Returns the state of a host that founds a new cluster, as its operator asked. */
-  public static HardState founding() {
-    return new HardState(0, Optional.empty(), new VotingStatus.Founding(Set.of()));
+  /** Returns the state of a host that founds a new cluster with {@code voters}. */
+  public static HardState founding(Set<HostId> voters, long incarnation) {
+    return new HardState(0, Optional.empty(), incarnation, Optional.of(new Founding(voters)));
   }
 
   /** Returns the state of a host that joins a cluster with an empty disk. */
-  public static HardState learner(long incarnation) {
-    return new HardState(0, Optional.empty(), new VotingStatus.Learner(incarnation));
+  public static HardState joining(long incarnation) {
+    return new HardState(0, Optional.empty(), incarnation, Optional.empty());
   }
 
   /** Returns the state at the start of a later term, without a vote. */
   HardState inTerm(long newTerm) {
-    return new HardState(newTerm, Optional.empty(), votingStatus);
+    return new HardState(newTerm, Optional.empty(), incarnation, founding);
   }
 
   /** Returns the state after a vote for the candidate. */
   HardState votingFor(HostId candidate) {
-    VotingStatus after =
-        switch (votingStatus) {
-          case VotingStatus.Founding f -> new VotingStatus.Founding(plus(f.votedFor(), candidate));
-          case VotingStatus.Voter v -> v;
-          case VotingStatus.Learner l -> l;
-        };
-    return new HardState(term, Optional.of(candidate), after);
+    return new HardState(term, Optional.of(candidate), incarnation, founding);
   }
 
-  HardState with(VotingStatus newStanding) {
-    return new HardState(term, votedFor, newStanding);
+  /** Returns the state of a host that is no longer founding. */
+  HardState founded() {
+    return new HardState(term, votedFor, incarnation, Optional.empty());
   }
 
-  private static Set<HostId> plus(Set<HostId> hosts, HostId more) {
-    Set<HostId> all = new TreeSet<>(hosts);
-    all.add(more);
-    return all;
+  /** Returns the state of the same host as another member. */
+  HardState withIncarnation(long other) {
+    return new HardState(term, votedFor, other, founding);
   }
 }
--- a/core/src/main/java/org/cuminwell/core/consensus/LogReplicator.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/LogReplicator.java
@@ -61,7 +61,7 @@
     if (progress == null) {
       return;
     }
-    progress.onReply(reply, log.lastIndex());
+    progress.onReply(reply, now);
     boolean behind = progress.nextIndex <= log.lastIndex();
     boolean sendable = progress.nextIndex > log.baseIndex() || isSnapshotDue(progress, now);
     if (behind && sendable) {
--- a/core/src/main/java/org/cuminwell/core/consensus/Replica.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Replica.java
@@ -4,11 +4,13 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
+import java.util.SortedSet;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import org.cuminwell.core.consensus.ConsensusMessage.AppendReply;
 import org.cuminwell.core.consensus.ConsensusMessage.AppendRequest;
 import org.cuminwell.core.consensus.ConsensusMessage.InstallSnapshot;
@@ -17,6 +19,7 @@
 import org.cuminwell.core.consensus.ConsensusMessage.VoteRequest;
 import org.cuminwell.core.consensus.ReplicaAction.ProposalAppended;
 import org.cuminwell.core.consensus.ReplicaAction.ProposalRejected;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 
@@ -25,8 +28,9 @@
  *
  * <p>Invariants: the term never decreases; a host votes at most once a term; a committed entry is
  * never replaced; entries are applied in order, once, and only after they are committed; nothing is
- * promised to another host before it is durable here. A host that is not a voter neither grants
- * votes nor counts towards a quorum. Not thread safe: one thread owns it.
+ * promised to another host before it is durable here. Who votes is read from the log and its
+ * snapshot alone; votes and acknowledgements count by member, so that those of a lost disk don't.
+ * Not thread safe: one thread owns it.
  *
  * @param <C> the type of commands
  * @param <S> the type of the replicated state in snapshots
@@ -34,43 +38,45 @@
 public final class Replica<C, S> {
 
   private final HostId self;
-  private final Set<HostId> others;
+  private final HostAddress address;
+  private final Set<HostId> contacts = new TreeSet<>();
   private final SplittableRandom random;
   private final Outbox<C, S> outbox = new Outbox<>();
   private final ReplicaStore<C, S> store;
   private final ReplicaLog<C, S> log;
   private final CommitProgress<C, S> commits;
   private final LogReplicator<C, S> replicator;
+  private final MembershipChanges changes;
 
   private Role role = new Role.Follower(Optional.empty());
-  private Instant leaderMessageAt;
+  private Instant lastLeaderSignalAt;
   private Instant electionDueAt;
   private Instant nextJoinRequestAt;
 
   /**
    * Creates a replica from its durable state.
    *
-   * @param voters every host that may vote, including this one
+   * @param address where other control hosts reach this one
    * @param commandBytes estimates the memory of a command, in bytes
    * @param random the source of election timeouts and incarnations
    */
   public Replica(
       HostId self,
-      Set<HostId> voters,
+      HostAddress address,
       DurableState<C, S> durable,
       ToLongFunction<C> commandBytes,
       SplittableRandom random,
       Instant now) {
     this.self = self;
-    this.others = new TreeSet<>(voters);
-    this.others.remove(self);
+    this.address = address;
     this.random = random;
     this.store = new ReplicaStore<>(durable, commandBytes, outbox);
     this.log = store.log();
-    this.commits = new CommitProgress<>(self, store, outbox);
+    this.commits = new CommitProgress<>(store, outbox);
     this.replicator = new LogReplicator<>(log, outbox);
+    this.changes = new MembershipChanges(self);
     // The leader that this host followed before a restart may still hold its lease.
-    this.leaderMessageAt = now;
+    this.lastLeaderSignalAt = now;
     this.electionDueAt = now.plus(electionTimeout());
     this.nextJoinRequestAt = now;
   }
@@ -81,6 +87,7 @@
     switch (event) {
       case ReplicaEvent.Ticked<C, S> e -> onTick(now);
       case ReplicaEvent.MessageReceived<C, S> e -> onMessage(e.from(), e.message(), now);
+      case ReplicaEvent.ContactFound<C, S> e -> contacts.add(e.host());
       case ReplicaEvent.Persisted<C, S> e -> onPersisted(e.sequence(), now);
       case ReplicaEvent.Propose<C, S> e -> onPropose(e.id(), e.command(), now);
       case ReplicaEvent.Compact<C, S> e -> commits.compact(e.state());
@@ -118,13 +125,37 @@
   public Optional<Instant> confirmedAt(Instant now) {
     return role instanceof Role.Leader leader
             && log.termAt(commits.commitIndex()) == hardState().term()
-        ? Optional.of(leader.lastQuorumAcknowledgedSendTime(now, quorum()))
+        ? Optional.of(lastQuorumAcknowledgedSendTime(leader, now))
         : Optional.empty();
   }
 
-  /** Returns whether this host may vote. */
+  /** Returns whether this host votes, as far as its log tells. */
   public VotingStatus votingStatus() {
-    return hardState().votingStatus();
+    if (hardState().founding().isPresent()) {
+      return new VotingStatus.Founding();
+    }
+    return isVoter() ? new VotingStatus.Voter() : new VotingStatus.Learner();
+  }
+
+  /** Returns who votes, by the newest entry of this host's log. */
+  public Membership membership() {
+    return log.membership();
+  }
+
+  /**
+   * Returns the hosts that this leader sends the log to and that don't vote; empty if it follows.
+   */
+  public List<HostId> learners() {
+    return role instanceof Role.Leader leader
+        ? changes.learners(leader, log.membership())
+        : List.of();
+  }
+
+  /** Returns the voters that this leader has not heard for a while; empty if it follows. */
+  public List<HostId> silentVoters(Instant now) {
+    return role instanceof Role.Leader leader
+        ? changes.silentVoters(leader, log.membership(), now)
+        : List.of();
   }
 
   /** Returns the index of the last entry known to be committed. */
@@ -153,36 +184,46 @@
       resign(now);
     }
     switch (role) {
-      case Role.Leader leader ->
-          replicator.sendHeartbeatIfDue(leader, hardState().term(), commits.commitIndex(), now);
+      case Role.Leader leader -> {
+        changeMembershipIfDue(leader, now);
+        replicator.sendHeartbeatIfDue(leader, hardState().term(), commits.commitIndex(), now);
+      }
       case Role.Follower f -> onTickAsNonLeader(now);
       case Role.Candidate c -> onTickAsNonLeader(now);
     }
   }
 
   private void onTickAsNonLeader(Instant now) {
-    if (hardState().votingStatus() instanceof VotingStatus.Learner learner) {
-      requestJoinIfDue(learner, now);
-    } else if (!now.isBefore(electionDueAt)) {
+    if (!isVoter() || hasNoLeader()) {
+      requestJoinIfDue(now);
+    }
+    if (now.isBefore(electionDueAt)) {
+      return;
+    }
+    if (mayBeElected()) {
       startElection(true, now);
+    } else {
+      resign(now);
     }
   }
 
-  /** Asks the leader to admit this learner as a voter. */
-  private void requestJoinIfDue(VotingStatus.Learner learner, Instant now) {
-    if (role instanceof Role.Follower follower
-        && follower.leader().isPresent()
-        && !now.isBefore(nextJoinRequestAt)) {
+  private boolean hasNoLeader() {
+    return !(role instanceof Role.Follower follower && follower.leader().isPresent());
+  }
+
+  /** Asks every known control host to join, since the leader may not send to this one. */
+  private void requestJoinIfDue(Instant now) {
+    if (!now.isBefore(nextJoinRequestAt)) {
       nextJoinRequestAt = now.plus(ConsensusTimeouts.JOIN_REQUEST_INTERVAL);
-      outbox.sendWhenDurable(
-          follower.leader().get(), new JoinRequest<>(hardState().term(), learner.incarnation()));
+      JoinRequest<C, S> request = new JoinRequest<>(hardState().term(), selfMember());
+      Set<HostId> receivers = memberHosts();
+      receivers.addAll(contacts);
+      receivers.remove(self);
+      receivers.forEach(host -> outbox.sendWhenDurable(host, request));
     }
   }
 
   private void onMessage(HostId from, ConsensusMessage<C, S> message, Instant now) {
-    if (!others.contains(from)) {
-      return;
-    }
     switch (message) {
       case VoteRequest<C, S> m -> onVoteRequest(from, m, now);
       case VoteReply<C, S> m -> onVoteReply(from, m, now);
@@ -201,16 +242,16 @@
     if (!preVote) {
       store.replaceHardState(hardState().inTerm(hardState().term() + 1).votingFor(self));
     }
-    Role.Candidate candidate = Role.Candidate.starting(preVote, self, now);
+    Role.Candidate candidate = Role.Candidate.starting(preVote, selfMember(), now);
     role = candidate;
     VoteRequest<C, S> request =
         new VoteRequest<>(
             preVote ? hardState().term() + 1 : hardState().term(),
             preVote,
-            hardState().votingStatus() instanceof VotingStatus.Founding,
+            hardState().founding().isPresent(),
             log.lastIndex(),
             log.lastTerm());
-    others.forEach(host -> outbox.sendWhenDurable(host, request));
+    electors().forEach(host -> outbox.sendWhenDurable(host, request));
     advanceElectionIfWon(candidate, now);
   }
 
@@ -219,11 +260,12 @@
    * eligible.
    */
   private void onVoteRequest(HostId from, VoteRequest<C, S> request, Instant now) {
-    boolean isLeaderSilent = !now.isBefore(leaderMessageAt.plus(ConsensusTimeouts.VOTE_HOLD_OFF));
+    boolean isLeaderSilent =
+        !now.isBefore(lastLeaderSignalAt.plus(ConsensusTimeouts.VOTE_HOLD_OFF));
     boolean wouldElect =
         isLeaderSilent
             && !(role instanceof Role.Leader)
-            && VoteRules.mayVoteFor(hardState().votingStatus(), log, from, request);
+            && VoteRules.mayVoteFor(hardState().founding(), log, request);
     if (request.preVote()) {
       boolean granted = wouldElect && request.term() > hardState().term();
       replyToVote(from, request, granted);
@@ -239,6 +281,8 @@
             && request.term() == hardState().term()
             && hardState().votedFor().map(from::equals).orElse(true);
     if (granted) {
+      // The lease of the candidate begins before this vote; another must not be elected within it.
+      lastLeaderSignalAt = now;
       electionDueAt = now.plus(electionTimeout());
       store.replaceHardState(hardState().votingFor(from));
     }
@@ -248,7 +292,11 @@
   private void replyToVote(HostId from, VoteRequest<C, S> request, boolean granted) {
     outbox.sendWhenDurable(
         from,
-        new VoteReply<>(granted ? request.term() : hardState().term(), request.preVote(), granted));
+        new VoteReply<>(
+            granted ? request.term() : hardState().term(),
+            request.preVote(),
+            granted,
+            selfMember()));
   }
 
   private void onVoteReply(HostId from, VoteReply<C, S> reply, Instant now) {
@@ -259,7 +307,7 @@
     if (role instanceof Role.Candidate candidate
         && candidate.preVote() == reply.preVote()
         && reply.term() == (reply.preVote() ? hardState().term() + 1 : hardState().term())) {
-      candidate.votesFrom().add(from);
+      candidate.votesFrom().put(from, reply.voter());
       advanceElectionIfWon(candidate, now);
     }
   }
@@ -269,20 +317,44 @@
    * durable writes before leading.
    */
   private void advanceElectionIfWon(Role.Candidate candidate, Instant now) {
-    int needed = VoteRules.votesNeeded(hardState().votingStatus(), others.size() + 1);
-    if (candidate.votesFrom().size() < needed) {
+    if (!VoteRules.isElected(hardState().founding(), log.membership(), candidate)) {
       return;
     }
     if (candidate.preVote()) {
       startElection(false, now);
     } else if (outbox.isDurable()) {
-      becomeLeader(candidate.startedAt(), now);
+      becomeLeader(candidate, now);
     }
   }
 
-  private void becomeLeader(Instant electionStartedAt, Instant now) {
-    role = Role.Leader.of(others, log.lastIndex() + 1, electionStartedAt);
-    appendAsLeader(hardState().with(new VotingStatus.Voter()), new EntryContent.NoOp<>(), now);
+  /**
+   * Starts the term with an entry of its own: the first membership after the founding, else an
+   * empty one.
+   */
+  private void becomeLeader(Role.Candidate candidate, Instant now) {
+    Role.Leader leader = new Role.Leader(new TreeMap<>(), candidate.startedAt());
+    boolean isFounding = hardState().founding().isPresent();
+    Membership membership =
+        isFounding
+            ? Membership.of(new TreeSet<>(candidate.votesFrom().values()))
+            : log.membership();
+    membership.members().stream()
+        .map(Member::host)
+        .filter(host -> !host.equals(self))
+        .forEach(host -> addFollower(leader, membership.memberAt(host).orElseThrow(), now));
+    role = leader;
+    appendAsLeader(
+        hardState().founded(),
+        isFounding ? new EntryContent.ChangeMembership<>(membership) : new EntryContent.NoOp<>(),
+        now);
+  }
+
+  private FollowerProgress addFollower(Role.Leader leader, Member member, Instant now) {
+    return leader
+        .followers()
+        .computeIfAbsent(
+            member.host(),
+            host -> new FollowerProgress(log.lastIndex() + 1, member.incarnation(), now));
   }
 
   /** Adopts a later term, stepping down if this host leads or is a candidate. */
@@ -299,8 +371,8 @@
     if (!followIfCurrent(from, request.term(), request.sentAt(), now)) {
       return;
     }
-    if (log.lastIndex() < request.acknowledgedIndex()) {
-      becomeLearner();
+    if (isVoter() && log.lastIndex() < request.acknowledgedIndex()) {
+      store.replaceHardState(hardState().withIncarnation(newIncarnation()));
     }
     if (!log.contains(request.previousIndex(), request.previousTerm())) {
       long retryIndex = Math.min(log.lastIndex(), request.previousIndex() - 1);
@@ -339,34 +411,18 @@
     }
     adoptTerm(term);
     role = new Role.Follower(Optional.of(from));
-    leaderMessageAt = now;
+    lastLeaderSignalAt = now;
     electionDueAt = now.plus(electionTimeout());
-    if (hardState().votingStatus() instanceof VotingStatus.Founding founding) {
-      if (founding.votedFor().contains(from)) {
-        store.replaceHardState(hardState().with(new VotingStatus.Voter()));
-      } else {
-        becomeLearner();
-      }
+    if (hardState().founding().isPresent()) {
+      store.replaceHardState(hardState().founded());
     }
     return true;
   }
 
-  /** Stops voting under a newly drawn incarnation. */
-  private void becomeLearner() {
-    if (hardState().votingStatus().learnerIncarnation().isEmpty()) {
-      store.replaceHardState(hardState().with(new VotingStatus.Learner(random.nextLong())));
-    }
-  }
-
   private void reply(HostId to, boolean matched, long index, Instant sentAt) {
     outbox.sendWhenDurable(
         to,
-        new AppendReply<>(
-            hardState().term(),
-            matched,
-            index,
-            hardState().votingStatus().learnerIncarnation(),
-            sentAt));
+        new AppendReply<>(hardState().term(), matched, index, hardState().incarnation(), sentAt));
   }
 
   // Leadership.
@@ -379,15 +435,26 @@
     }
   }
 
-  /** Stops counting the sender as a voter and appends the entry that will admit it. */
+  /** Sends the log to the member from now on; it becomes a voter once it has caught up. */
   private void onJoinRequest(HostId from, JoinRequest<C, S> request, Instant now) {
-    if (role instanceof Role.Leader leader) {
-      FollowerProgress follower = leader.followers().get(from);
-      if (follower != null && follower.admitIndex <= commits.commitIndex()) {
-        follower.markLearner(OptionalLong.of(request.incarnation()), log.lastIndex());
-        follower.admitIndex = log.lastIndex() + 1;
-        appendAsLeader(new EntryContent.Admit<>(from, request.incarnation()), now);
-      }
+    if (role instanceof Role.Leader leader && request.member().host().equals(from)) {
+      addFollower(leader, request.member(), now).onJoinRequest(request.member(), now);
+    }
+  }
+
+  /**
+   * Takes the next step of a change of voters, or starts one. A change needs an entry of this
+   * leader's own term to be committed, and the change before it.
+   */
+  private void changeMembershipIfDue(Role.Leader leader, Instant now) {
+    boolean mayChange =
+        log.membershipIndex() <= commits.commitIndex()
+            && log.termAt(commits.commitIndex()) == hardState().term();
+    if (mayChange) {
+      changes.forgetLearners(leader, log.membership(), now);
+      changes
+          .next(leader, log.membership(), commits.commitIndex(), now)
+          .ifPresent(next -> appendAsLeader(new EntryContent.ChangeMembership<>(next), now));
     }
   }
 
@@ -419,7 +486,8 @@
 
   /** Commits up to the highest index on a quorum, if that entry is of the current term. */
   private void advanceCommit(Role.Leader leader, Instant now) {
-    long index = leader.quorumMatchIndex(log.durableIndex(), quorum());
+    long index =
+        log.membership().reachedByQuorum(member -> matchIndexOf(leader, member)).orElse(0L);
     if (index > commits.commitIndex() && log.termAt(index) == hardState().term()) {
       commits.advanceCommitIndex(index);
       sendAll(leader, now);
@@ -432,7 +500,7 @@
     }
   }
 
-  /** Gives up leadership without a new term. */
+  /** Follows no leader, in the present term. */
   private void resign(Instant now) {
     role = new Role.Follower(Optional.empty());
     electionDueAt = now.plus(electionTimeout());
@@ -440,7 +508,32 @@
 
   private boolean leaseHolds(Role.Leader leader, Instant now) {
     return now.isBefore(
-        leader.lastQuorumAcknowledgedSendTime(now, quorum()).plus(ConsensusTimeouts.LEADER_LEASE));
+        lastQuorumAcknowledgedSendTime(leader, now).plus(ConsensusTimeouts.LEADER_LEASE));
+  }
+
+  /**
+   * Returns the send time of the latest message acknowledged by a quorum, but no earlier than the
+   * start of the election.
+   */
+  private Instant lastQuorumAcknowledgedSendTime(Role.Leader leader, Instant now) {
+    return log.membership()
+        .reachedByQuorum(member -> acknowledgedSendTimeOf(leader, member, now))
+        .filter(leader.electionStartedAt()::isBefore)
+        .orElse(leader.electionStartedAt());
+  }
+
+  /** Returns when the member acknowledged what was sent; this host has done so until now. */
+  private Instant acknowledgedSendTimeOf(Role.Leader leader, Member member, Instant now) {
+    return isSelf(member)
+        ? now
+        : leader.progressOf(member).map(p -> p.acknowledgedSentAt).orElse(Instant.MIN);
+  }
+
+  /** Returns the highest index that is durable at the member. */
+  private long matchIndexOf(Role.Leader leader, Member member) {
+    return isSelf(member)
+        ? log.durableIndex()
+        : leader.progressOf(member).map(p -> p.matchIndex).orElse(0L);
   }
 
   private void sendAll(Role.Leader leader, Instant now) {
@@ -460,12 +553,56 @@
     return store.hardState();
   }
 
-  private int quorum() {
-    return VoteRules.quorum(others.size() + 1);
+  /** Returns this host with its present disk. */
+  private Member selfMember() {
+    return new Member(self, address, hardState().incarnation());
   }
 
+  private boolean isSelf(Member member) {
+    return member.is(self, hardState().incarnation());
+  }
+
+  /** Returns whether this host votes, by the newest entry of its log. */
+  private boolean isVoter() {
+    return log.membership().contains(self, hardState().incarnation());
+  }
+
+  private boolean mayBeElected() {
+    return hardState().founding().map(f -> f.voters().contains(self)).orElseGet(this::isVoter);
+  }
+
+  /** Returns the other hosts whose votes this one needs. */
+  private SortedSet<HostId> electors() {
+    SortedSet<HostId> hosts =
+        hardState()
+            .founding()
+            .map(f -> (SortedSet<HostId>) new TreeSet<>(f.voters()))
+            .orElseGet(this::memberHosts);
+    hosts.remove(self);
+    return hosts;
+  }
+
+  private SortedSet<HostId> memberHosts() {
+    return log.membership().members().stream()
+        .map(Member::host)
+        .collect(Collectors.toCollection(TreeSet::new));
+  }
+
+  private long newIncarnation() {
+    return random.nextLong(1, Long.MAX_VALUE);
+  }
+
+  /**
+   * Returns a random timeout from this host's slot of the possible ones. Each elector has a slot of
+   * its own, in the order of host ids, so that few hosts ask for votes at the same time.
+   */
   private Duration electionTimeout() {
+    SortedSet<HostId> electors = electors();
+    electors.add(self);
+    long slotMillis =
+        Math.max(1, ConsensusTimeouts.MAX_ELECTION_JITTER.toMillis() / electors.size());
+    long slot = electors.headSet(self).size();
     return ConsensusTimeouts.MIN_ELECTION_TIMEOUT.plusMillis(
-        random.nextLong(ConsensusTimeouts.MAX_ELECTION_JITTER.toMillis()));
+        slot * slotMillis + random.nextLong(slotMillis));
   }
 }
--- a/core/src/main/java/org/cuminwell/core/consensus/ReplicaEvent.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/ReplicaEvent.java
@@ -13,6 +13,9 @@
   record MessageReceived<C, S>(HostId from, ConsensusMessage<C, S> message)
       implements ReplicaEvent<C, S> {}
 
+  /** Reports a control host that can be asked to join. */
+  record ContactFound<C, S>(HostId host) implements ReplicaEvent<C, S> {}
+
   /** Reports that every write up to the sequence number is durable. */
   record Persisted<C, S>(long sequence) implements ReplicaEvent<C, S> {}
 
--- a/core/src/main/java/org/cuminwell/core/consensus/ReplicaLog.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/ReplicaLog.java
@@ -23,13 +23,20 @@
   /** The estimated memory of an entry apart from its command, in bytes. */
   private static final long ENTRY_BYTES = 256;
 
+  /** The estimated memory of a member in an entry, in bytes. */
+  private static final long MEMBER_BYTES = 256;
+
   /** Holds an entry with its estimated memory, in bytes. */
   private record SizedEntry<C>(LogEntry<C> entry, long bytes) {}
 
+  /** Holds a membership with the index of the entry that brought it. */
+  private record IndexedMembership(long index, Membership membership) {}
+
   private final ToLongFunction<C> commandBytes;
   private Optional<Snapshot<S>> snapshot;
   private final ArrayList<SizedEntry<C>> entries = new ArrayList<>();
   private final List<PendingWrite> pendingWrites = new ArrayList<>();
+  private final List<IndexedMembership> memberships = new ArrayList<>();
   private long bytes;
   private long durableIndex;
 
@@ -61,6 +68,26 @@
         : entries.getLast().entry().createdAt();
   }
 
+  /** Returns the newest membership in the log, committed or not. */
+  Membership membership() {
+    return membershipAt(lastIndex());
+  }
+
+  /** Returns the index of the entry that brought the newest membership, or the base index. */
+  long membershipIndex() {
+    return memberships.isEmpty() ? baseIndex() : memberships.getLast().index();
+  }
+
+  /** Returns the membership after the entry at {@code index}, not before the base index. */
+  Membership membershipAt(long index) {
+    return memberships.reversed().stream()
+        .filter(change -> change.index() <= index)
+        .map(IndexedMembership::membership)
+        .findFirst()
+        .or(() -> snapshot.map(Snapshot::membership))
+        .orElse(Membership.NONE);
+  }
+
   /** Returns the last index that is durable on this host. */
   long durableIndex() {
     return durableIndex;
@@ -186,6 +213,9 @@
       SizedEntry<C> sized = new SizedEntry<>(entry, bytesOf(entry));
       entries.add(sized);
       bytes += sized.bytes();
+      if (entry.content() instanceof EntryContent.ChangeMembership<C> change) {
+        memberships.add(new IndexedMembership(entry.index(), change.membership()));
+      }
     }
   }
 
@@ -193,6 +223,11 @@
   private void remove(int start, int end) {
     List<SizedEntry<C>> removed = entries.subList(start, end);
     bytes -= removed.stream().mapToLong(SizedEntry::bytes).sum();
+    if (!removed.isEmpty()) {
+      long first = removed.getFirst().entry().index();
+      long last = removed.getLast().entry().index();
+      memberships.removeIf(change -> change.index() >= first && change.index() <= last);
+    }
     removed.clear();
   }
 
@@ -200,7 +235,8 @@
     return switch (entry.content()) {
       case EntryContent.Proposed<C> c -> ENTRY_BYTES + commandBytes.applyAsLong(c.command());
       case EntryContent.NoOp<C> c -> ENTRY_BYTES;
-      case EntryContent.Admit<C> c -> ENTRY_BYTES;
+      case EntryContent.ChangeMembership<C> c ->
+          ENTRY_BYTES + MEMBER_BYTES * c.membership().members().size();
     };
   }
 
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.cuminwell.core.consensus.Member;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.PublishView;
 import org.cuminwell.core.control.ControlAction.SendToPeer;
@@ -36,6 +38,8 @@
   private final EndpointHandler endpointHandler;
   private final CrashHandler crashHandler;
   private final LinearizableReads reads = new LinearizableReads();
+  private Set<HostAddress> dialledAddresses = Set.of();
+  private AgreementStatus shownAgreement;
   private boolean viewChanged;
 
   /**
@@ -44,11 +48,15 @@
    * @param controls the peer addresses of the known control hosts, including this one
    */
   public Control(
-      HostId self, Set<HostAddress> controls, ReplicatedStateMachine replicatedStateMachine) {
+      HostId self,
+      Set<HostAddress> controls,
+      ReplicatedStateMachine replicatedStateMachine,
+      Instant now) {
     this.self = self;
     this.publisher = new Publisher(controls);
     this.replicatedStateMachine = replicatedStateMachine;
     this.state = replicatedStateMachine.state();
+    this.shownAgreement = replicatedStateMachine.status(now);
     publisher.publish(state.configuration());
     this.submissions = new InternalSubmissions(self, replicatedStateMachine);
     this.claimHandler = new ClaimHandler(submissions);
@@ -64,18 +72,20 @@
       case ControlEvent.TicketSubmitted e ->
           perform(
               replicatedStateMachine.submit(e.id(), new Command.AcceptTicket(e.ticket()), now),
+              now,
               actions);
       case ControlEvent.ConfigurationSubmitted e -> {
         Command command = new Command.ReplaceConfiguration(e.document(), e.content());
-        perform(replicatedStateMachine.submit(e.id(), command, now), actions);
+        perform(replicatedStateMachine.submit(e.id(), command, now), now, actions);
       }
       case ControlEvent.EvacuationSubmitted e -> {
         Command command = new Command.Evacuate(e.dataCentre(), e.evacuated());
-        perform(replicatedStateMachine.submit(e.id(), command, now), actions);
+        perform(replicatedStateMachine.submit(e.id(), command, now), now, actions);
       }
       case ControlEvent.RolloutSubmitted e ->
           perform(
               replicatedStateMachine.submit(e.id(), new Command.BeginRollout(e.order()), now),
+              now,
               actions);
       case ControlEvent.RolloutQueried e -> reads.addRolloutRead(e.id(), e.service(), now);
       case ControlEvent.ConfigurationQueried e -> reads.addDocumentRead(e.id(), now);
@@ -84,7 +94,7 @@
       case ControlEvent.EndpointLeaving e ->
           endpointHandler.onLeaving(e.endpoint(), e.incarnation(), now);
       case ControlEvent.JournalSynced e ->
-          perform(replicatedStateMachine.onPersisted(e.sequence(), now), actions);
+          perform(replicatedStateMachine.onPersisted(e.sequence(), now), now, actions);
       case ControlEvent.PeerConnected e -> onPeerConnected(e.peer(), now, actions);
       case ControlEvent.PeerDisconnected e -> onPeerDisconnected(e.peer(), now);
       case ControlEvent.PeerMessageReceived e -> onMessage(e.peer(), e.message(), now, actions);
@@ -94,11 +104,28 @@
         rolloutHandler.onTick(leads(now), connectedGateways(), now, actions);
       }
     }
-    perform(submissions.drain(), actions);
+    perform(submissions.drain(), now, actions);
     answerReads(now, actions);
+    dialNewAddresses(actions);
     return actions;
   }
 
+  /** Connects to control hosts that other control hosts or the log have named since. */
+  private void dialNewAddresses(List<ControlAction> actions) {
+    send(publisher.addControlAddresses(memberAddresses()), actions);
+    Set<HostAddress> known = publisher.controlAddresses();
+    if (!known.equals(dialledAddresses)) {
+      dialledAddresses = known;
+      actions.add(new ControlAction.DialControlHosts(known));
+    }
+  }
+
+  private Set<HostAddress> memberAddresses() {
+    return replicatedStateMachine.membership().members().stream()
+        .map(Member::address)
+        .collect(Collectors.toSet());
+  }
+
   /**
    * Returns the fencing number that orders to endpoints must carry; empty unless this host leads.
    * It increases with each new leader.
@@ -120,40 +147,42 @@
     if (!reads.isWaiting()) {
       return;
     }
-    perform(replicatedStateMachine.requestReadIndexIfDue(now), actions);
+    perform(replicatedStateMachine.requestReadIndexIfDue(now), now, actions);
     reads.answerOrExpire(replicatedStateMachine, now, actions);
   }
 
   /** Returns the view of the state that operators are shown. */
-  public ControlView view() {
+  public ControlView view(Instant now) {
     return new ControlView(
         self,
         state.configuration(),
         state.ledger().acceptedTickets(),
-        List.copyOf(publisher.gateways()));
+        List.copyOf(publisher.gateways()),
+        agreementStatus(now));
   }
 
-  private void perform(List<StateMachineAction> decided, List<ControlAction> actions) {
-    decided.forEach(action -> perform(action, actions));
+  private void perform(List<StateMachineAction> decided, Instant now, List<ControlAction> actions) {
+    decided.forEach(action -> perform(action, now, actions));
   }
 
-  private void perform(StateMachineAction action, List<ControlAction> actions) {
+  private void perform(StateMachineAction action, Instant now, List<ControlAction> actions) {
     switch (action) {
       case StateMachineAction.Send a ->
           actions.add(new SendToPeer(a.to(), new PeerMessage.Consensus(a.message())));
       case StateMachineAction.Write a -> actions.add(new ControlAction.WriteJournal(a.write()));
-      case StateMachineAction.Answer a -> answer(a.id(), a.outcome(), actions);
+      case StateMachineAction.Answer a -> answer(a.id(), a.outcome(), now, actions);
       case StateMachineAction.StateChanged a -> {
         a.change()
             .ifPresentOrElse(
                 change -> publisher.publish(a.configuration(), change),
                 () -> publisher.publish(a.configuration()));
-        actions.add(new PublishView(view()));
+        actions.add(new PublishView(view(now)));
       }
     }
   }
 
-  private void answer(RequestId id, CommandOutcome outcome, List<ControlAction> actions) {
+  private void answer(
+      RequestId id, CommandOutcome outcome, Instant now, List<ControlAction> actions) {
     switch (outcome) {
       case CommandOutcome.Committed committed -> {
         switch (committed.result()) {
@@ -169,7 +198,7 @@
               claimHandler.onAnswered(id, applied.id(), applied.answer(), actions);
           case CommandResult.RolloutAdvanced applied -> {
             rolloutHandler.removeAnswered(id);
-            actions.add(new PublishView(view()));
+            actions.add(new PublishView(view(now)));
           }
         }
       }
@@ -220,7 +249,7 @@
         viewChanged = true;
       }
       case PeerMessage.Consensus m ->
-          perform(replicatedStateMachine.onMessage(peer, m.message(), now), actions);
+          perform(replicatedStateMachine.onMessage(peer, m.message(), now), now, actions);
       case PeerMessage.Limits m -> shareHandler.onMessage(peer, m.message(), now);
       case PeerMessage.Directory m -> {
         switch (m.message()) {
@@ -229,6 +258,7 @@
           case DirectoryMessage.ControlHello here -> {
             endpointHandler.onControlHostConnected(peer, actions);
             crashHandler.onControlHostConnected(peer);
+            perform(replicatedStateMachine.onControlHostConnected(peer, now), now, actions);
           }
           case DirectoryMessage.Hosts hosts -> {}
         }
@@ -242,13 +272,16 @@
 
   /** Performs periodic work, and publishes a new view if it changed since the last tick. */
   private void onTick(Instant now, List<ControlAction> actions) {
-    perform(replicatedStateMachine.onTick(now), actions);
+    perform(replicatedStateMachine.onTick(now), now, actions);
     endpointHandler.onTick(now, actions);
     crashHandler.onTick(now, actions);
     send(publisher.tick(now), actions);
+    AgreementStatus agreement = agreementStatus(now);
+    viewChanged |= !agreement.hasSameRoles(shownAgreement);
+    shownAgreement = agreement;
     if (viewChanged) {
       viewChanged = false;
-      actions.add(new PublishView(view()));
+      actions.add(new PublishView(view(now)));
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/control/ControlAction.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlAction.java
@@ -1,9 +1,11 @@
 package org.cuminwell.core.control;
 
 import java.util.Optional;
+import java.util.Set;
 import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.model.Failure;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.peer.PeerMessage;
@@ -49,6 +51,17 @@
    */
   record WriteJournal(ReplicaAction.Write<Command, StateSnapshot> write) implements ControlAction {}
 
+  /**
+   * Connects to the control hosts at these addresses, one of which is this host's own, and
+   * reconnects whenever a connection is lost.
+   */
+  record DialControlHosts(Set<HostAddress> addresses) implements ControlAction {
+    /** Copies the set. */
+    public DialControlHosts {
+      addresses = Set.copyOf(addresses);
+    }
+  }
+
   /** Sends a message to another process of the system. */
   record SendToPeer(HostId peer, PeerMessage message) implements ControlAction {}
 
--- a/core/src/main/java/org/cuminwell/core/control/ControlView.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlView.java
@@ -12,12 +12,14 @@
  *
  * @param self the control host that made this view
  * @param gateways the status of each known gateway
+ * @param agreement this host's part in consensus
  */
 public record ControlView(
     HostId self,
     Configuration configuration,
     List<Accepted> tickets,
-    List<GatewayStatus> gateways) {
+    List<GatewayStatus> gateways,
+    AgreementStatus agreement) {
 
   /** Copies the lists. */
   public ControlView {
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.SplittableRandom;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationChange;
@@ -16,11 +15,13 @@
 import org.cuminwell.core.consensus.EntryContent;
 import org.cuminwell.core.consensus.LogEntry;
 import org.cuminwell.core.consensus.LogLimits;
+import org.cuminwell.core.consensus.Membership;
 import org.cuminwell.core.consensus.Replica;
 import org.cuminwell.core.consensus.ReplicaAction;
 import org.cuminwell.core.consensus.ReplicaEvent;
 import org.cuminwell.core.consensus.Snapshot;
 import org.cuminwell.core.control.PendingCommand.Stage;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 
@@ -48,19 +49,19 @@
   /**
    * Creates the state machine of one host from its durable state.
    *
-   * @param voters every control host, including this one
+   * @param address where other control hosts reach this one
    * @param limits the size of the log above which a snapshot is made
    */
   public ReplicatedStateMachine(
       HostId self,
-      Set<HostId> voters,
+      HostAddress address,
       DurableState<Command, StateSnapshot> durable,
       SplittableRandom random,
       LogLimits limits,
       Instant now) {
     this.self = self;
     this.limits = limits;
-    this.replica = new Replica<>(self, voters, durable, Command::bytes, random, now);
+    this.replica = new Replica<>(self, address, durable, Command::bytes, random, now);
     durable.snapshot().map(Snapshot::state).ifPresent(state::restore);
   }
 
@@ -113,6 +114,12 @@
     return drain();
   }
 
+  /** Records that a control host is connected, which this one can ask to join. */
+  public List<StateMachineAction> onControlHostConnected(HostId host, Instant now) {
+    handle(new ReplicaEvent.ContactFound<>(host), now);
+    return drain();
+  }
+
   /** Records that all writes up to the sequence number are synced to disk. */
   public List<StateMachineAction> onPersisted(long sequence, Instant now) {
     handle(new ReplicaEvent.Persisted<>(sequence), now);
@@ -164,6 +171,11 @@
     return replica.leads(now) ? OptionalLong.of(replica.term()) : OptionalLong.empty();
   }
 
+  /** Returns who votes, by the newest entry of this host's log. */
+  public Membership membership() {
+    return replica.membership();
+  }
+
   /** Returns this host's view of the current term and leader. */
   public AgreementStatus status(Instant now) {
     return new AgreementStatus(
@@ -171,6 +183,9 @@
         replica.leader(now),
         replica.leads(now),
         replica.votingStatus(),
+        replica.membership(),
+        replica.learners(),
+        replica.silentVoters(now),
         replica.appliedIndex());
   }
 
@@ -285,7 +300,8 @@
         completeAtIndex(entry, new CommandOutcome.Committed(result));
       }
       case EntryContent.NoOp<Command> c -> completeAtIndex(entry, PendingCommand.unknownOutcome());
-      case EntryContent.Admit<Command> c -> completeAtIndex(entry, PendingCommand.unknownOutcome());
+      case EntryContent.ChangeMembership<Command> c ->
+          completeAtIndex(entry, PendingCommand.unknownOutcome());
     }
   }
 
--- a/core/src/main/java/org/cuminwell/core/distribution/Publisher.java
+++ b/core/src/main/java/org/cuminwell/core/distribution/Publisher.java
@@ -90,6 +90,23 @@
         messageTo(peer, new RevisionInForce(holder.revision())));
   }
 
+  /** Returns the peer addresses of the control hosts that this one knows, itself included. */
+  public Set<HostAddress> controlAddresses() {
+    return Set.copyOf(controlAddresses);
+  }
+
+  /**
+   * Records addresses of control hosts, and returns the messages that tell gateways of new ones.
+   */
+  public List<OutgoingMessage> addControlAddresses(Set<HostAddress> addresses) {
+    if (!controlAddresses.addAll(addresses)) {
+      return List.of();
+    }
+    return connectedGateways().stream()
+        .map(gateway -> messageTo(gateway, new DirectoryMessage.ControlHello(controlAddresses)))
+        .toList();
+  }
+
   /** Records that a peer is disconnected. */
   public void onDisconnected(HostId peer, Instant now) {
     gateways.computeIfPresent(peer, (id, old) -> old.disconnectedAt(now));
@@ -104,13 +121,7 @@
       case DirectoryMessage.GatewayHello gatewayHello ->
           recordDescription(peer, gatewayHello.host(), now);
       case DirectoryMessage.ControlHello hello -> {
-        if (controlAddresses.addAll(hello.controlAddresses())) {
-          return connectedGateways().stream()
-              .map(
-                  gateway ->
-                      messageTo(gateway, new DirectoryMessage.ControlHello(controlAddresses)))
-              .toList();
-        }
+        return addControlAddresses(hello.controlAddresses());
       }
       case DirectoryMessage.Hosts hosts -> {}
     }
--- a/core/src/test/java/org/cuminwell/core/consensus/SlowFollowerGetsBoundedRequestsTest.java
+++ b/core/src/test/java/org/cuminwell/core/consensus/SlowFollowerGetsBoundedRequestsTest.java
@@ -7,11 +7,11 @@
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.cuminwell.core.consensus.ConsensusMessage.AppendRequest;
 import org.cuminwell.core.consensus.ConsensusMessage.VoteRequest;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,6 +28,7 @@
   private static final HostId LEADER = new HostId("c0");
   private static final HostId FOLLOWER = new HostId("c1");
   private static final HostId SLOW = new HostId("c2");
+  private static final long INCARNATION = 7;
   private static final Duration HEARTBEAT = ConsensusTimeouts.HEARTBEAT_INTERVAL;
   private static final long MAX_REQUEST_BYTES = LogReplicator.MAX_REQUEST_BYTES;
 
@@ -45,11 +46,11 @@
     }
     assertThat(sentWithoutReply)
         .isLessThan(LogReplicator.MAX_IN_FLIGHT_BYTES + 2L * bytes + MAX_REQUEST_BYTES);
-    assertThat(leader.commitIndex()).isEqualTo(entries + 1);
+    assertThat(leader.commitIndex()).isEqualTo(entries + 2);
     sentToSlow.clear();
-    assertThat(catchUp(entries + 1))
+    assertThat(catchUp(entries + 2))
         .as("the last index of the slow follower")
-        .isEqualTo(entries + 1);
+        .isEqualTo(entries + 2);
   }
 
   /** Lets the slow follower answer, whose log is empty, and returns its last index at the end. */
@@ -71,16 +72,25 @@
   }
 
   private static Replica<Integer, Integer> newLeader() {
-    HardState voter = new HardState(1, Optional.empty(), new VotingStatus.Voter());
+    Membership membership = Membership.of(Set.of(member(LEADER), member(FOLLOWER), member(SLOW)));
+    LogEntry<Integer> first =
+        new LogEntry<>(1, 1, START, new EntryContent.ChangeMembership<>(membership));
     return new Replica<>(
         LEADER,
-        Set.of(LEADER, FOLLOWER, SLOW),
-        DurableState.empty(voter),
+        member(LEADER).address(),
+        new DurableState<>(
+            new HardState(1, Optional.empty(), INCARNATION, Optional.empty()),
+            Optional.empty(),
+            List.of(first)),
         bytes -> bytes,
         new SplittableRandom(1),
         START);
   }
 
+  private static Member member(HostId host) {
+    return new Member(host, new HostAddress(host.value(), 7600), INCARNATION);
+  }
+
   private void elect() {
     now = START.plusSeconds(9);
     handle(new ReplicaEvent.Ticked<>());
@@ -118,7 +128,8 @@
     if (from.equals(FOLLOWER)) {
       handle(
           new ReplicaEvent.MessageReceived<>(
-              from, new ConsensusMessage.VoteReply<>(vote.term(), vote.preVote(), true)));
+              from,
+              new ConsensusMessage.VoteReply<>(vote.term(), vote.preVote(), true, member(from))));
     }
   }
 
@@ -127,7 +138,7 @@
         new ReplicaEvent.MessageReceived<>(
             from,
             new ConsensusMessage.AppendReply<>(
-                leader.term(), matched, index, OptionalLong.empty(), sentAt)));
+                leader.term(), matched, index, INCARNATION, sentAt)));
   }
 
   /** Checks that the entries fit in one request, and returns their bytes. */
--- a/core/src/test/java/org/cuminwell/core/control/LargeConfigurationsFillTheLogTest.java
+++ b/core/src/test/java/org/cuminwell/core/control/LargeConfigurationsFillTheLogTest.java
@@ -16,6 +16,7 @@
 import org.cuminwell.core.consensus.LogEntry;
 import org.cuminwell.core.consensus.LogLimits;
 import org.cuminwell.core.consensus.ReplicaAction;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -30,27 +31,29 @@
   private static final Instant START = Instant.parse("2030-01-01T00:00:00Z");
   private static final Duration ELECTION_TIME = Duration.ofSeconds(9);
   private static final HostId SELF = new HostId("c0");
+  private static final HostAddress ADDRESS = new HostAddress("c0", 7600);
   private static final LogLimits LIMITS = new LogLimits(1_024, 4 * 1024 * 1024);
 
-  private DurableState<Command, StateSnapshot> disk = DurableState.empty(HardState.founding());
+  private DurableState<Command, StateSnapshot> disk = founding(Set.of(SELF));
 
   @ParameterizedTest(name = "{0} changes of {1} routes")
   @CsvSource({"500, 358", "100, 1000", "20, 5000", "2000, 1"})
   void logAndDiskStayWithinTheirBytes(int changes, int routes) {
-    ReplicatedStateMachine stateMachine = start(Set.of(SELF));
+    ReplicatedStateMachine stateMachine = start();
     long maxBytes = LIMITS.maxBytes() + replace(1, routes).bytes();
     for (int version = 1; version <= changes; version++) {
       submit(stateMachine, version, routes);
       assertThat(stateMachine.logBytes()).isLessThanOrEqualTo(maxBytes);
       assertThat(bytesOnDisk()).isLessThanOrEqualTo(maxBytes);
     }
-    assertThat(start(Set.of(SELF)).state().document().version()).isEqualTo(changes);
+    assertThat(start().state().document().version()).isEqualTo(changes);
   }
 
   @ParameterizedTest(name = "{0} submissions of {1} routes without a quorum")
   @CsvSource({"100, 358", "20, 5000", "3, 10000"})
   void waitingCommandsStayWithinTheirBytes(int submissions, int routes) {
-    ReplicatedStateMachine stateMachine = start(Set.of(SELF, new HostId("c1"), new HostId("c2")));
+    ReplicatedStateMachine stateMachine =
+        startFirst(Set.of(SELF, new HostId("c1"), new HostId("c2")));
     List<StateMachineAction> answers = new ArrayList<>();
     long submittedBytes = 0;
     for (int version = 1; version <= submissions; version++) {
@@ -63,10 +66,19 @@
     assertThat(answers).allMatch(StateMachineAction.Answer.class::isInstance);
   }
 
+  private ReplicatedStateMachine startFirst(Set<HostId> founders) {
+    disk = founding(founders);
+    return start();
+  }
+
+  private static DurableState<Command, StateSnapshot> founding(Set<HostId> founders) {
+    return DurableState.empty(HardState.founding(founders, 7));
+  }
+
   /** Starts a host from the disk and elects it if it can be. */
-  private ReplicatedStateMachine start(Set<HostId> voters) {
+  private ReplicatedStateMachine start() {
     ReplicatedStateMachine stateMachine =
-        new ReplicatedStateMachine(SELF, voters, disk, new SplittableRandom(1), LIMITS, START);
+        new ReplicatedStateMachine(SELF, ADDRESS, disk, new SplittableRandom(1), LIMITS, START);
     perform(stateMachine, stateMachine.onTick(START.plus(ELECTION_TIME)));
     return stateMachine;
   }
--- a/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
@@ -2,10 +2,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Set;
@@ -13,9 +16,11 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.consensus.HardState;
-import org.cuminwell.core.consensus.VotingStatus;
+import org.cuminwell.core.consensus.Member;
+import org.cuminwell.core.consensus.Membership;
 import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Region;
@@ -49,6 +54,12 @@
   private static final Instant START = Instant.parse("2030-01-01T00:00:00Z");
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration FAULTS_END = Duration.ofSeconds(15);
+
+  /** The maximum time for which a message may be on its way, with a freeze of its receiver. */
+  private static final Duration MAX_DELAY = Duration.ofSeconds(5);
+
+  private static final Duration SETTLE_TIME = Duration.ofSeconds(15);
+  private static final Duration CONTACT_PERIOD = Duration.ofMillis(500);
   private static final Duration END = Duration.ofSeconds(40);
   private static final int TICKET_NUMBERS = 10;
 
@@ -59,23 +70,41 @@
   private final SplittableRandom random;
   private final SplittableRandom stallRandom;
   private final BrokenRule brokenRule;
+  private final Set<HostId> founders;
   private final List<SimulatedHost> hosts;
   private final Set<Set<HostId>> partitions = new HashSet<>();
   private final StateMachineHistory history = new StateMachineHistory();
+  private final Map<Membership, Instant> lastHeld = new HashMap<>();
   private Instant now = START;
   private long order;
   private long requests;
+  private int machines;
+  private long lastNumber = TICKET_NUMBERS;
   private boolean faultsActive = true;
-  private boolean founded;
+  private boolean diskLost;
 
   SimulatedCluster(int size, long seed, BrokenRule broken) {
+    this(size, size, seed, broken);
+  }
+
+  /** Creates a cluster that the first {@code founderCount} hosts found and the others join. */
+  SimulatedCluster(int size, int founderCount, long seed, BrokenRule broken) {
     this.random = new SplittableRandom(seed);
     this.stallRandom = new SplittableRandom(~seed);
     this.brokenRule = broken;
-    Set<HostId> voters =
-        IntStream.range(0, size).mapToObj(i -> new HostId("c" + i)).collect(Collectors.toSet());
-    this.hosts =
-        voters.stream().sorted().map(id -> new SimulatedHost(id, voters, random.split())).toList();
+    this.founders =
+        IntStream.range(0, founderCount)
+            .mapToObj(SimulatedCluster::hostId)
+            .collect(Collectors.toSet());
+    this.hosts = new ArrayList<>();
+    for (machines = 0; machines < size; machines++) {
+      HostId id = hostId(machines);
+      HardState fresh =
+          founders.contains(id)
+              ? HardState.founding(founders, newIncarnation())
+              : HardState.joining(newIncarnation());
+      hosts.add(new SimulatedHost(id, fresh, random.split()));
+    }
   }
 
   /** Runs the simulation and returns the history with the faults found. */
@@ -84,13 +113,9 @@
     schedule(millis(200), this::submitAndReschedule);
     schedule(millis(300), this::injectFault);
     schedule(millis(300), this::stallRandomDisk);
+    schedule(CONTACT_PERIOD, this::connectAll);
     schedule(FAULTS_END, this::heal);
-    while (!steps.isEmpty() && steps.peek().at().isBefore(START.plus(END))) {
-      Step step = steps.poll();
-      now = step.at();
-      step.run().run();
-      history.checkLeaderCount(hosts.stream().filter(this::isLeader).count());
-    }
+    advanceTo(START.plus(END));
     hosts.forEach(this::checkSettled);
     return history;
   }
@@ -102,16 +127,92 @@
   StateMachineHistory runWithStalledDisk(StalledHost which, Duration stall) {
     faultsActive = false;
     hosts.forEach(this::start);
+    schedule(CONTACT_PERIOD, this::connectAll);
     schedule(STALL_AT, () -> stall(which, stall));
-    Instant end = START.plus(STALL_AT).plus(stall).plus(FAILOVER_TIME);
+    advanceTo(START.plus(STALL_AT).plus(stall).plus(FAILOVER_TIME));
+    hosts.forEach(this::checkSettled);
+    return history;
+  }
+
+  /** Starts all hosts and no faults, and lets them settle. */
+  void startQuietly() {
+    faultsActive = false;
+    hosts.forEach(this::start);
+    schedule(CONTACT_PERIOD, this::connectAll);
+    advance(SETTLE_TIME);
+  }
+
+  /** Lets simulated time pass. */
+  void advance(Duration time) {
+    advanceTo(now.plus(time));
+  }
+
+  /** Lets the hosts settle, checks them, and returns the history with the faults found. */
+  StateMachineHistory settle() {
+    advance(SETTLE_TIME);
+    hosts.forEach(host -> submit(host, randomTicket()));
+    advance(FAILOVER_TIME);
+    hosts.forEach(this::checkSettled);
+    return history;
+  }
+
+  /** Returns the hosts in the order in which their machines came. */
+  List<SimulatedHost> hosts() {
+    return List.copyOf(hosts);
+  }
+
+  /** Returns the host that leads. */
+  SimulatedHost leader() {
+    return hosts.stream().filter(this::isLeader).findFirst().orElseThrow();
+  }
+
+  /** Returns a host that doesn't lead. */
+  SimulatedHost follower() {
+    return hosts.stream().filter(host -> !isLeader(host)).findFirst().orElseThrow();
+  }
+
+  /** Submits the next ticket at the host. */
+  void submitAt(SimulatedHost host) {
+    submit(host, new Ticket(new TicketNumber(++lastNumber), randomTicket().change()));
+  }
+
+  /** Ends the process without its unsynced writes, until {@link #powerOn}. */
+  void powerOff(SimulatedHost host) {
+    host.crash();
+  }
+
+  void powerOn(SimulatedHost host) {
+    restart(host);
+  }
+
+  /** Empties the disk of a host that is off. */
+  void loseDisk(SimulatedHost host) {
+    host.wipe(HardState.joining(newIncarnation()));
+  }
+
+  /** Removes a machine for good, and returns its empty successor, which is off. */
+  SimulatedHost replace(SimulatedHost host) {
+    host.crash();
+    hosts.remove(host);
+    SimulatedHost successor =
+        new SimulatedHost(hostId(machines++), HardState.joining(newIncarnation()), random.split());
+    hosts.add(successor);
+    return successor;
+  }
+
+  /** Freezes the process. */
+  void freeze(SimulatedHost host, Duration time) {
+    host.frozenUntil = now.plus(time);
+  }
+
+  private void advanceTo(Instant end) {
     while (!steps.isEmpty() && steps.peek().at().isBefore(end)) {
       Step step = steps.poll();
       now = step.at();
       step.run().run();
       history.checkLeaderCount(hosts.stream().filter(this::isLeader).count());
     }
-    hosts.forEach(this::checkSettled);
-    return history;
+    now = end;
   }
 
   private void stall(StalledHost which, Duration stall) {
@@ -146,6 +247,17 @@
               + (replicatedStateMachine == null ? "down" : replicatedStateMachine.status(now)));
     } else {
       history.checkFinalState(replicatedStateMachine);
+      checkVotes(host, replicatedStateMachine.membership());
+    }
+  }
+
+  /** Checks that the host votes, and that as many losses are borne as its cluster should bear. */
+  private void checkVotes(SimulatedHost host, Membership membership) {
+    long lost = membership.voters().stream().filter(member -> !isIntact(member)).count();
+    if (membership.isChanging()
+        || !membership.contains(host.id, host.incarnation())
+        || membership.lossesBorne() - lost < (hosts.size() - 1) / 2) {
+      history.addFault(host.id + " is in a cluster that bears too few losses: " + membership);
     }
   }
 
@@ -182,6 +294,7 @@
     try {
       event.apply(replicatedStateMachine).forEach(action -> perform(host, action));
       history.observe(host, replicatedStateMachine, now);
+      lastHeld.put(replicatedStateMachine.membership(), now);
     } catch (IllegalStateException e) {
       history.addFault(host.id + " stopped with an exception: " + e.getMessage());
       host.crash();
@@ -244,11 +357,10 @@
 
   private void arrive(HostId from, HostId to, StateMachineMessage message) {
     if (!partitions.contains(Set.of(from, to))) {
-      SimulatedHost host = host(to);
-      deliver(
-          host,
-          host.startCount,
-          replicatedStateMachine -> replicatedStateMachine.onMessage(from, message, now));
+      findHost(to)
+          .ifPresent(
+              host ->
+                  deliver(host, host.startCount, machine -> machine.onMessage(from, message, now)));
     }
   }
 
@@ -291,11 +403,14 @@
       return;
     }
     SimulatedHost host = random.nextBoolean() ? randomHost() : leaderOr(randomHost());
-    switch (random.nextInt(5)) {
-      case 0 -> crash(host);
-      case 1 -> wipeDisk(host);
-      case 2 -> host.frozenUntil = now.plusMillis(random.nextInt(100, 3_000));
-      case 3 -> hosts.forEach(other -> partition(host, other));
+    switch (random.nextInt(16)) {
+      case 0, 1, 2 -> crash(host);
+      case 3, 4 -> wipeDisk(host);
+      case 5 -> List.copyOf(hosts).forEach(this::wipeDisk);
+      case 6 -> replaceMachine(host);
+      case 7 -> hosts.forEach(this::crash);
+      case 8, 9 -> host.frozenUntil = now.plusMillis(random.nextInt(100, 3_000));
+      case 10, 11, 12 -> hosts.forEach(other -> partition(host, other));
       default -> partitions.clear();
     }
     schedule(millis(random.nextInt(50, 1_200)), this::injectFault);
@@ -325,21 +440,85 @@
     }
   }
 
+  /** Crashes a host and wipes its disk, if the loss is to be borne. */
+  private void wipeDisk(SimulatedHost host) {
+    boolean isBroken = brokenRule == BrokenRule.EMPTY_DISK_VOTES;
+    if (host.stateMachine != null && isLossBorne(host) && !(isBroken && diskLost)) {
+      crash(host);
+      diskLost = true;
+      host.wipe(HardState.joining(isBroken ? host.incarnation() : newIncarnation()));
+    }
+  }
+
+  /** Removes a machine for good, if the loss is to be borne, and starts an empty one later. */
+  private void replaceMachine(SimulatedHost host) {
+    if (hosts.size() > 1 && host.stateMachine != null && isLossBorne(host)) {
+      SimulatedHost successor = replace(host);
+      schedule(millis(random.nextInt(1, 2_500)), () -> restart(successor));
+    }
+  }
+
   /**
-   * Crashes a host and wipes its disk, if every host has been a voter once and a majority keeps its
-   * disks.
+   * Returns whether the loss of this host's disk is to be borne: the cluster is founded and has
+   * committed something, a minority of its hosts don't vote yet, and by every membership that a
+   * host has, or that may still be on its way, a quorum keeps its disks.
    */
-  private void wipeDisk(SimulatedHost host) {
-    founded = founded || hosts.stream().allMatch(SimulatedHost::isVoter);
-    long lost = hosts.stream().filter(SimulatedHost::isLearner).count();
-    if (!founded || host.isLearner() || lost + 1 > (hosts.size() - 1) / 2) {
-      return;
+  private boolean isLossBorne(SimulatedHost lost) {
+    Membership newest = newestMembership();
+    long learners =
+        hosts.stream()
+            .filter(host -> host != lost && !newest.contains(host.id, host.incarnation()))
+            .count();
+    return hosts.stream().noneMatch(SimulatedHost::isFounding)
+        && !newest.voters().isEmpty()
+        && learners + 1 <= (hosts.size() - 1) / 2
+        && Stream.concat(
+                hosts.stream().flatMap(host -> host.memberships().stream()),
+                lastHeld.entrySet().stream()
+                    .filter(held -> now.isBefore(held.getValue().plus(MAX_DELAY)))
+                    .map(Map.Entry::getKey))
+            .allMatch(membership -> hasQuorumWithout(lost, membership));
+  }
+
+  /** Returns the membership of the running host that has applied most. */
+  private Membership newestMembership() {
+    return hosts.stream()
+        .map(host -> host.stateMachine)
+        .filter(Objects::nonNull)
+        .filter(machine -> machine.appliedIndex() > 0)
+        .max(Comparator.comparingLong(ReplicatedStateMachine::appliedIndex))
+        .map(ReplicatedStateMachine::membership)
+        .orElse(Membership.NONE);
+  }
+
+  private boolean hasQuorumWithout(SimulatedHost lost, Membership membership) {
+    return Stream.of(membership.voters(), membership.nextVoters())
+        .filter(voters -> !voters.isEmpty())
+        .allMatch(
+            voters ->
+                voters.stream()
+                        .filter(member -> !member.host().equals(lost.id) && isIntact(member))
+                        .count()
+                    > voters.size() / 2);
+  }
+
+  /** Returns whether the member's machine is there with its disk. */
+  private boolean isIntact(Member member) {
+    return findHost(member.host())
+        .filter(host -> host.incarnation() == member.incarnation())
+        .isPresent();
+  }
+
+  /** Tells the hosts of each other, as their connections do. */
+  private void connectAll() {
+    for (SimulatedHost host : hosts) {
+      for (SimulatedHost other : hosts) {
+        if (host != other && !partitions.contains(Set.of(host.id, other.id))) {
+          deliver(host, host.startCount, machine -> machine.onControlHostConnected(other.id, now));
+        }
+      }
     }
-    crash(host);
-    host.wipe(
-        brokenRule == BrokenRule.EMPTY_DISK_VOTES
-            ? new HardState(0, Optional.empty(), new VotingStatus.Voter())
-            : HardState.learner(random.nextLong()));
+    schedule(CONTACT_PERIOD, this::connectAll);
   }
 
   private void restart(SimulatedHost host) {
@@ -364,8 +543,16 @@
     return hosts.stream().filter(this::isLeader).findFirst().orElse(other);
   }
 
-  private SimulatedHost host(HostId id) {
-    return hosts.stream().filter(host -> host.id.equals(id)).findFirst().orElseThrow();
+  private Optional<SimulatedHost> findHost(HostId id) {
+    return hosts.stream().filter(host -> host.id.equals(id)).findFirst();
+  }
+
+  private static HostId hostId(int number) {
+    return new HostId("c" + number);
+  }
+
+  private long newIncarnation() {
+    return random.nextLong(1, Long.MAX_VALUE);
   }
 
   private void schedule(Duration delay, Runnable run) {
--- a/core/src/test/java/org/cuminwell/core/control/SimulatedHost.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedHost.java
@@ -4,14 +4,17 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.cuminwell.core.consensus.DurableState;
+import org.cuminwell.core.consensus.EntryContent;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.LogEntry;
 import org.cuminwell.core.consensus.LogLimits;
+import org.cuminwell.core.consensus.Membership;
 import org.cuminwell.core.consensus.ReplicaAction;
-import org.cuminwell.core.consensus.VotingStatus;
+import org.cuminwell.core.consensus.Snapshot;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.jspecify.annotations.Nullable;
 
@@ -22,11 +25,12 @@
   private static final LogLimits LOG_LIMITS = new LogLimits(12, Long.MAX_VALUE);
 
   final HostId id;
-  private final Set<HostId> voters;
+  private static final int PORT = 7600;
+
   private final SplittableRandom random;
   private final ArrayDeque<ReplicaAction.Write<Command, StateSnapshot>> unsynced =
       new ArrayDeque<>();
-  private DurableState<Command, StateSnapshot> disk = DurableState.empty(HardState.founding());
+  private DurableState<Command, StateSnapshot> disk;
 
   /** The running process; null while it is down. */
   @Nullable ReplicatedStateMachine stateMachine;
@@ -42,16 +46,17 @@
 
   long lastRevision;
 
-  SimulatedHost(HostId id, Set<HostId> voters, SplittableRandom random) {
+  SimulatedHost(HostId id, HardState fresh, SplittableRandom random) {
     this.id = id;
-    this.voters = voters;
+    this.disk = DurableState.empty(fresh);
     this.random = random;
   }
 
   void start(Instant now) {
     startCount++;
     lastRevision = 0;
-    stateMachine = new ReplicatedStateMachine(id, voters, disk, random.split(), LOG_LIMITS, now);
+    HostAddress address = new HostAddress(id.value(), PORT);
+    stateMachine = new ReplicatedStateMachine(id, address, disk, random.split(), LOG_LIMITS, now);
   }
 
   /** Crashes the process. A random prefix of the unsynced writes reaches the disk. */
@@ -68,12 +73,33 @@
     disk = DurableState.empty(fresh);
   }
 
-  boolean isLearner() {
-    return disk.hardState().votingStatus().learnerIncarnation().isPresent();
+  boolean isFounding() {
+    return disk.hardState().founding().isPresent();
+  }
+
+  /** Returns the incarnation of the disk. */
+  long incarnation() {
+    return disk.hardState().incarnation();
+  }
+
+  /** Returns the memberships that the host has on disk or in memory. */
+  List<Membership> memberships() {
+    List<Membership> all = new ArrayList<>();
+    disk.snapshot().map(Snapshot::membership).ifPresent(all::add);
+    disk.entries().stream()
+        .flatMap(entry -> membershipOf(entry).stream())
+        .reduce((earlier, later) -> later)
+        .ifPresent(all::add);
+    if (stateMachine != null) {
+      all.add(stateMachine.membership());
+    }
+    return all;
   }
 
-  boolean isVoter() {
-    return disk.hardState().votingStatus() instanceof VotingStatus.Voter;
+  private static Optional<Membership> membershipOf(LogEntry<Command> entry) {
+    return entry.content() instanceof EntryContent.ChangeMembership<Command> change
+        ? Optional.of(change.membership())
+        : Optional.empty();
   }
 
   void write(ReplicaAction.Write<Command, StateSnapshot> write) {
--- a/core/src/test/java/org/cuminwell/core/control/StateMachineHistoryTest.java
+++ b/core/src/test/java/org/cuminwell/core/control/StateMachineHistoryTest.java
@@ -11,18 +11,19 @@
 
 /**
  * Checks that all control hosts agree on one order of tickets while the network loses, duplicates
- * and reorders messages and hosts crash, freeze or lose their disks. Also checks that the checker
- * detects a violated rule.
+ * and reorders messages, hosts crash, freeze or lose their disks, and machines are replaced by
+ * empty ones at other addresses. Also checks that the checker detects a violated rule.
  */
 final class StateMachineHistoryTest {
 
-  @ParameterizedTest(name = "{0} hosts, seeds {1} to {2}")
-  @CsvSource({"1, 0, 100", "3, 1000, 2000", "5, 2000, 2300"})
-  void agreesOnOneOrderOfTickets(int size, long first, long end) {
+  @ParameterizedTest(name = "{0} hosts, founded by {1}, seeds {2} to {3}")
+  @CsvSource({"1, 1, 0, 100", "3, 3, 1000, 2000", "5, 5, 2000, 2300", "6, 3, 3000, 3300"})
+  void agreesOnOneOrderOfTickets(int size, int founders, long first, long end) {
     Map<Long, List<String>> faults = new TreeMap<>();
     int accepted = 0;
     for (long seed = first; seed < end; seed++) {
-      StateMachineHistory history = new SimulatedCluster(size, seed, BrokenRule.NOTHING).run();
+      StateMachineHistory history =
+          new SimulatedCluster(size, founders, seed, BrokenRule.NOTHING).run();
       accepted += history.accepted();
       if (!history.faults().isEmpty()) {
         faults.put(seed, history.faults().subList(0, Math.min(3, history.faults().size())));
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -3,6 +3,7 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -66,6 +67,7 @@
   private final HttpSystem http;
   private final Optional<PeerTls> tls;
   private final PeerNode peers;
+  private final HostAddress peerAddress;
   private final OperatorFrontEnd operatorFrontEnd;
   private final ControlRequests requests;
   private final MoveLog rolloutLog = new MoveLog();
@@ -77,12 +79,15 @@
 
   private ControlProcess(ControlSettings settings) {
     startSteps.recordStepEnd("command_line");
+    peerAddress = settings.peerAddress();
     journal =
         Journal.open(
             settings.agreement().dataFolder(), () -> initialHardState(settings.agreement()));
     Set<HostAddress> controlAddresses = new HashSet<>(settings.controlAddresses());
     controlAddresses.add(settings.peerAddress());
-    control = new Control(settings.self(), controlAddresses, createStateMachine(settings));
+    control =
+        new Control(
+            settings.self(), controlAddresses, createStateMachine(settings), time.instant());
     status = control.agreementStatus(time.instant());
     startSteps.recordStepEnd("journal");
     http = HttpSystem.start("control");
@@ -93,10 +98,13 @@
     telemetry.gauge("agreement_term", () -> status.term());
     telemetry.gauge("agreement_applied_index", () -> status.appliedIndex());
     telemetry.gauge("agreement_leads", () -> status.leads() ? 1L : 0L);
+    telemetry.gauge("agreement_voters", () -> status.membership().voters().size());
+    telemetry.gauge("agreement_losses_borne", () -> status.lossesBorne());
     OpsPages pages = new OpsPages(() -> status.leader().isPresent(), telemetry);
     operatorFrontEnd =
-        new OperatorFrontEnd(http, pages, settings.access(), events::offer, control.view());
-    requests = new ControlRequests(events::offer, control.view());
+        new OperatorFrontEnd(
+            http, pages, settings.access(), events::offer, control.view(time.instant()));
+    requests = new ControlRequests(events::offer, control.view(time.instant()));
     journalDuty = new JournalDuty(journal, this::onJournalSynced, telemetry);
     decideDuty = Duty.start("decide", events, this::decide);
     dispatchDuty = Duty.start("dispatch", actions, this::perform);
@@ -108,13 +116,11 @@
   }
 
   /**
-   * Starts a control host and its listeners. Voters that were recorded at its founding override
-   * those in the settings.
+   * Starts a control host and its listeners.
    *
    * @throws IllegalStateException if an address can't be used
    */
-  public static ControlProcess start(ControlSettings configured) {
-    ControlSettings settings = FoundingRecord.apply(configured);
+  public static ControlProcess start(ControlSettings settings) {
     ControlProcess process = new ControlProcess(settings);
     process.startSteps.recordStepEnd("duties");
     process.serve(settings.operatorAddress(), process.operatorFrontEnd::handle);
@@ -123,9 +129,7 @@
           front.address(), front.handlerFactory().createHandler(process.http, process.requests));
     }
     process.peers.listen(settings.peerAddress());
-    settings.controlAddresses().stream()
-        .filter(address -> shouldDial(settings, address))
-        .forEach(process.peers::dial);
+    process.dialOthers(settings.controlAddresses());
     process.startSteps.recordStepEnd("listen");
     LOG.log(System.Logger.Level.INFO, "control host started at " + settings.operatorAddress());
     return process;
@@ -198,7 +202,7 @@
    */
   private void recordStatus(AgreementStatus latest) {
     if (!latest.hasSameRoles(status)) {
-      LOG.log(System.Logger.Level.INFO, "agreement: " + latest);
+      LOG.log(System.Logger.Level.INFO, "agreement: " + latest.describe());
     }
     status = latest;
     if (latest.leader().isPresent()) {
@@ -222,18 +226,20 @@
   private ReplicatedStateMachine createStateMachine(ControlSettings settings) {
     return new ReplicatedStateMachine(
         settings.self(),
-        settings.agreement().voters(),
+        settings.peerAddress(),
         journal.recovered(),
         new SplittableRandom(new SecureRandom().nextLong()),
         LogLimits.forHeap(Runtime.getRuntime().maxMemory()),
         time.instant());
   }
 
-  /** Returns the state of an empty journal: a founder's when bootstrapping, else a learner's. */
+  /** Returns the state of an empty journal: a founder's when bootstrapping. */
   private static HardState initialHardState(AgreementSettings settings) {
+    long incarnation =
+        new SplittableRandom(new SecureRandom().nextLong()).nextLong(1, Long.MAX_VALUE);
     return settings.bootstrap()
-        ? HardState.founding()
-        : HardState.learner(new SecureRandom().nextLong());
+        ? HardState.founding(settings.founders(), incarnation)
+        : HardState.joining(incarnation);
   }
 
   /** Carries out one action on the dispatch thread. */
@@ -251,6 +257,7 @@
           telemetry.count("peer_messages_dropped", 1);
         }
       }
+      case ControlAction.DialControlHosts a -> dialOthers(a.addresses());
       case ControlAction.PublishView a -> {
         operatorFrontEnd.updateView(a.view());
         rolloutLog.logChanges(a.view().configuration());
@@ -259,19 +266,9 @@
     }
   }
 
-  /**
-   * Returns whether this host dials the other control host. Of two voters only one dials the other;
-   * a host that does not vote dials all others, since they may not know its address.
-   */
-  private static boolean shouldDial(ControlSettings settings, HostAddress other) {
-    return settings.agreement().voters().contains(settings.self())
-        ? isAfter(other, settings.peerAddress())
-        : !other.equals(settings.peerAddress());
-  }
-
-  /** Returns whether the first address sorts after the second by its text. */
-  private static boolean isAfter(HostAddress address, HostAddress ownAddress) {
-    return address.toString().compareTo(ownAddress.toString()) > 0;
+  /** Connects to the control hosts at the addresses, apart from this one. */
+  private void dialOthers(Collection<HostAddress> addresses) {
+    addresses.stream().filter(address -> !address.equals(peerAddress)).forEach(peers::dial);
   }
 
   private PeerListener createPeerListener() {
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlSettings.java
@@ -33,18 +33,4 @@
     controlAddresses = List.copyOf(controlAddresses);
     frontEnds = List.copyOf(frontEnds);
   }
-
-  /** Returns a copy of these settings with other control hosts and consensus settings. */
-  ControlSettings withControlsAndAgreement(
-      List<HostAddress> newControlAddresses, AgreementSettings newAgreement) {
-    return new ControlSettings(
-        self,
-        operatorAddress,
-        peerAddress,
-        newControlAddresses,
-        newAgreement,
-        access,
-        frontEnds,
-        tls);
-  }
 }
--- a/shell/src/test/java/org/cuminwell/shell/journal/FailingDiskTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/journal/FailingDiskTest.java
@@ -20,7 +20,6 @@
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.LogEntry;
 import org.cuminwell.core.consensus.ReplicaAction;
-import org.cuminwell.core.consensus.VotingStatus;
 import org.cuminwell.core.control.Command;
 import org.cuminwell.core.control.StateSnapshot;
 import org.cuminwell.shell.journal.FaultyStorage.Operation;
@@ -40,7 +39,7 @@
 
   private static final Instant ENTRY_TIME = Instant.parse("2030-01-01T00:00:00Z");
   private static final HardState HARD_STATE =
-      new HardState(3, Optional.empty(), new VotingStatus.Voter());
+      new HardState(3, Optional.empty(), 7, Optional.empty());
   private static final int WRITE_COUNT = 8;
   private static final int REPLACE_STEP = 5;
 
--- a/shell/src/test/java/org/cuminwell/shell/journal/JournalTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/journal/JournalTest.java
@@ -22,12 +22,12 @@
 import org.cuminwell.core.consensus.LogEntry;
 import org.cuminwell.core.consensus.LogLimits;
 import org.cuminwell.core.consensus.ReplicaAction;
-import org.cuminwell.core.consensus.VotingStatus;
 import org.cuminwell.core.control.Command;
 import org.cuminwell.core.control.ReplicatedStateMachine;
 import org.cuminwell.core.control.StateMachineAction;
 import org.cuminwell.core.control.StateSnapshot;
 import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Region;
 import org.cuminwell.core.model.RegionId;
@@ -48,7 +48,7 @@
   private static final Instant ENTRY_TIME = Instant.parse("2030-01-01T00:00:00Z");
   private static final HostId LOCAL_HOST = new HostId("c0");
   private static final HardState HARD_STATE =
-      new HardState(3, Optional.of(LOCAL_HOST), new VotingStatus.Voter());
+      new HardState(3, Optional.of(LOCAL_HOST), 7, Optional.empty());
 
   @TempDir private Path folder;
 
@@ -193,7 +193,7 @@
   @CsvSource({"600, 1024", "600, 50", "60, 1"})
   void restartAfterManyTicketsRecoversTheSameState(int tickets, int compactEntries) {
     StateSnapshot before;
-    try (Journal journal = Journal.open(folder, HardState::founding)) {
+    try (Journal journal = Journal.open(folder, JournalTest::founding)) {
       ReplicatedStateMachine replicatedStateMachine = newStateMachine(journal, compactEntries);
       elect(replicatedStateMachine, journal);
       for (int number = 1; number <= tickets; number++) {
@@ -206,7 +206,7 @@
       before = replicatedStateMachine.state().snapshot();
     }
     assertThat(before.tickets()).hasSize(tickets);
-    try (Journal journal = Journal.open(folder, HardState::founding)) {
+    try (Journal journal = Journal.open(folder, JournalTest::founding)) {
       ReplicatedStateMachine replicatedStateMachine = newStateMachine(journal, compactEntries);
       elect(replicatedStateMachine, journal);
       assertThat(replicatedStateMachine.state().snapshot()).isEqualTo(before);
@@ -231,10 +231,14 @@
     return result;
   }
 
+  private static HardState founding() {
+    return HardState.founding(Set.of(LOCAL_HOST), 7);
+  }
+
   private static ReplicatedStateMachine newStateMachine(Journal journal, int compactEntries) {
     return new ReplicatedStateMachine(
         LOCAL_HOST,
-        Set.of(LOCAL_HOST),
+        new HostAddress("c0", 7600),
         journal.recovered(),
         new SplittableRandom(1),
         new LogLimits(compactEntries, Long.MAX_VALUE),
--- a/shell/src/test/java/org/cuminwell/shell/journal/LongJournalIsReadInPartsTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/journal/LongJournalIsReadInPartsTest.java
@@ -14,7 +14,6 @@
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.LogEntry;
 import org.cuminwell.core.consensus.ReplicaAction;
-import org.cuminwell.core.consensus.VotingStatus;
 import org.cuminwell.core.control.Command;
 import org.cuminwell.core.control.StateSnapshot;
 import org.cuminwell.core.model.Bytes;
@@ -29,7 +28,7 @@
 final class LongJournalIsReadInPartsTest {
 
   private static final HardState HARD_STATE =
-      new HardState(3, Optional.empty(), new VotingStatus.Voter());
+      new HardState(3, Optional.empty(), 7, Optional.empty());
 
   @TempDir private Path folder;
 
--- a/wire/src/main/java/org/cuminwell/wire/ConsensusCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/ConsensusCodec.java
@@ -1,6 +1,5 @@
 package org.cuminwell.wire;
 
-import java.util.OptionalLong;
 import org.cuminwell.core.consensus.ConsensusMessage;
 import org.cuminwell.core.control.Command;
 import org.cuminwell.core.control.StateMachineMessage;
@@ -90,7 +89,8 @@
           to.getVoteReplyBuilder()
               .setTerm(m.term())
               .setPreVote(m.preVote())
-              .setGranted(m.granted());
+              .setGranted(m.granted())
+              .setVoter(LogCodec.toProto(m.voter()));
       case ConsensusMessage.AppendRequest<Command, StateSnapshot> m ->
           to.setAppendRequest(write(m));
       case ConsensusMessage.AppendReply<Command, StateSnapshot> m -> to.setAppendReply(write(m));
@@ -100,7 +100,7 @@
               .setSnapshot(LogCodec.toProto(m.snapshot()))
               .setSentAtMicros(WireTime.micros(m.sentAt()));
       case ConsensusMessage.JoinRequest<Command, StateSnapshot> m ->
-          to.getJoinRequestBuilder().setTerm(m.term()).setIncarnation(m.incarnation());
+          to.getJoinRequestBuilder().setTerm(m.term()).setMember(LogCodec.toProto(m.member()));
     }
   }
 
@@ -120,14 +120,12 @@
 
   private static AppendReply.Builder write(
       ConsensusMessage.AppendReply<Command, StateSnapshot> from) {
-    var to =
-        AppendReply.newBuilder()
-            .setTerm(from.term())
-            .setMatched(from.matched())
-            .setIndex(from.index())
-            .setSentAtMicros(WireTime.micros(from.sentAt()));
-    from.learnerIncarnation().ifPresent(to::setLearner);
-    return to;
+    return AppendReply.newBuilder()
+        .setTerm(from.term())
+        .setMatched(from.matched())
+        .setIndex(from.index())
+        .setIncarnation(from.incarnation())
+        .setSentAtMicros(WireTime.micros(from.sentAt()));
   }
 
   private static ConsensusMessage<Command, StateSnapshot> read(VoteRequest from) {
@@ -140,7 +138,8 @@
   }
 
   private static ConsensusMessage<Command, StateSnapshot> read(VoteReply from) {
-    return new ConsensusMessage.VoteReply<>(from.getTerm(), from.getPreVote(), from.getGranted());
+    return new ConsensusMessage.VoteReply<>(
+        from.getTerm(), from.getPreVote(), from.getGranted(), LogCodec.fromProto(from.getVoter()));
   }
 
   private static ConsensusMessage<Command, StateSnapshot> read(AppendRequest from) {
@@ -159,7 +158,7 @@
         from.getTerm(),
         from.getMatched(),
         from.getIndex(),
-        from.hasLearner() ? OptionalLong.of(from.getLearner()) : OptionalLong.empty(),
+        from.getIncarnation(),
         WireTime.instant(from.getSentAtMicros()));
   }
 
@@ -171,6 +170,6 @@
   }
 
   private static ConsensusMessage<Command, StateSnapshot> read(JoinRequest from) {
-    return new ConsensusMessage.JoinRequest<>(from.getTerm(), from.getIncarnation());
+    return new ConsensusMessage.JoinRequest<>(from.getTerm(), LogCodec.fromProto(from.getMember()));
   }
 }
--- a/wire/src/main/java/org/cuminwell/wire/LogCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/LogCodec.java
@@ -1,15 +1,22 @@
 package org.cuminwell.wire;
 
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.cuminwell.core.consensus.EntryContent;
+import org.cuminwell.core.consensus.Founding;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.LogEntry;
+import org.cuminwell.core.consensus.Member;
+import org.cuminwell.core.consensus.Membership;
 import org.cuminwell.core.consensus.Snapshot;
-import org.cuminwell.core.consensus.VotingStatus;
 import org.cuminwell.core.control.Command;
 import org.cuminwell.core.control.StateSnapshot;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 
 /**
@@ -30,11 +37,8 @@
       case EntryContent.NoOp<Command> c ->
           to.setNoOp(org.cuminwell.wire.generated.LogEntry.NoOp.getDefaultInstance());
       case EntryContent.Proposed<Command> c -> to.setProposed(StateCodec.toProto(c.command()));
-      case EntryContent.Admit<Command> c ->
-          to.setAdmit(
-              org.cuminwell.wire.generated.LogEntry.Admit.newBuilder()
-                  .setHost(c.host().value())
-                  .setIncarnation(c.incarnation()));
+      case EntryContent.ChangeMembership<Command> c ->
+          to.setChangeMembership(toProto(c.membership()));
     }
     return to.build();
   }
@@ -49,6 +53,7 @@
         .setIndex(from.index())
         .setTerm(from.term())
         .setAtMillis(from.lastEntryCreatedAt().toEpochMilli())
+        .setMembership(toProto(from.membership()))
         .setState(StateCodec.toProto(from.state()))
         .build();
   }
@@ -58,22 +63,31 @@
         from.getIndex(),
         from.getTerm(),
         Instant.ofEpochMilli(from.getAtMillis()),
+        fromProto(from.getMembership()),
         StateCodec.fromProto(from.getState()));
   }
 
+  static org.cuminwell.wire.generated.Member toProto(Member from) {
+    return org.cuminwell.wire.generated.Member.newBuilder()
+        .setHost(from.host().value())
+        .setAddress(from.address().toString())
+        .setIncarnation(from.incarnation())
+        .build();
+  }
+
+  static Member fromProto(org.cuminwell.wire.generated.Member from) {
+    return new Member(
+        new HostId(from.getHost()), HostAddress.parse(from.getAddress()), from.getIncarnation());
+  }
+
   static org.cuminwell.wire.generated.HardState toProto(HardState from) {
     var to =
         org.cuminwell.wire.generated.HardState.newBuilder()
             .setTerm(from.term())
-            .setVotedFor(from.votedFor().map(HostId::value).orElse(""));
-    switch (from.votingStatus()) {
-      case VotingStatus.Founding s ->
-          to.getFoundingBuilder()
-              .addAllVotedFor(s.votedFor().stream().sorted().map(HostId::value).toList());
-      case VotingStatus.Voter s ->
-          to.setVoter(org.cuminwell.wire.generated.HardState.Voter.getDefaultInstance());
-      case VotingStatus.Learner s -> to.getLearnerBuilder().setIncarnation(s.incarnation());
-    }
+            .setVotedFor(from.votedFor().map(HostId::value).orElse(""))
+            .setIncarnation(from.incarnation());
+    from.founding()
+        .ifPresent(founding -> to.getFoundingBuilder().addAllVoter(names(founding.voters())));
     return to.build();
   }
 
@@ -81,30 +95,42 @@
     return new HardState(
         from.getTerm(),
         Optional.of(from.getVotedFor()).filter(id -> !id.isEmpty()).map(HostId::new),
-        standing(from));
+        from.getIncarnation(),
+        from.hasFounding()
+            ? Optional.of(new Founding(hosts(from.getFounding().getVoterList())))
+            : Optional.empty());
+  }
+
+  private static org.cuminwell.wire.generated.Membership toProto(Membership from) {
+    return org.cuminwell.wire.generated.Membership.newBuilder()
+        .addAllVoter(from.voters().stream().map(LogCodec::toProto).toList())
+        .addAllNextVoter(from.nextVoters().stream().map(LogCodec::toProto).toList())
+        .build();
+  }
+
+  private static Membership fromProto(org.cuminwell.wire.generated.Membership from) {
+    return new Membership(members(from.getVoterList()), members(from.getNextVoterList()));
+  }
+
+  private static SortedSet<Member> members(List<org.cuminwell.wire.generated.Member> from) {
+    return from.stream().map(LogCodec::fromProto).collect(Collectors.toCollection(TreeSet::new));
+  }
+
+  private static List<String> names(Set<HostId> hosts) {
+    return hosts.stream().sorted().map(HostId::value).toList();
+  }
+
+  private static Set<HostId> hosts(List<String> names) {
+    return names.stream().map(HostId::new).collect(Collectors.toUnmodifiableSet());
   }
 
   private static EntryContent<Command> content(org.cuminwell.wire.generated.LogEntry from) {
     return switch (from.getContentCase()) {
       case NO_OP -> new EntryContent.NoOp<>();
       case PROPOSED -> new EntryContent.Proposed<>(StateCodec.fromProto(from.getProposed()));
-      case ADMIT ->
-          new EntryContent.Admit<>(
-              new HostId(from.getAdmit().getHost()), from.getAdmit().getIncarnation());
+      case CHANGE_MEMBERSHIP ->
+          new EntryContent.ChangeMembership<>(fromProto(from.getChangeMembership()));
       case CONTENT_NOT_SET -> throw new IllegalArgumentException("log entry without content");
     };
   }
-
-  private static VotingStatus standing(org.cuminwell.wire.generated.HardState from) {
-    return switch (from.getStandingCase()) {
-      case FOUNDING ->
-          new VotingStatus.Founding(
-              from.getFounding().getVotedForList().stream()
-                  .map(HostId::new)
-                  .collect(Collectors.toUnmodifiableSet()));
-      case VOTER -> new VotingStatus.Voter();
-      case LEARNER -> new VotingStatus.Learner(from.getLearner().getIncarnation());
-      case STANDING_NOT_SET -> throw new IllegalArgumentException("hard state without a standing");
-    };
-  }
 }
--- a/wire/src/main/java/org/cuminwell/wire/ViewJson.java
+++ b/wire/src/main/java/org/cuminwell/wire/ViewJson.java
@@ -1,9 +1,14 @@
 package org.cuminwell.wire;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Collection;
+import org.cuminwell.core.consensus.Member;
+import org.cuminwell.core.control.AgreementStatus;
 import org.cuminwell.core.control.ControlView;
 import org.cuminwell.core.distribution.GatewayStatus;
+import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.ticket.TicketAnswer;
 import org.cuminwell.core.ticket.TicketAnswer.Accepted;
 import org.cuminwell.core.ticket.ValidationError;
@@ -23,6 +28,7 @@
     ObjectNode root = MAPPER.createObjectNode();
     root.put("control_host", view.self().value());
     root.put("revision", view.configuration().revision().value());
+    root.set("agreement", write(view.agreement()));
     var gateways = root.putArray("gateways");
     view.gateways().forEach(gateway -> gateways.add(write(gateway)));
     var tickets = root.putArray("tickets");
@@ -30,6 +36,29 @@
     return root;
   }
 
+  private static ObjectNode write(AgreementStatus agreement) {
+    ObjectNode node = MAPPER.createObjectNode();
+    node.put("term", agreement.term());
+    node.put("leader", agreement.leader().map(HostId::value).orElse(null));
+    node.put("standing", agreement.standingName());
+    writeMembers(node.putArray("voters"), agreement.membership().voters());
+    writeMembers(node.putArray("next_voters"), agreement.membership().nextVoters());
+    var learners = node.putArray("learners");
+    agreement.learners().forEach(host -> learners.add(host.value()));
+    var silent = node.putArray("silent_voters");
+    agreement.silentVoters().forEach(host -> silent.add(host.value()));
+    node.put("losses_borne", agreement.lossesBorne());
+    return node;
+  }
+
+  private static void writeMembers(ArrayNode to, Collection<Member> members) {
+    members.forEach(
+        member ->
+            to.addObject()
+                .put("host", member.host().value())
+                .put("address", member.address().toString()));
+  }
+
   /** Returns what a screen shows: every gateway, and the latest tickets with who lacks them. */
   public static ObjectNode screen(ControlView view) {
     ObjectNode root = MAPPER.createObjectNode();
--- a/wire/src/test/java/org/cuminwell/wire/CoreFleet.java
+++ b/wire/src/test/java/org/cuminwell/wire/CoreFleet.java
@@ -150,12 +150,12 @@
     ReplicatedStateMachine replicatedStateMachine =
         new ReplicatedStateMachine(
             id,
-            Set.copyOf(voters),
-            DurableState.empty(HardState.founding()),
+            new HostAddress(id.value(), 7600),
+            DurableState.empty(HardState.founding(Set.copyOf(voters), 1)),
             new SplittableRandom(id.hashCode()),
             LogLimits.forHeap(Runtime.getRuntime().maxMemory()),
             now);
-    return new Control(id, Set.of(), replicatedStateMachine);
+    return new Control(id, Set.of(), replicatedStateMachine, now);
   }
 
   private HostDescription description(int number) {
