Make a leader that the next voters leave out resign

Cause: a host that took the lead in the midst of a change that left it out completed the change and went on leading, and never joined again, so that one voter less was borne for as long as it led.

Change: a leader that its committed membership does not hold resigns, and then asks to join like any learner.

--- a/core/src/main/java/org/cuminwell/core/consensus/Replica.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Replica.java
@@ -185,8 +185,8 @@
     }
     switch (role) {
       case Role.Leader leader -> {
-        changeMembershipIfDue(leader, now);
         replicator.sendHeartbeatIfDue(leader, hardState().term(), commits.commitIndex(), now);
+        changeMembershipIfDue(leader, now);
       }
       case Role.Follower f -> onTickAsNonLeader(now);
       case Role.Candidate c -> onTickAsNonLeader(now);
@@ -443,14 +443,16 @@
   }
 
   /**
-   * Takes the next step of a change of voters, or starts one. A change needs an entry of this
-   * leader's own term to be committed, and the change before it.
+   * Takes the next step of a change of voters, or starts one; resigns if the last change left this
+   * leader out. Each needs an entry of its own term to be committed, and the change before it.
    */
   private void changeMembershipIfDue(Role.Leader leader, Instant now) {
     boolean mayChange =
         log.membershipIndex() <= commits.commitIndex()
             && log.termAt(commits.commitIndex()) == hardState().term();
-    if (mayChange) {
+    if (mayChange && !isVoter()) {
+      resign(now);
+    } else if (mayChange) {
       changes.forgetLearners(leader, log.membership(), now);
       changes
           .next(leader, log.membership(), commits.commitIndex(), now)
--- a/core/src/test/java/org/cuminwell/core/control/StateMachineHistoryTest.java
+++ b/core/src/test/java/org/cuminwell/core/control/StateMachineHistoryTest.java
@@ -17,7 +17,13 @@
 final class StateMachineHistoryTest {
 
   @ParameterizedTest(name = "{0} hosts, founded by {1}, seeds {2} to {3}")
-  @CsvSource({"1, 1, 0, 100", "3, 3, 1000, 2000", "5, 5, 2000, 2300", "6, 3, 3000, 3300"})
+  @CsvSource({
+    "1, 1, 0, 100",
+    "3, 3, 1000, 2000",
+    "4, 3, 200300, 201000",
+    "5, 5, 2000, 2300",
+    "6, 3, 3000, 3300"
+  })
   void agreesOnOneOrderOfTickets(int size, int founders, long first, long end) {
     Map<Long, List<String>> faults = new TreeMap<>();
     int accepted = 0;
