Compare the membership before looking for new control hosts

Control collected the addresses of all members and copied those of the publisher at each event. It now does so when the membership or the number of known addresses has changed.

--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.cuminwell.core.consensus.Member;
+import org.cuminwell.core.consensus.Membership;
 import org.cuminwell.core.control.ControlAction.AnswerTicket;
 import org.cuminwell.core.control.ControlAction.PublishView;
 import org.cuminwell.core.control.ControlAction.SendToPeer;
@@ -38,7 +39,8 @@
   private final EndpointHandler endpointHandler;
   private final CrashHandler crashHandler;
   private final LinearizableReads reads = new LinearizableReads();
-  private Set<HostAddress> dialledAddresses = Set.of();
+  private Membership dialledMembership = Membership.NONE;
+  private int dialledAddressCount;
   private AgreementStatus shownAgreement;
   private boolean viewChanged;
 
@@ -112,18 +114,20 @@
 
   /** Connects to control hosts that other control hosts or the log have named since. */
   private void dialNewAddresses(List<ControlAction> actions) {
-    send(publisher.addControlAddresses(memberAddresses()), actions);
-    Set<HostAddress> known = publisher.controlAddresses();
-    if (!known.equals(dialledAddresses)) {
-      dialledAddresses = known;
-      actions.add(new ControlAction.DialControlHosts(known));
+    Membership membership = replicatedStateMachine.membership();
+    if (!membership.equals(dialledMembership)) {
+      dialledMembership = membership;
+      send(publisher.addControlAddresses(addressesOf(membership)), actions);
+    }
+    // Addresses are only ever added.
+    if (publisher.controlAddresses().size() > dialledAddressCount) {
+      dialledAddressCount = publisher.controlAddresses().size();
+      actions.add(new ControlAction.DialControlHosts(publisher.controlAddresses()));
     }
   }
 
-  private Set<HostAddress> memberAddresses() {
-    return replicatedStateMachine.membership().members().stream()
-        .map(Member::address)
-        .collect(Collectors.toSet());
+  private static Set<HostAddress> addressesOf(Membership membership) {
+    return membership.members().stream().map(Member::address).collect(Collectors.toSet());
   }
 
   /**
--- a/core/src/main/java/org/cuminwell/core/distribution/Publisher.java
+++ b/core/src/main/java/org/cuminwell/core/distribution/Publisher.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -90,9 +91,9 @@
         messageTo(peer, new RevisionInForce(holder.revision())));
   }
 
-  /** Returns the peer addresses of the control hosts that this one knows, itself included. */
+  /** Returns a view of the peer addresses of the known control hosts, this one included. */
   public Set<HostAddress> controlAddresses() {
-    return Set.copyOf(controlAddresses);
+    return Collections.unmodifiableSet(controlAddresses);
   }
 
   /**
