Test that voters who were replaced decide nothing by themselves

The new cases play the order of events that needs it: a successor takes the place of a voter that is off while a third one is cut off, and then these two meet.

--- a/core/src/test/java/org/cuminwell/core/control/MembershipChangeTest.java
+++ b/core/src/test/java/org/cuminwell/core/control/MembershipChangeTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against voters that hosts take from their settings or from the founding, and that can't be
@@ -23,6 +24,7 @@
   private static final int SEEDS = 20;
   private static final Duration CATCH_UP = Duration.ofSeconds(4);
   private static final Duration SHORT_FREEZE = Duration.ofMillis(1_500);
+  private static final Duration OFF_TIME = Duration.ofMillis(2_500);
   private static final int MAX_FREEZES = 60;
 
   static Stream<Arguments> losses() {
@@ -42,6 +44,26 @@
         row("a host whose disk was lost leads, then two lose power", 6, c -> leadAfterLoss(c)));
   }
 
+  /**
+   * Plays a change that only one majority has seen: a successor takes the place of a voter that is
+   * off while a third one is cut off, and then those two meet.
+   */
+  @ParameterizedTest(name = "cut off {0} ms after the loss of power")
+  @ValueSource(ints = {1_000, 1_200, 1_300, 1_400, 1_500, 1_600, 1_800})
+  void replacedVotersDecideNothingWithoutTheOthers(int cutAfterMillis) {
+    Map<Long, List<String>> faults = new TreeMap<>();
+    for (long seed = 0; seed < SEEDS; seed++) {
+      SimulatedCluster cluster = new SimulatedCluster(3, 3, seed, BrokenRule.NOTHING);
+      cluster.startQuietly();
+      replaceVoterThatIsOff(cluster, Duration.ofMillis(cutAfterMillis));
+      StateMachineHistory history = cluster.settle();
+      if (!history.faults().isEmpty()) {
+        faults.put(seed, history.faults());
+      }
+    }
+    assertThat(faults).isEmpty();
+  }
+
   @ParameterizedTest(name = "{0}, {1} hosts")
   @MethodSource("losses")
   void clusterDecidesAndBearsAsMuchAsBefore(
@@ -61,6 +83,31 @@
     assertThat(faults).as(name).isEmpty();
   }
 
+  private static void replaceVoterThatIsOff(SimulatedCluster cluster, Duration cutAfter) {
+    SimulatedHost leader = cluster.leader();
+    SimulatedHost off = cluster.follower();
+    SimulatedHost cutOff =
+        cluster.hosts().stream()
+            .filter(host -> host != leader && host != off)
+            .findFirst()
+            .orElseThrow();
+    SimulatedHost added = cluster.addMachine();
+    cluster.powerOff(off);
+    cluster.powerOn(added);
+    cluster.advance(cutAfter);
+    cluster.cut(cutOff, leader);
+    cluster.cut(cutOff, added);
+    cluster.advance(OFF_TIME.minus(cutAfter));
+    cluster.cut(off, leader);
+    cluster.cut(off, added);
+    cluster.powerOn(off);
+    for (int i = 0; i < 5; i++) {
+      cluster.hosts().forEach(cluster::submitAt);
+      cluster.advance(Duration.ofSeconds(1));
+    }
+    cluster.joinAll();
+  }
+
   private static void loseFollowersDisk(SimulatedCluster cluster) {
     loseDisks(cluster, List.of(cluster.follower()));
   }
--- a/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
@@ -194,10 +194,24 @@
   SimulatedHost replace(SimulatedHost host) {
     host.crash();
     hosts.remove(host);
-    SimulatedHost successor =
+    return addMachine();
+  }
+
+  /** Returns one more machine, which is empty and off. */
+  SimulatedHost addMachine() {
+    SimulatedHost added =
         new SimulatedHost(hostId(machines++), HardState.joining(newIncarnation()), random.split());
-    hosts.add(successor);
-    return successor;
+    hosts.add(added);
+    return added;
+  }
+
+  /** Cuts two hosts off from each other, until {@link #joinAll}. */
+  void cut(SimulatedHost one, SimulatedHost other) {
+    partitions.add(Set.of(one.id, other.id));
+  }
+
+  void joinAll() {
+    partitions.clear();
   }
 
   /** Freezes the process. */
