--- a/core/src/main/java/org/cuminwell/core/consensus/ConsensusTimeouts.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/ConsensusTimeouts.java
@@ -6,8 +6,8 @@
  * Defines the intervals and timeouts of the consensus protocol.
  *
  * <p>A leader stops acting {@link #LEADER_LEASE} after the last message that a quorum acknowledged.
- * A host grants no vote until {@link #VOTE_HOLD_OFF} after it received a leader's message. Since
- * that is longer, the old leader has stopped before a new one acts.
+ * A host grants no vote until {@link #VOTE_HOLD_OFF} after it received a leader's message or
+ * granted another vote. Since that is longer, the old leader has stopped before a new one acts.
  */
 public final class ConsensusTimeouts {
 
--- a/core/src/main/java/org/cuminwell/core/consensus/FollowerProgress.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/FollowerProgress.java
@@ -7,8 +7,8 @@
 /**
  * Tracks a leader's view of one follower. Not thread safe: one thread owns it.
  *
- * <p>Invariants: everything but {@code joining} is about the disk of one incarnation; {@code
- * matchIndex} never decreases for it.
+ * <p>Invariant: {@code matchIndex} is about the disk of one incarnation, for which it never
+ * decreases.
  */
 final class FollowerProgress {
 
--- a/core/src/main/java/org/cuminwell/core/consensus/Founding.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Founding.java
@@ -5,9 +5,10 @@
 
 /**
  * Marks a host that takes part in founding a new cluster: its disk was empty, its operator asked
- * for it, and it has heard no leader since. The first leader needs the votes of all founding hosts,
- * and a host of an existing cluster refuses to vote for a founding one. So a host that has lost its
- * disk can't found a second cluster, even if its settings still say so. Immutable and thread safe.
+ * for it, and its log does not tell yet who votes. The first leader needs the votes of all founding
+ * hosts, and a host of an existing cluster refuses to vote for a founding one. So a host that has
+ * lost its disk can't found a second cluster, even if its settings still say so. Immutable and
+ * thread safe.
  *
  * @param voters the hosts that found the cluster, as the settings of the first start name them
  */
--- a/core/src/main/java/org/cuminwell/core/consensus/HardState.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/HardState.java
@@ -11,7 +11,7 @@
  * @param term the latest term that the host has seen
  * @param votedFor the host that it voted for in that term
  * @param incarnation the random number drawn for this disk; never 0
- * @param founding the founding that the host takes part in, if it has heard no leader yet
+ * @param founding the founding that the host takes part in, until its log tells who votes
  */
 public record HardState(
     long term, Optional<HostId> votedFor, long incarnation, Optional<Founding> founding) {
--- a/core/src/main/java/org/cuminwell/core/consensus/Replica.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Replica.java
@@ -389,6 +389,7 @@
             "leader " + from + " replaces committed entry " + newEntries.getFirst().index());
       }
       store.append(newEntries);
+      stopFoundingIfFounded();
     }
     long matchIndex = request.previousIndex() + request.entries().size();
     commits.advanceCommitIndex(Math.min(request.commitIndex(), matchIndex));
@@ -400,6 +401,7 @@
       return;
     }
     commits.install(request.snapshot());
+    stopFoundingIfFounded();
     reply(from, true, request.snapshot().index(), request.sentAt());
   }
 
@@ -413,10 +415,14 @@
     role = new Role.Follower(Optional.of(from));
     lastLeaderSignalAt = now;
     electionDueAt = now.plus(electionTimeout());
-    if (hardState().founding().isPresent()) {
+    return true;
+  }
+
+  /** Stops founding once the log tells who votes. Until then this host may have to found again. */
+  private void stopFoundingIfFounded() {
+    if (hardState().founding().isPresent() && !log.membership().voters().isEmpty()) {
       store.replaceHardState(hardState().founded());
     }
-    return true;
   }
 
   private void reply(HostId to, boolean matched, long index, Instant sentAt) {
