--- a/core/src/main/java/org/cuminwell/core/consensus/Founding.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Founding.java
@@ -1,6 +1,7 @@
 package org.cuminwell.core.consensus;
 
 import java.util.Set;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 
 /**
@@ -11,11 +12,14 @@
  * thread safe.
  *
  * @param voters the hosts that found the cluster, as the settings of the first start name them
+ * @param addresses the peer addresses of control hosts in those settings; later ones may name
+ *     others
  */
-public record Founding(Set<HostId> voters) {
+public record Founding(Set<HostId> voters, Set<HostAddress> addresses) {
 
-  /** Copies the set. */
+  /** Copies the sets. */
   public Founding {
     voters = Set.copyOf(voters);
+    addresses = Set.copyOf(addresses);
   }
 }
--- a/core/src/main/java/org/cuminwell/core/consensus/HardState.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/HardState.java
@@ -1,7 +1,6 @@
 package org.cuminwell.core.consensus;
 
 import java.util.Optional;
-import java.util.Set;
 import org.cuminwell.core.model.HostId;
 
 /**
@@ -27,9 +26,9 @@
     }
   }
 
-  /** Returns the state of a host that founds a new cluster with {@code voters}. */
-  public static HardState founding(Set<HostId> voters, long incarnation) {
-    return new HardState(0, Optional.empty(), incarnation, Optional.of(new Founding(voters)));
+  /** Returns the state of a host that founds a new cluster. */
+  public static HardState founding(Founding founding, long incarnation) {
+    return new HardState(0, Optional.empty(), incarnation, Optional.of(founding));
   }
 
   /** Returns the state of a host that joins a cluster with an empty disk. */
--- a/core/src/test/java/org/cuminwell/core/consensus/FoundingEndsWithTheFirstEntryTest.java
+++ b/core/src/test/java/org/cuminwell/core/consensus/FoundingEndsWithTheFirstEntryTest.java
@@ -50,7 +50,7 @@
         new Replica<>(
             SELF,
             member(SELF).address(),
-            DurableState.empty(HardState.founding(Set.of(LEADER, SELF), 7)),
+            DurableState.empty(HardState.founding(new Founding(Set.of(LEADER, SELF), Set.of()), 7)),
             command -> 1,
             new SplittableRandom(1),
             START);
--- a/core/src/test/java/org/cuminwell/core/control/LargeConfigurationsFillTheLogTest.java
+++ b/core/src/test/java/org/cuminwell/core/control/LargeConfigurationsFillTheLogTest.java
@@ -12,6 +12,7 @@
 import org.cuminwell.core.config.LargeConfigurations;
 import org.cuminwell.core.consensus.DurableState;
 import org.cuminwell.core.consensus.EntryContent;
+import org.cuminwell.core.consensus.Founding;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.LogEntry;
 import org.cuminwell.core.consensus.LogLimits;
@@ -72,7 +73,7 @@
   }
 
   private static DurableState<Command, StateSnapshot> founding(Set<HostId> founders) {
-    return DurableState.empty(HardState.founding(founders, 7));
+    return DurableState.empty(HardState.founding(new Founding(founders, Set.of()), 7));
   }
 
   /** Starts a host from the disk and elects it if it can be. */
--- a/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
@@ -18,6 +18,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.cuminwell.core.config.ConfigurationChange;
+import org.cuminwell.core.consensus.Founding;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.Member;
 import org.cuminwell.core.consensus.Membership;
@@ -103,7 +104,7 @@
       HostId id = hostId(machines);
       HardState fresh =
           founders.contains(id)
-              ? HardState.founding(founders, newIncarnation())
+              ? HardState.founding(new Founding(founders, Set.of()), newIncarnation())
               : HardState.joining(newIncarnation());
       hosts.add(new SimulatedHost(id, fresh, random.split()));
     }
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -17,6 +17,7 @@
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.cuminwell.core.consensus.Founding;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.LogLimits;
 import org.cuminwell.core.control.AgreementStatus;
@@ -80,10 +81,13 @@
   private ControlProcess(ControlSettings settings) {
     startSteps.recordStepEnd("command_line");
     peerAddress = settings.peerAddress();
-    journal =
-        Journal.open(
-            settings.agreement().dataFolder(), () -> initialHardState(settings.agreement()));
+    journal = Journal.open(settings.agreement().dataFolder(), () -> initialHardState(settings));
     Set<HostAddress> controlAddresses = new HashSet<>(settings.controlAddresses());
+    journal
+        .recovered()
+        .hardState()
+        .founding()
+        .ifPresent(founding -> controlAddresses.addAll(founding.addresses()));
     controlAddresses.add(settings.peerAddress());
     control =
         new Control(
@@ -234,11 +238,13 @@
   }
 
   /** Returns the state of an empty journal: a founder's when bootstrapping. */
-  private static HardState initialHardState(AgreementSettings settings) {
+  private static HardState initialHardState(ControlSettings settings) {
     long incarnation =
         new SplittableRandom(new SecureRandom().nextLong()).nextLong(1, Long.MAX_VALUE);
-    return settings.bootstrap()
-        ? HardState.founding(settings.founders(), incarnation)
+    return settings.agreement().bootstrap()
+        ? HardState.founding(
+            new Founding(settings.agreement().founders(), Set.copyOf(settings.controlAddresses())),
+            incarnation)
         : HardState.joining(incarnation);
   }
 
--- a/shell/src/test/java/org/cuminwell/shell/journal/FoundingIsKeptTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/journal/FoundingIsKeptTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.Collectors;
 import org.cuminwell.core.consensus.Founding;
 import org.cuminwell.core.consensus.HardState;
+import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.wire.generated.JournalRecord;
 import org.junit.jupiter.api.io.TempDir;
@@ -42,6 +43,8 @@
     assertThat(after).isEqualTo(before);
     assertThat(after.founding().map(Founding::voters))
         .isEqualTo(Optional.ofNullable(founders).map(FoundingIsKeptTest::hosts));
+    assertThat(after.founding().map(Founding::addresses))
+        .isEqualTo(Optional.ofNullable(founders).map(FoundingIsKeptTest::addresses));
   }
 
   @ParameterizedTest(name = "term {0}")
@@ -65,10 +68,16 @@
 
   private static HardState fresh(String hosts, boolean bootstrap, long incarnation) {
     return bootstrap
-        ? HardState.founding(hosts(hosts), incarnation)
+        ? HardState.founding(new Founding(hosts(hosts), addresses(hosts)), incarnation)
         : HardState.joining(incarnation);
   }
 
+  private static Set<HostAddress> addresses(String names) {
+    return hosts(names).stream()
+        .map(host -> new HostAddress(host.value(), 7600))
+        .collect(Collectors.toSet());
+  }
+
   private static Set<HostId> hosts(String names) {
     return Arrays.stream(names.split(" ", -1)).map(HostId::new).collect(Collectors.toSet());
   }
--- a/shell/src/test/java/org/cuminwell/shell/journal/JournalTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/journal/JournalTest.java
@@ -18,6 +18,7 @@
 import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.consensus.DurableState;
 import org.cuminwell.core.consensus.EntryContent;
+import org.cuminwell.core.consensus.Founding;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.LogEntry;
 import org.cuminwell.core.consensus.LogLimits;
@@ -232,7 +233,7 @@
   }
 
   private static HardState founding() {
-    return HardState.founding(Set.of(LOCAL_HOST), 7);
+    return HardState.founding(new Founding(Set.of(LOCAL_HOST), Set.of()), 7);
   }
 
   private static ReplicatedStateMachine newStateMachine(Journal journal, int compactEntries) {
--- a/wire/src/main/java/org/cuminwell/wire/LogCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/LogCodec.java
@@ -87,7 +87,15 @@
             .setVotedFor(from.votedFor().map(HostId::value).orElse(""))
             .setIncarnation(from.incarnation());
     from.founding()
-        .ifPresent(founding -> to.getFoundingBuilder().addAllVoter(names(founding.voters())));
+        .ifPresent(
+            founding ->
+                to.getFoundingBuilder()
+                    .addAllVoter(names(founding.voters()))
+                    .addAllAddress(
+                        founding.addresses().stream()
+                            .sorted()
+                            .map(HostAddress::toString)
+                            .toList()));
     return to.build();
   }
 
@@ -97,7 +105,12 @@
         Optional.of(from.getVotedFor()).filter(id -> !id.isEmpty()).map(HostId::new),
         from.getIncarnation(),
         from.hasFounding()
-            ? Optional.of(new Founding(hosts(from.getFounding().getVoterList())))
+            ? Optional.of(
+                new Founding(
+                    hosts(from.getFounding().getVoterList()),
+                    from.getFounding().getAddressList().stream()
+                        .map(HostAddress::parse)
+                        .collect(Collectors.toUnmodifiableSet())))
             : Optional.empty());
   }
 
--- a/wire/src/test/java/org/cuminwell/wire/CoreFleet.java
+++ b/wire/src/test/java/org/cuminwell/wire/CoreFleet.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.cuminwell.core.consensus.DurableState;
+import org.cuminwell.core.consensus.Founding;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.LogLimits;
 import org.cuminwell.core.control.Control;
@@ -151,7 +152,7 @@
         new ReplicatedStateMachine(
             id,
             new HostAddress(id.value(), 7600),
-            DurableState.empty(HardState.founding(Set.copyOf(voters), 1)),
+            DurableState.empty(HardState.founding(new Founding(Set.copyOf(voters), Set.of()), 1)),
             new SplittableRandom(id.hashCode()),
             LogLimits.forHeap(Runtime.getRuntime().maxMemory()),
             now);
