Bound an order's age, and let only the latest of two orders stand

Cause: the system took an order that it read now for one that was sent now. An order to take the data centre back, left in the socket of a frozen control host, went its whole way after the host woke up, although its sender had given it up and had evacuated the data centre again since. The timeout of a second counted from when the host took the order up, and orders had no order among them.

Until a host takes an order up, time bounds it: the platform's front is served by the exchange server, whose listener knows since when a connection may have waited; an order older than 500 ms by that bound is answered "not run". From then on the log does: a command carries the number of orders on its subject that its host knew of, and is refused if that number has moved on and the state is not as it asks. Each acknowledged order counts, also one that changes nothing. Each order leaves a log line.

StoppingControlTest only follows the new type of the front's handler; what it checks is as before.

--- a/app/src/main/java/org/cuminwell/app/PlatformFlags.java
+++ b/app/src/main/java/org/cuminwell/app/PlatformFlags.java
@@ -66,9 +66,7 @@
     for (HostAddress address : Settings.addresses("--platform", platform)) {
       fronts.add(
           new AdditionalFrontEnd(
-              address,
-              (http, requests) ->
-                  new ControlFront(http, requests, regions, tolerance, exposure, life)::handle));
+              address, requests -> new ControlFront(requests, regions, tolerance, exposure, life)));
     }
     return fronts;
   }
--- a/core/src/main/java/org/cuminwell/core/control/Command.java
+++ b/core/src/main/java/org/cuminwell/core/control/Command.java
@@ -1,12 +1,12 @@
 package org.cuminwell.core.control;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.config.ConfigurationSize;
 import org.cuminwell.core.idempotency.CallOutcome;
 import org.cuminwell.core.idempotency.ClaimChange;
-import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.rollout.RolloutAdvance;
 import org.cuminwell.core.rollout.RolloutOrder;
 import org.cuminwell.core.ticket.Ticket;
@@ -18,12 +18,9 @@
  */
 public sealed interface Command {
 
-  /** The timeout for the outcome of a submitted command. */
+  /** The timeout for the outcome of a submitted command that is not an operator's order. */
   Duration OUTCOME_TIMEOUT = Duration.ofSeconds(6);
 
-  /** The timeout for the outcome of a command that a later command may undo. */
-  Duration SHORT_OUTCOME_TIMEOUT = Duration.ofSeconds(1);
-
   /** The estimated memory of a command without parts of unbounded size, in bytes. */
   long SMALL_COMMAND_BYTES = 1_024;
 
@@ -47,31 +44,17 @@
       implements Command {}
 
   /**
-   * Starts or ends the evacuation of a data centre, whose endpoints get no requests meanwhile.
+   * Carries out an operator's order, unless another order on its subject has come in between.
    *
-   * @param evacuated whether the evacuation starts; otherwise it ends
+   * @param basis the number of orders on the subject that were carried out as far as the host knew
+   *     that took the order up; empty in journals of builds that did not count them, which carry
+   *     out the order in any case
    */
-  record Evacuate(DataCentreId dataCentre, boolean evacuated) implements Command {}
+  record CarryOut(OperatorOrder order, OptionalLong basis) implements Command {}
 
   /** Starts the rollout of another version of a service. */
   record BeginRollout(RolloutOrder order) implements Command {}
 
-  /**
-   * Returns the timeout for the command's outcome. A command that a later command can undo must not
-   * outlive its sender's timeout, since the sender may already have submitted the later command.
-   */
-  default Duration outcomeTimeout() {
-    return switch (this) {
-      case AcceptTicket _,
-          ChangeClaim _,
-          AdvanceRollout _,
-          ReplaceConfiguration _,
-          BeginRollout _ ->
-          OUTCOME_TIMEOUT;
-      case Evacuate _ -> SHORT_OUTCOME_TIMEOUT;
-    };
-  }
-
   /** Returns the estimated memory of the command, in bytes. */
   default long bytes() {
     return switch (this) {
@@ -79,7 +62,7 @@
       case ReplaceConfiguration c ->
           c.document().text().length() + ConfigurationSize.bytesOf(c.content());
       case ChangeClaim _ -> MAX_CLAIM_BYTES;
-      case AdvanceRollout _, BeginRollout _, Evacuate _ -> SMALL_COMMAND_BYTES;
+      case AdvanceRollout _, BeginRollout _, CarryOut _ -> SMALL_COMMAND_BYTES;
     };
   }
 
@@ -90,7 +73,7 @@
   default boolean isIdempotent() {
     return switch (this) {
       case AcceptTicket _, ReplaceConfiguration _, BeginRollout _ -> true;
-      case ChangeClaim _, AdvanceRollout _, Evacuate _ -> false;
+      case ChangeClaim _, AdvanceRollout _, CarryOut _ -> false;
     };
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/CommandResult.java
+++ b/core/src/main/java/org/cuminwell/core/control/CommandResult.java
@@ -21,8 +21,13 @@
    */
   record ConfigurationReplaced(long version) implements CommandResult {}
 
-  /** Holds the result of {@link Command.Evacuate}. */
-  record Evacuated() implements CommandResult {}
+  /** Reports that the state is as the order of a {@link Command.CarryOut} asks. */
+  record OrderCarriedOut() implements CommandResult {}
+
+  /**
+   * Reports that another order came before that of a {@link Command.CarryOut}, which had no effect.
+   */
+  record OrderOvertaken() implements CommandResult {}
 
   /** Holds the result of {@link Command.BeginRollout}. */
   record RolloutBegun() implements CommandResult {}
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -36,6 +36,7 @@
   private final InternalSubmissions submissions;
   private final ClaimHandler claimHandler;
   private final RolloutHandler rolloutHandler;
+  private final OrderHandler orderHandler;
   private final EndpointHandler endpointHandler;
   private final CrashHandler crashHandler;
   private final LinearizableReads reads = new LinearizableReads();
@@ -63,6 +64,7 @@
     this.submissions = new InternalSubmissions(self, replicatedStateMachine);
     this.claimHandler = new ClaimHandler(submissions);
     this.rolloutHandler = new RolloutHandler(submissions, state);
+    this.orderHandler = new OrderHandler(replicatedStateMachine);
     this.endpointHandler = new EndpointHandler(this::connectedGateways);
     this.crashHandler = new CrashHandler(self, endpointHandler.table(), this::connectedGateways);
   }
@@ -80,10 +82,8 @@
         Command command = new Command.ReplaceConfiguration(e.document(), e.content());
         perform(replicatedStateMachine.submit(e.id(), command, now), now, actions);
       }
-      case ControlEvent.EvacuationSubmitted e -> {
-        Command command = new Command.Evacuate(e.dataCentre(), e.evacuated());
-        perform(replicatedStateMachine.submit(e.id(), command, now), now, actions);
-      }
+      case ControlEvent.OrderSubmitted e ->
+          perform(orderHandler.submit(e.id(), e.order(), e.age(), now), now, actions);
       case ControlEvent.RolloutSubmitted e ->
           perform(
               replicatedStateMachine.submit(e.id(), new Command.BeginRollout(e.order()), now),
@@ -194,8 +194,8 @@
               actions.add(new AnswerTicket(id, applied.answer()));
           case CommandResult.ConfigurationReplaced applied ->
               actions.add(new ControlAction.AnswerReplaced(id, applied.version()));
-          case CommandResult.Evacuated applied ->
-              actions.add(new ControlAction.AnswerEvacuated(id));
+          case CommandResult.OrderCarriedOut applied -> orderHandler.onCarriedOut(id, now, actions);
+          case CommandResult.OrderOvertaken applied -> orderHandler.onOvertaken(id, now, actions);
           case CommandResult.RolloutBegun applied ->
               actions.add(new ControlAction.AnswerRolloutBegun(id));
           case CommandResult.ClaimAnswered applied ->
@@ -209,6 +209,7 @@
       case CommandOutcome.Failed failed -> {
         if (!claimHandler.removeFailed(id) && !rolloutHandler.removeAnswered(id)) {
           actions.add(new ControlAction.AnswerFailure(id, failed.failure()));
+          orderHandler.onFailed(id, failed.failure(), now, actions);
         }
       }
     }
--- a/core/src/main/java/org/cuminwell/core/control/ControlAction.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlAction.java
@@ -28,8 +28,8 @@
   /** Reports to the operator which version of the configuration is in force now. */
   record AnswerReplaced(RequestId id, long version) implements Answer {}
 
-  /** Reports to the operator that the evacuation has begun or ended. */
-  record AnswerEvacuated(RequestId id) implements Answer {}
+  /** Reports to the operator that the order is carried out. */
+  record AnswerCarriedOut(RequestId id) implements Answer {}
 
   /** Reports to the operator that the rollout order is accepted. */
   record AnswerRolloutBegun(RequestId id) implements Answer {}
@@ -65,6 +65,9 @@
   /** Sends a message to another process of the system. */
   record SendToPeer(HostId peer, PeerMessage message) implements ControlAction {}
 
+  /** Logs what became of an operator's order. */
+  record LogOrder(OrderDecision decision) implements ControlAction {}
+
   /** Publishes a new view of the state to operators. */
   record PublishView(ControlView view) implements ControlAction {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
@@ -4,7 +4,6 @@
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.membership.Announcement;
-import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
@@ -22,14 +21,8 @@
   record ConfigurationSubmitted(RequestId id, ConfigurationDocument document, Configuration content)
       implements ControlEvent {}
 
-  /**
-   * Reports that an operator starts or ends the evacuation of a data centre, whose endpoints get no
-   * requests meanwhile.
-   *
-   * @param evacuated whether the evacuation starts; otherwise it ends
-   */
-  record EvacuationSubmitted(RequestId id, DataCentreId dataCentre, boolean evacuated)
-      implements ControlEvent {}
+  /** Reports that an operator has submitted an order. */
+  record OrderSubmitted(RequestId id, OperatorOrder order, OrderAge age) implements ControlEvent {}
 
   /** Reports that an operator starts the rollout of another version of a service. */
   record RolloutSubmitted(RequestId id, RolloutOrder order) implements ControlEvent {}
--- /dev/null
+++ b/core/src/main/java/org/cuminwell/core/control/OrderAge.java
@@ -0,0 +1,31 @@
+package org.cuminwell.core.control;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Bounds the age of an operator's order, whose sender's clock is unknown.
+ *
+ * <p>A sender that has given an order up may have sent the opposite one, so an order that may be
+ * that old must not be proposed. Immutable and thread safe.
+ *
+ * @param sentAfter a time before which the order was certainly not sent
+ */
+public record OrderAge(Instant sentAfter) {
+
+  /** How long a sender waits for the answer to an order before it turns to another host. */
+  public static final Duration SENDER_TIMEOUT = Duration.ofSeconds(1);
+
+  /** The part of {@link #SENDER_TIMEOUT} that is left to the log for the commit. */
+  static final Duration COMMIT_TIME = Duration.ofMillis(500);
+
+  /** Returns the time from which the order must not be proposed or forwarded any more. */
+  Instant proposalDeadline() {
+    return sentAfter.plus(SENDER_TIMEOUT).minus(COMMIT_TIME);
+  }
+
+  /** Returns the time from which the sender may no longer wait for the answer. */
+  Instant outcomeDeadline() {
+    return sentAfter.plus(SENDER_TIMEOUT);
+  }
+}
--- a/core/src/main/java/org/cuminwell/core/control/PendingCommand.java
+++ b/core/src/main/java/org/cuminwell/core/control/PendingCommand.java
@@ -25,14 +25,27 @@
 
   private final Command command;
   private final long bytes;
-  private final Instant deadline;
+  private final Instant proposalDeadline;
+  private final Instant outcomeDeadline;
   private boolean wasForwarded;
   private Stage stage = new Stage.Waiting();
 
-  PendingCommand(Command command, Instant deadline) {
+  private PendingCommand(Command command, Instant proposalDeadline, Instant outcomeDeadline) {
     this.command = command;
     this.bytes = command.bytes();
-    this.deadline = deadline;
+    this.proposalDeadline = proposalDeadline;
+    this.outcomeDeadline = outcomeDeadline;
+  }
+
+  /** Tracks a command that takes no harm from being late. */
+  static PendingCommand of(Command command, Instant now) {
+    Instant deadline = now.plus(Command.OUTCOME_TIMEOUT);
+    return new PendingCommand(command, deadline, deadline);
+  }
+
+  /** Tracks an order, which must not be proposed once its sender may have given it up. */
+  static PendingCommand ofOrder(Command.CarryOut command, OrderAge age) {
+    return new PendingCommand(command, age.proposalDeadline(), age.outcomeDeadline());
   }
 
   Command command() {
@@ -49,11 +62,14 @@
   }
 
   boolean isExpired(Instant now) {
-    return !now.isBefore(deadline);
+    return !now.isBefore(stage instanceof Stage.Waiting ? proposalDeadline : outcomeDeadline);
   }
 
   /** Returns whether the command should be sent to the leader of the given term. */
-  boolean isReadyFor(long term) {
+  boolean isReadyFor(long term, Instant now) {
+    if (!now.isBefore(proposalDeadline)) {
+      return false;
+    }
     return switch (stage) {
       case Stage.Waiting s -> true;
       case Stage.Forwarded s -> s.term() < term && command.isIdempotent();
@@ -92,7 +108,9 @@
   CommandOutcome timeoutOutcome() {
     return switch (stage) {
       case Stage.Waiting s ->
-          wasForwarded ? unknownOutcome() : notRunOutcome("no quorum of control hosts answers");
+          wasForwarded
+              ? unknownOutcome()
+              : notRunOutcome("the command could not be proposed in time");
       case Stage.Forwarded s -> unknownOutcome();
       case Stage.Appended s -> unknownOutcome();
     };
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
@@ -1,7 +1,9 @@
 package org.cuminwell.core.control;
 
 import java.time.Instant;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import org.cuminwell.core.config.Configuration;
@@ -30,6 +32,7 @@
   private ClaimRegistry claims = new ClaimRegistry();
   private RolloutRegistry routeRollouts = new RolloutRegistry();
   private ConfigurationDocument document = ConfigurationDocument.NONE;
+  private OrderCounts orderCounts = new OrderCounts(Map.of());
 
   /**
    * Applies the next command of the log.
@@ -45,7 +48,7 @@
           new CommandResult.RolloutAdvanced(advanceRollout(c.advance(), at));
       case Command.BeginRollout c -> beginRollout(c.order(), at);
       case Command.ReplaceConfiguration c -> replaceConfiguration(c);
-      case Command.Evacuate c -> evacuate(c);
+      case Command.CarryOut c -> carryOut(c);
     };
   }
 
@@ -56,7 +59,8 @@
         ledger.acceptedTickets(),
         claims.snapshot(),
         routeRollouts.latestSteps(),
-        document);
+        document,
+        orderCounts.snapshot());
   }
 
   /** Replaces the whole state with a later one. */
@@ -65,6 +69,7 @@
     claims = new ClaimRegistry(snapshot.claims());
     routeRollouts = new RolloutRegistry(snapshot.rollouts());
     document = snapshot.document();
+    orderCounts = new OrderCounts(snapshot.orderCounts());
   }
 
   /** Returns the tickets accepted so far. */
@@ -99,18 +104,57 @@
     return new CommandResult.ConfigurationReplaced(document.version());
   }
 
-  /** Starts or ends the evacuation of a data centre; no new revision if nothing changes. */
-  private CommandResult evacuate(Command.Evacuate command) {
+  /** Returns the number of orders that were carried out on the subject. */
+  long orderCount(OrderSubject subject) {
+    return orderCounts.count(subject);
+  }
+
+  /** Returns whether the state is as the order asks. */
+  boolean isInForce(OperatorOrder order) {
+    return switch (order) {
+      case OperatorOrder.Evacuate o ->
+          configuration().forwarding().evacuated().contains(o.dataCentre()) == o.evacuated();
+    };
+  }
+
+  /**
+   * Carries out the order unless another one has come in between. An order that finds its state in
+   * force counts too, so that older orders that ask for another state are refused from then on.
+   */
+  private CommandResult carryOut(Command.CarryOut command) {
+    OperatorOrder order = command.order();
+    if (!isInForce(order)) {
+      if (isOvertaken(command)) {
+        return new CommandResult.OrderOvertaken();
+      }
+      putInForce(order);
+    }
+    if (command.basis().isPresent()) {
+      orderCounts.increment(order.subject());
+    }
+    return new CommandResult.OrderCarriedOut();
+  }
+
+  private boolean isOvertaken(Command.CarryOut command) {
+    OptionalLong basis = command.basis();
+    return basis.isPresent() && basis.getAsLong() != orderCounts.count(command.order().subject());
+  }
+
+  private void putInForce(OperatorOrder order) {
+    switch (order) {
+      case OperatorOrder.Evacuate o -> changeEvacuation(o.dataCentre(), o.evacuated());
+    }
+  }
+
+  private void changeEvacuation(DataCentreId dataCentre, boolean begins) {
     Forwarding forwarding = configuration().forwarding();
     Set<DataCentreId> evacuated = new TreeSet<>(forwarding.evacuated());
-    boolean changes =
-        command.evacuated()
-            ? evacuated.add(command.dataCentre())
-            : evacuated.remove(command.dataCentre());
-    if (changes) {
-      replaceForwarding(forwarding.withEvacuated(evacuated));
+    if (begins) {
+      evacuated.add(dataCentre);
+    } else {
+      evacuated.remove(dataCentre);
     }
-    return new CommandResult.Evacuated();
+    replaceForwarding(forwarding.withEvacuated(evacuated));
   }
 
   /** Returns whether the order's target version is that of the service's last rollout. */
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
@@ -74,13 +74,28 @@
     if (existingResult.isPresent()) {
       answer(id, new CommandOutcome.Committed(existingResult.get()));
     } else {
-      addPending(id, new PendingCommand(command, now.plus(command.outcomeTimeout())), now);
+      addPending(id, PendingCommand.of(command, now), now);
     }
     return drain();
   }
 
+  /**
+   * Submits an order of an operator, as {@link #submit} does. The order is not run if its sender
+   * may have given it up by now, or may before the order can be committed; it takes no effect if
+   * another order on its subject is carried out before it.
+   */
+  public List<StateMachineAction> submitOrder(
+      RequestId id, OperatorOrder order, OrderAge age, Instant now) {
+    // Always decided by the log: this host's state may be older than the order.
+    OptionalLong basis = OptionalLong.of(state.orderCount(order.subject()));
+    addPending(id, PendingCommand.ofOrder(new Command.CarryOut(order, basis), age), now);
+    return drain();
+  }
+
   private void addPending(RequestId id, PendingCommand command, Instant now) {
-    if (hasRoomFor(command)) {
+    if (command.isExpired(now)) {
+      answer(id, command.timeoutOutcome());
+    } else if (hasRoomFor(command)) {
       pending.put(id, command);
       submitWaiting(now);
     } else {
@@ -214,10 +229,20 @@
           state.isRolloutBegun(c.order())
               ? Optional.of(new CommandResult.RolloutBegun())
               : Optional.empty();
-      case Command.ChangeClaim _, Command.AdvanceRollout _, Command.Evacuate _ -> Optional.empty();
+      case Command.CarryOut c ->
+          state.isInForce(c.order()) && isCountedSince(c)
+              ? Optional.of(new CommandResult.OrderCarriedOut())
+              : Optional.empty();
+      case Command.ChangeClaim _, Command.AdvanceRollout _ -> Optional.empty();
     };
   }
 
+  /** Returns whether an order on the subject was carried out after this one was taken up. */
+  private boolean isCountedSince(Command.CarryOut command) {
+    return command.basis().isPresent()
+        && state.orderCount(command.order().subject()) > command.basis().getAsLong();
+  }
+
   /**
    * Advances the time as of which the state is current, and answers followers' read index requests.
    */
@@ -235,7 +260,7 @@
     }
     for (Map.Entry<RequestId, PendingCommand> entry : List.copyOf(pending.entrySet())) {
       PendingCommand command = entry.getValue();
-      if (command.isReadyFor(replica.term())) {
+      if (command.isReadyFor(replica.term(), now)) {
         submitToLeader(leader.get(), entry.getKey(), command, now);
       }
     }
--- a/core/src/main/java/org/cuminwell/core/control/StateSnapshot.java
+++ b/core/src/main/java/org/cuminwell/core/control/StateSnapshot.java
@@ -1,6 +1,7 @@
 package org.cuminwell.core.control;
 
 import java.util.List;
+import java.util.Map;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.idempotency.ClaimRegistry;
@@ -12,6 +13,7 @@
  *
  * @param tickets every accepted ticket, ordered by number
  * @param document the submitted configuration with the highest version
+ * @param orderCounts the number of orders that were carried out on each subject
  * @param rollouts the last step of the last rollout of each route
  */
 public record StateSnapshot(
@@ -19,11 +21,13 @@
     List<Accepted> tickets,
     ClaimRegistry.Snapshot claims,
     List<RolloutProgress> rollouts,
-    ConfigurationDocument document) {
+    ConfigurationDocument document,
+    Map<OrderSubject, Long> orderCounts) {
 
-  /** Copies the lists. */
+  /** Copies the lists and the map. */
   public StateSnapshot {
     tickets = List.copyOf(tickets);
     rollouts = List.copyOf(rollouts);
+    orderCounts = Map.copyOf(orderCounts);
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/cuminwell/core/control/AbandonedOrdersTakeNoEffectTest.java
@@ -0,0 +1,66 @@
+package org.cuminwell.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.cuminwell.core.control.SimulatedOperator.BrokenRule;
+import org.cuminwell.core.model.DataCentreId;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against an order that its sender has given up undoing a later one that was acknowledged,
+ * as when it waited in the socket of a frozen host. Also checks that orders are acknowledged once
+ * nothing fails, and that the checker detects a violated rule.
+ */
+final class AbandonedOrdersTakeNoEffectTest {
+
+  private static final int MIN_ACKNOWLEDGED = 10;
+
+  @ParameterizedTest(name = "{0} hosts, seeds {1} to {2}")
+  @CsvSource({"1, 0, 100", "3, 1000, 2500", "5, 3000, 3300", "6, 4000, 4300"})
+  void noAbandonedOrderUndoesALaterOne(int size, long first, long end) {
+    Map<Long, List<String>> faults = new TreeMap<>();
+    int acknowledged = 0;
+    for (long seed = first; seed < end; seed++) {
+      OrderHistory history = run(size, seed, BrokenRule.NOTHING);
+      acknowledged += history.acknowledged();
+      if (!history.faults().isEmpty()) {
+        faults.put(seed, history.faults().subList(0, Math.min(3, history.faults().size())));
+      }
+    }
+    assertThat(faults).isEmpty();
+    assertThat(acknowledged).isGreaterThan((int) (end - first) * MIN_ACKNOWLEDGED);
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({"AGE_FROM_READING", "NO_BASIS", "CALLER_NOT_LOOKED_FOR"})
+  void detectsABrokenRule(BrokenRule broken) {
+    long seed = 1000;
+    while (seed < 2500 && run(3, seed, broken).faults().isEmpty()) {
+      seed++;
+    }
+    assertThat(seed).as("a seed with a fault").isLessThan(2500);
+  }
+
+  /** Runs two operators of one data centre and one of another, beside faults of every kind. */
+  private static OrderHistory run(int size, long seed, BrokenRule broken) {
+    SimulatedCluster cluster =
+        new SimulatedCluster(size, seed, SimulatedCluster.BrokenRule.NOTHING);
+    OrderHistory history = new OrderHistory();
+    SplittableRandom random = new SplittableRandom(seed * 31);
+    for (String dataCentre : List.of("dc1", "dc1", "dc2")) {
+      SplittableRandom own = random.split();
+      Supplier<OperatorOrder> orders =
+          () -> new OperatorOrder.Evacuate(new DataCentreId(dataCentre), own.nextInt(3) > 0);
+      cluster.addOperator(
+          history, new SimulatedOperator(cluster, history, random.split(), broken, orders));
+    }
+    cluster.run();
+    return history;
+  }
+}
--- a/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
@@ -10,13 +10,16 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.consensus.Founding;
 import org.cuminwell.core.consensus.HardState;
@@ -76,6 +79,10 @@
   private final List<SimulatedHost> hosts;
   private final Set<Set<HostId>> partitions = new HashSet<>();
   private final StateMachineHistory history = new StateMachineHistory();
+  private final List<SimulatedOperator> operators = new ArrayList<>();
+  private final Map<RequestId, Consumer<CommandOutcome>> orderOutcomes = new HashMap<>();
+  private final Set<DataCentreId> orderedDataCentres = new HashSet<>();
+  private Optional<OrderHistory> orderHistory = Optional.empty();
   private final Map<Membership, Instant> lastHeld = new HashMap<>();
   private Instant now = START;
   private long order;
@@ -114,6 +121,7 @@
   StateMachineHistory run() {
     hosts.forEach(this::start);
     schedule(millis(200), this::submitAndReschedule);
+    operators.forEach(SimulatedOperator::start);
     schedule(millis(300), this::injectFault);
     schedule(millis(300), this::stallRandomDisk);
     schedule(millis(500), this::injectLargeFault);
@@ -138,6 +146,51 @@
     return history;
   }
 
+  /** Adds an operator, whose orders {@link #run} lets it give. */
+  void addOperator(OrderHistory orders, SimulatedOperator operator) {
+    orderHistory = Optional.of(orders);
+    operators.add(operator);
+  }
+
+  /** Submits an order at the running host and returns the resulting actions. */
+  List<StateMachineAction> submitOrder(
+      ReplicatedStateMachine machine,
+      OperatorOrder order,
+      OrderAge age,
+      Consumer<CommandOutcome> onOutcome) {
+    return machine.submitOrder(newOrder(order, onOutcome), order, age, now);
+  }
+
+  /** Submits an order that takes effect whatever came before it. */
+  List<StateMachineAction> submitWithoutBasis(
+      ReplicatedStateMachine machine, OperatorOrder order, Consumer<CommandOutcome> onOutcome) {
+    Command command = new Command.CarryOut(order, OptionalLong.empty());
+    return machine.submit(newOrder(order, onOutcome), command, now);
+  }
+
+  private RequestId newOrder(OperatorOrder order, Consumer<CommandOutcome> onOutcome) {
+    RequestId id = new RequestId("r" + requests++);
+    orderOutcomes.put(id, onOutcome);
+    switch (order) {
+      case OperatorOrder.Evacuate o -> orderedDataCentres.add(o.dataCentre());
+    }
+    return id;
+  }
+
+  Instant now() {
+    return now;
+  }
+
+  /** Returns whether faults are still injected. */
+  boolean hasFaults() {
+    return faultsActive;
+  }
+
+  /** Returns whether no more faults are injected and no host is frozen. */
+  boolean isCalm() {
+    return !faultsActive && hosts.stream().noneMatch(host -> now.isBefore(host.frozenUntil));
+  }
+
   /** Starts all hosts and no faults, and lets them settle. */
   void startQuietly() {
     faultsActive = false;
@@ -297,7 +350,7 @@
   }
 
   /** Delivers an event to the host, or later if the host is frozen. */
-  private void deliver(
+  void deliver(
       SimulatedHost host,
       int startNumber,
       Function<ReplicatedStateMachine, List<StateMachineAction>> event) {
@@ -334,11 +387,30 @@
           schedule(millis(random.nextInt(1, 25)), () -> completeSync(host, startNumber, sequence));
         }
       }
-      case StateMachineAction.Answer a -> history.onAnswered(a.id(), a.outcome());
-      case StateMachineAction.StateChanged a -> {}
+      case StateMachineAction.Answer a -> onAnswer(a.id(), a.outcome());
+      case StateMachineAction.StateChanged a ->
+          orderHistory.ifPresent(
+              orders ->
+                  orders.onRevision(a.configuration(), ordersInForce(a.configuration()), now));
     }
   }
 
+  private void onAnswer(RequestId id, CommandOutcome outcome) {
+    Consumer<CommandOutcome> orderOutcome = orderOutcomes.remove(id);
+    if (orderOutcome == null) {
+      history.onAnswered(id, outcome);
+    } else {
+      orderOutcome.accept(outcome);
+    }
+  }
+
+  private List<OperatorOrder> ordersInForce(Configuration configuration) {
+    Set<DataCentreId> evacuated = configuration.forwarding().evacuated();
+    return orderedDataCentres.stream()
+        .<OperatorOrder>map(id -> new OperatorOrder.Evacuate(id, evacuated.contains(id)))
+        .toList();
+  }
+
   /** Syncs a write whose completion was already reported. */
   private void syncWithoutEvent(SimulatedHost host, int startNumber, long sequence) {
     if (host.startCount == startNumber && host.stateMachine != null) {
@@ -583,7 +655,7 @@
     return random.nextLong(1, Long.MAX_VALUE);
   }
 
-  private void schedule(Duration delay, Runnable run) {
+  void schedule(Duration delay, Runnable run) {
     steps.add(new Step(now.plus(delay), order++, run));
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -33,6 +33,9 @@
 import org.cuminwell.shell.duty.Ring;
 import org.cuminwell.shell.duty.StopTimeBudget;
 import org.cuminwell.shell.duty.TimerDuty;
+import org.cuminwell.shell.exchange.HttpEventLoops;
+import org.cuminwell.shell.exchange.HttpServer;
+import org.cuminwell.shell.exchange.ServerListener;
 import org.cuminwell.shell.http.HttpSystem;
 import org.cuminwell.shell.http.OpsPages;
 import org.cuminwell.shell.journal.Journal;
@@ -77,6 +80,8 @@
   private final TimerDuty tickTimer;
   private final TimerDuty certificateReloadTimer;
   private final List<ServerBinding> httpBindings = new CopyOnWriteArrayList<>();
+  private final HttpEventLoops loops = new HttpEventLoops();
+  private final List<ServerListener> frontEndListeners = new CopyOnWriteArrayList<>();
 
   private ControlProcess(ControlSettings settings) {
     startSteps.recordStepEnd("command_line");
@@ -129,8 +134,7 @@
     process.startSteps.recordStepEnd("duties");
     process.serve(settings.operatorAddress(), process.operatorFrontEnd::handle);
     for (AdditionalFrontEnd front : settings.frontEnds()) {
-      process.serve(
-          front.address(), front.handlerFactory().createHandler(process.http, process.requests));
+      process.serve(front);
     }
     process.peers.listen(settings.peerAddress());
     process.dialOthers(settings.controlAddresses());
@@ -151,6 +155,7 @@
         httpBindings.stream()
             .map(binding -> binding.terminate(clock.drainTime()).toCompletableFuture())
             .toArray(CompletableFuture[]::new);
+    drainFrontEnds(clock);
     CompletableFuture.allOf(terminations)
         .completeOnTimeout(
             null, clock.drainTimeLeft(time.instant()).toMillis(), TimeUnit.MILLISECONDS)
@@ -168,6 +173,18 @@
         () -> "stopped after " + clock.elapsed(time.instant()).toMillis() + " ms");
   }
 
+  /** Answers the pending requests of the additional front ends, and closes their connections. */
+  private void drainFrontEnds(StopTimeBudget clock) {
+    frontEndListeners.forEach(ServerListener::unbind);
+    try {
+      for (ServerListener listener : frontEndListeners) {
+        listener.drainConnections(clock.drainTimeLeft(time.instant()));
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Override
   public void close() {
     close(CLOSE_TIMEOUT);
@@ -180,6 +197,7 @@
     dispatchDuty.close();
     journalDuty.close();
     peers.close();
+    loops.close(timeout);
     http.close(timeout);
   }
 
@@ -188,6 +206,17 @@
     httpBindings.add(http.serve(address, handler));
   }
 
+  private void serve(AdditionalFrontEnd front) {
+    FrontEndHandler handler = front.handlerFactory().createHandler(requests);
+    frontEndListeners.add(
+        HttpServer.bindTimed(
+            loops,
+            front.address(),
+            time,
+            establishedAfter ->
+                new FrontEndConnection(loops.exchangeLoop(), handler, establishedAfter)));
+  }
+
   /** Handles one event on the decide thread and queues the resulting actions. */
   private void decide(ControlEvent event) {
     for (ControlAction action : control.handle(event, time.instant())) {
@@ -264,6 +293,7 @@
         }
       }
       case ControlAction.DialControlHosts a -> dialOthers(a.addresses());
+      case ControlAction.LogOrder a -> OrderLog.write(a.decision());
       case ControlAction.PublishView a -> {
         operatorFrontEnd.updateView(a.view());
         rolloutLog.logChanges(a.view().configuration());
--- a/shell/src/main/java/org/cuminwell/shell/exchange/HttpServer.java
+++ b/shell/src/main/java/org/cuminwell/shell/exchange/HttpServer.java
@@ -2,9 +2,11 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -12,6 +14,7 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import java.time.InstantSource;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.shell.duty.FailedProcess;
@@ -44,13 +47,49 @@
    */
   public static ServerListener bind(
       HttpEventLoops loops, HostAddress address, Supplier<ExchangeHandler> handlerFactory) {
-    InstantSource time = new MonotonicTime();
+    return bind(
+        loops,
+        address,
+        new MonotonicTime(),
+        NioServerSocketChannel::new,
+        _ -> handlerFactory.get());
+  }
+
+  /**
+   * Starts to serve at the address, with handlers that learn how old their connections may be.
+   *
+   * @param time the clock of the ages, which must include suspensions of the process
+   * @throws IllegalStateException if the address can't be bound
+   */
+  public static ServerListener bindTimed(
+      HttpEventLoops loops,
+      HostAddress address,
+      InstantSource time,
+      ConnectionHandlerFactory handlerFactory) {
+    TimedServerChannel channel = new TimedServerChannel(time);
+    ServerListener listener =
+        bind(
+            loops,
+            address,
+            time,
+            () -> channel,
+            connection -> handlerFactory.create(TimedServerChannel.establishedAfter(connection)));
+    channel.eventLoop().execute(channel::startPolling);
+    return listener;
+  }
+
+  private static ServerListener bind(
+      HttpEventLoops loops,
+      HostAddress address,
+      InstantSource time,
+      ChannelFactory<ServerChannel> channelFactory,
+      Function<Channel, ExchangeHandler> handlerFactory) {
     ServerListener listener = new ServerListener();
     AcceptHandler acceptor = new AcceptHandler(listener, time);
     ChannelFuture bound =
         new ServerBootstrap()
             .group(loops.accepting(), loops.exchanges())
-            .channel(NioServerSocketChannel.class)
+            .channelFactory(channelFactory)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -81,7 +120,7 @@
       ServerListener listener,
       AcceptHandler acceptor,
       InstantSource time,
-      Supplier<ExchangeHandler> handlerFactory) {
+      Function<Channel, ExchangeHandler> handlerFactory) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
@@ -97,7 +136,11 @@
       private void setUp(SocketChannel channel) {
         ServerConnection connection =
             new ServerConnection(
-                listener, handlerFactory.get(), acceptor.isLate(channel), time, acceptor::onSetUp);
+                listener,
+                handlerFactory.apply(channel),
+                acceptor.isLate(channel),
+                time,
+                acceptor::onSetUp);
         channel
             .pipeline()
             .addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS))
--- a/shell/src/main/java/org/cuminwell/shell/exchange/RequestMessage.java
+++ b/shell/src/main/java/org/cuminwell/shell/exchange/RequestMessage.java
@@ -1,5 +1,7 @@
 package org.cuminwell.shell.exchange;
 
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -29,6 +31,21 @@
     return query < 0 ? Optional.empty() : Optional.of(target.substring(query + 1));
   }
 
+  /** Returns the target's path with its escapes decoded. */
+  public String decodedPath() {
+    return new QueryStringDecoder(target).path();
+  }
+
+  /**
+   * Returns the first value of a parameter of the query, with its escapes decoded.
+   *
+   * @throws IllegalArgumentException if an escape is malformed
+   */
+  public Optional<String> queryParameter(String name) {
+    List<String> values = new QueryStringDecoder(target).parameters().get(name);
+    return values == null ? Optional.empty() : Optional.of(values.getFirst());
+  }
+
   /** Returns the same request with other headers. */
   public RequestMessage withHeaders(HeaderList other) {
     return new RequestMessage(method, target, other, body);
--- a/shell/src/test/java/org/cuminwell/shell/control/StoppingControlTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/control/StoppingControlTest.java
@@ -12,10 +12,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
+import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.shell.FreePorts;
+import org.cuminwell.shell.exchange.ResponseMessage;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -32,15 +35,22 @@
   void pendingRequestsAreAnsweredWhenControlHostStops(int requestCount) throws Exception {
     HostAddress address = FreePorts.next();
     CountDownLatch read = new CountDownLatch(requestCount);
-    CompletableFuture<org.apache.pekko.http.javadsl.model.HttpResponse> frontEndResponse =
-        new CompletableFuture<>();
+    CompletableFuture<ResponseMessage> frontEndResponse = new CompletableFuture<>();
     AdditionalFrontEnd front =
         new AdditionalFrontEnd(
             address,
-            (_, _) ->
-                _ -> {
-                  read.countDown();
-                  return frontEndResponse;
+            _ ->
+                new FrontEndHandler() {
+                  @Override
+                  public CompletionStage<ResponseMessage> handle(FrontEndRequest request) {
+                    read.countDown();
+                    return frontEndResponse;
+                  }
+
+                  @Override
+                  public ResponseMessage unreadable(Failure failure) {
+                    return ResponseMessage.empty(400);
+                  }
                 });
     HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     try (ControlProcess control = ControlProcess.start(settings(front))) {
@@ -52,8 +62,7 @@
       read.await();
       Thread stop = Thread.ofVirtual().start(() -> control.stop(TIMEOUT));
       stop.join(Duration.ofMillis(500));
-      frontEndResponse.complete(
-          org.apache.pekko.http.javadsl.model.HttpResponse.create().withStatus(200));
+      frontEndResponse.complete(ResponseMessage.empty(200));
       for (CompletableFuture<HttpResponse<String>> response : responses) {
         assertThat(response.join().statusCode()).isEqualTo(200);
       }
--- a/wire/src/main/java/org/cuminwell/wire/StateCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/StateCodec.java
@@ -2,8 +2,12 @@
 
 import com.google.protobuf.ByteString;
 import java.time.Instant;
+import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.control.Command;
+import org.cuminwell.core.control.OperatorOrder;
+import org.cuminwell.core.control.OrderSubject;
 import org.cuminwell.core.control.StateSnapshot;
 import org.cuminwell.core.model.Bytes;
 import org.cuminwell.core.model.DataCentreId;
@@ -12,6 +16,7 @@
 import org.cuminwell.core.ticket.Ticket;
 import org.cuminwell.core.ticket.TicketAnswer.Accepted;
 import org.cuminwell.wire.generated.AcceptedTicket;
+import org.cuminwell.wire.generated.StateSnapshot.OrderCount;
 
 /**
  * Maps commands and the replicated state to protobuf and back. Methods that read throw {@link
@@ -30,8 +35,7 @@
           to.getReplaceConfigurationBuilder()
               .setDocument(toProto(c.document()))
               .setContent(ConfigurationCodec.toProto(c.content()));
-      case Command.Evacuate c ->
-          to.getEvacuateBuilder().setDataCentre(c.dataCentre().value()).setBegins(c.evacuated());
+      case Command.CarryOut c -> writeOrder(c, to);
       case Command.BeginRollout c -> to.setBeginRollout(RolloutCodec.toProto(c.order()));
       case Command.AdvanceRollout c -> to.setAdvanceRollout(RolloutCodec.toProto(c.advance()));
     }
@@ -51,19 +55,67 @@
               ConfigurationCodec.fromProto(from.getReplaceConfiguration().getContent()));
       case BEGIN_ROLLOUT ->
           new Command.BeginRollout(RolloutCodec.fromProto(from.getBeginRollout()));
-      case EVACUATE ->
-          new Command.Evacuate(
-              new DataCentreId(from.getEvacuate().getDataCentre()), from.getEvacuate().getBegins());
+      case EVACUATE -> new Command.CarryOut(fromProto(from.getEvacuate()), OptionalLong.empty());
+      case CARRY_OUT ->
+          new Command.CarryOut(
+              orderOf(from.getCarryOut()), OptionalLong.of(from.getCarryOut().getBasis()));
       case KIND_NOT_SET -> throw new IllegalArgumentException("command without a kind");
     };
   }
 
+  /** Writes the order; one without a basis keeps the form of the builds that had none. */
+  private static void writeOrder(
+      Command.CarryOut from, org.cuminwell.wire.generated.Command.Builder to) {
+    switch (from.order()) {
+      case OperatorOrder.Evacuate order when from.basis().isEmpty() ->
+          to.setEvacuate(toProto(order));
+      case OperatorOrder.Evacuate order ->
+          to.getCarryOutBuilder().setEvacuate(toProto(order)).setBasis(from.basis().getAsLong());
+    }
+  }
+
+  private static OperatorOrder orderOf(org.cuminwell.wire.generated.Command.CarryOut from) {
+    return switch (from.getOrderCase()) {
+      case EVACUATE -> fromProto(from.getEvacuate());
+      case ORDER_NOT_SET -> throw new IllegalArgumentException("order without a kind");
+    };
+  }
+
+  private static org.cuminwell.wire.generated.Command.Evacuate toProto(
+      OperatorOrder.Evacuate from) {
+    return org.cuminwell.wire.generated.Command.Evacuate.newBuilder()
+        .setDataCentre(from.dataCentre().value())
+        .setBegins(from.evacuated())
+        .build();
+  }
+
+  private static OperatorOrder fromProto(org.cuminwell.wire.generated.Command.Evacuate from) {
+    return new OperatorOrder.Evacuate(new DataCentreId(from.getDataCentre()), from.getBegins());
+  }
+
+  private static OrderCount toProto(OrderSubject subject, long count) {
+    OrderCount.Builder to = OrderCount.newBuilder().setCount(count);
+    switch (subject) {
+      case OrderSubject.Evacuation s -> to.setEvacuatedDataCentre(s.dataCentre().value());
+    }
+    return to.build();
+  }
+
+  private static OrderSubject subjectOf(OrderCount from) {
+    return switch (from.getSubjectCase()) {
+      case EVACUATED_DATA_CENTRE ->
+          new OrderSubject.Evacuation(new DataCentreId(from.getEvacuatedDataCentre()));
+      case SUBJECT_NOT_SET -> throw new IllegalArgumentException("order count without a subject");
+    };
+  }
+
   static org.cuminwell.wire.generated.StateSnapshot toProto(StateSnapshot from) {
     var to = org.cuminwell.wire.generated.StateSnapshot.newBuilder();
     to.setConfiguration(ConfigurationCodec.toProto(from.configuration()));
     from.tickets().forEach(ticket -> to.addTicket(toProto(ticket)));
     to.setClaims(IdempotencyCodec.toProto(from.claims()));
     from.rollouts().forEach(move -> to.addMove(RolloutCodec.toProto(move)));
+    from.orderCounts().forEach((subject, count) -> to.addOrderCount(toProto(subject, count)));
     if (!from.document().equals(ConfigurationDocument.NONE)) {
       to.setDocument(toProto(from.document()));
     }
@@ -76,7 +128,9 @@
         from.getTicketList().stream().map(StateCodec::fromProto).toList(),
         IdempotencyCodec.fromProto(from.getClaims()),
         from.getMoveList().stream().map(RolloutCodec::fromProto).toList(),
-        from.hasDocument() ? fromProto(from.getDocument()) : ConfigurationDocument.NONE);
+        from.hasDocument() ? fromProto(from.getDocument()) : ConfigurationDocument.NONE,
+        from.getOrderCountList().stream()
+            .collect(Collectors.toMap(StateCodec::subjectOf, OrderCount::getCount)));
   }
 
   private static org.cuminwell.wire.generated.ConfigurationDocument toProto(
