Bound the age of orders to roll out a version too

Callers would see: a service's traffic moves to an older target, although a newer rollout was acknowledged since.

Cause: as with evacuations. Besides, an order for the version that a host believed to be the last one was acknowledged without the log, by whatever old state that host had.

Change: a rollout is an operator's order (OperatorOrder.BeginRollout), with the same bound of its age and the same number in the log. It always goes through the log. Journals with the earlier form are read as before.

--- a/core/src/main/java/org/cuminwell/core/control/Command.java
+++ b/core/src/main/java/org/cuminwell/core/control/Command.java
@@ -8,7 +8,6 @@
 import org.cuminwell.core.idempotency.CallOutcome;
 import org.cuminwell.core.idempotency.ClaimChange;
 import org.cuminwell.core.rollout.RolloutAdvance;
-import org.cuminwell.core.rollout.RolloutOrder;
 import org.cuminwell.core.ticket.Ticket;
 
 /**
@@ -52,9 +51,6 @@
    */
   record CarryOut(OperatorOrder order, OptionalLong basis) implements Command {}
 
-  /** Starts the rollout of another version of a service. */
-  record BeginRollout(RolloutOrder order) implements Command {}
-
   /** Returns the estimated memory of the command, in bytes. */
   default long bytes() {
     return switch (this) {
@@ -62,7 +58,7 @@
       case ReplaceConfiguration c ->
           c.document().text().length() + ConfigurationSize.bytesOf(c.content());
       case ChangeClaim _ -> MAX_CLAIM_BYTES;
-      case AdvanceRollout _, BeginRollout _, CarryOut _ -> SMALL_COMMAND_BYTES;
+      case AdvanceRollout _, CarryOut _ -> SMALL_COMMAND_BYTES;
     };
   }
 
@@ -72,7 +68,7 @@
    */
   default boolean isIdempotent() {
     return switch (this) {
-      case AcceptTicket _, ReplaceConfiguration _, BeginRollout _ -> true;
+      case AcceptTicket _, ReplaceConfiguration _ -> true;
       case ChangeClaim _, AdvanceRollout _, CarryOut _ -> false;
     };
   }
--- a/core/src/main/java/org/cuminwell/core/control/CommandResult.java
+++ b/core/src/main/java/org/cuminwell/core/control/CommandResult.java
@@ -29,9 +29,6 @@
    */
   record OrderOvertaken() implements CommandResult {}
 
-  /** Holds the result of {@link Command.BeginRollout}. */
-  record RolloutBegun() implements CommandResult {}
-
   /** Holds the result of {@link Command.AdvanceRollout}: whether the step was recorded. */
   record RolloutAdvanced(boolean recorded) implements CommandResult {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -84,11 +84,6 @@
       }
       case ControlEvent.OrderSubmitted e ->
           perform(orderHandler.submit(e.id(), e.order(), e.age(), now), now, actions);
-      case ControlEvent.RolloutSubmitted e ->
-          perform(
-              replicatedStateMachine.submit(e.id(), new Command.BeginRollout(e.order()), now),
-              now,
-              actions);
       case ControlEvent.RolloutQueried e -> reads.addRolloutRead(e.id(), e.service(), now);
       case ControlEvent.ConfigurationQueried e -> reads.addDocumentRead(e.id(), now);
       case ControlEvent.EndpointAnnounced e ->
@@ -196,8 +191,6 @@
               actions.add(new ControlAction.AnswerReplaced(id, applied.version()));
           case CommandResult.OrderCarriedOut applied -> orderHandler.onCarriedOut(id, now, actions);
           case CommandResult.OrderOvertaken applied -> orderHandler.onOvertaken(id, now, actions);
-          case CommandResult.RolloutBegun applied ->
-              actions.add(new ControlAction.AnswerRolloutBegun(id));
           case CommandResult.ClaimAnswered applied ->
               claimHandler.onAnswered(id, applied.id(), applied.answer(), actions);
           case CommandResult.RolloutAdvanced applied -> {
--- a/core/src/main/java/org/cuminwell/core/control/ControlAction.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlAction.java
@@ -31,9 +31,6 @@
   /** Reports to the operator that the order is carried out. */
   record AnswerCarriedOut(RequestId id) implements Answer {}
 
-  /** Reports to the operator that the rollout order is accepted. */
-  record AnswerRolloutBegun(RequestId id) implements Answer {}
-
   /** Returns the progress of a service's last rollout to the operator; empty if there was none. */
   record AnswerRollout(RequestId id, Optional<RolloutProgress> progress) implements Answer {}
 
--- a/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
@@ -8,7 +8,6 @@
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.peer.PeerMessage;
-import org.cuminwell.core.rollout.RolloutOrder;
 import org.cuminwell.core.ticket.Ticket;
 
 /** Represents an event that a control host handles. Immutable and thread safe. */
@@ -24,9 +23,6 @@
   /** Reports that an operator has submitted an order. */
   record OrderSubmitted(RequestId id, OperatorOrder order, OrderAge age) implements ControlEvent {}
 
-  /** Reports that an operator starts the rollout of another version of a service. */
-  record RolloutSubmitted(RequestId id, RolloutOrder order) implements ControlEvent {}
-
   /** Reports that an operator asks for the progress of the last rollout of a service. */
   record RolloutQueried(RequestId id, String service) implements ControlEvent {}
 
--- a/core/src/main/java/org/cuminwell/core/control/OperatorOrder.java
+++ b/core/src/main/java/org/cuminwell/core/control/OperatorOrder.java
@@ -1,6 +1,7 @@
 package org.cuminwell.core.control;
 
 import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.rollout.RolloutOrder;
 
 /**
  * Represents an order of an operator that carries no number of its own, and that a later order on
@@ -17,10 +18,14 @@
    */
   record Evacuate(DataCentreId dataCentre, boolean evacuated) implements OperatorOrder {}
 
+  /** Starts the rollout of another version of a service, in place of its last rollout. */
+  record BeginRollout(RolloutOrder rollout) implements OperatorOrder {}
+
   /** Returns what the order is about: only orders on equal subjects undo each other. */
   default OrderSubject subject() {
     return switch (this) {
       case Evacuate o -> new OrderSubject.Evacuation(o.dataCentre());
+      case BeginRollout o -> new OrderSubject.Rollouts(o.rollout().service());
     };
   }
 }
--- a/core/src/main/java/org/cuminwell/core/control/OrderSubject.java
+++ b/core/src/main/java/org/cuminwell/core/control/OrderSubject.java
@@ -7,4 +7,7 @@
 
   /** Identifies the evacuation of a data centre. */
   record Evacuation(DataCentreId dataCentre) implements OrderSubject {}
+
+  /** Identifies the rollouts of a service. */
+  record Rollouts(String service) implements OrderSubject {}
 }
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedState.java
@@ -46,9 +46,8 @@
           new CommandResult.ClaimAnswered(c.change().id(), claims.apply(c.change(), at));
       case Command.AdvanceRollout c ->
           new CommandResult.RolloutAdvanced(advanceRollout(c.advance(), at));
-      case Command.BeginRollout c -> beginRollout(c.order(), at);
       case Command.ReplaceConfiguration c -> replaceConfiguration(c);
-      case Command.CarryOut c -> carryOut(c);
+      case Command.CarryOut c -> carryOut(c, at);
     };
   }
 
@@ -114,6 +113,7 @@
     return switch (order) {
       case OperatorOrder.Evacuate o ->
           configuration().forwarding().evacuated().contains(o.dataCentre()) == o.evacuated();
+      case OperatorOrder.BeginRollout o -> isLastRollout(o.rollout());
     };
   }
 
@@ -121,13 +121,13 @@
    * Carries out the order unless another one has come in between. An order that finds its state in
    * force counts too, so that older orders that ask for another state are refused from then on.
    */
-  private CommandResult carryOut(Command.CarryOut command) {
+  private CommandResult carryOut(Command.CarryOut command, Instant at) {
     OperatorOrder order = command.order();
     if (!isInForce(order)) {
       if (isOvertaken(command)) {
         return new CommandResult.OrderOvertaken();
       }
-      putInForce(order);
+      putInForce(order, at);
     }
     if (command.basis().isPresent()) {
       orderCounts.increment(order.subject());
@@ -140,9 +140,10 @@
     return basis.isPresent() && basis.getAsLong() != orderCounts.count(command.order().subject());
   }
 
-  private void putInForce(OperatorOrder order) {
+  private void putInForce(OperatorOrder order, Instant at) {
     switch (order) {
       case OperatorOrder.Evacuate o -> changeEvacuation(o.dataCentre(), o.evacuated());
+      case OperatorOrder.BeginRollout o -> beginRollout(o.rollout(), at);
     }
   }
 
@@ -158,7 +159,7 @@
   }
 
   /** Returns whether the order's target version is that of the service's last rollout. */
-  boolean isRolloutBegun(RolloutOrder order) {
+  private boolean isLastRollout(RolloutOrder order) {
     return findServiceRollouts(order.service())
         .filter(rollouts -> rollouts.last().rollout().to().equals(order.to()))
         .isPresent();
@@ -169,13 +170,10 @@
     return Optional.ofNullable(configuration().forwarding().serviceRollouts().get(service));
   }
 
-  private CommandResult beginRollout(RolloutOrder order, Instant at) {
-    if (!isRolloutBegun(order)) {
-      ServiceRolloutState next =
-          ServiceRolloutState.afterOrder(findServiceRollouts(order.service()), order, at);
-      replaceForwarding(configuration().forwarding().withServiceRollouts(order.service(), next));
-    }
-    return new CommandResult.RolloutBegun();
+  private void beginRollout(RolloutOrder order, Instant at) {
+    ServiceRolloutState next =
+        ServiceRolloutState.afterOrder(findServiceRollouts(order.service()), order, at);
+    replaceForwarding(configuration().forwarding().withServiceRollouts(order.service(), next));
   }
 
   private boolean advanceRollout(RolloutAdvance advance, Instant at) {
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
@@ -225,10 +225,6 @@
           c.document().isNewerThan(state.document())
               ? Optional.empty()
               : Optional.of(new CommandResult.ConfigurationReplaced(state.document().version()));
-      case Command.BeginRollout c ->
-          state.isRolloutBegun(c.order())
-              ? Optional.of(new CommandResult.RolloutBegun())
-              : Optional.empty();
       case Command.CarryOut c ->
           state.isInForce(c.order()) && isCountedSince(c)
               ? Optional.of(new CommandResult.OrderCarriedOut())
--- a/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
@@ -21,16 +21,20 @@
 import java.util.stream.Stream;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationChange;
+import org.cuminwell.core.config.Forwarding;
 import org.cuminwell.core.consensus.Founding;
 import org.cuminwell.core.consensus.HardState;
 import org.cuminwell.core.consensus.Member;
 import org.cuminwell.core.consensus.Membership;
 import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.ExposureBounds;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.Region;
 import org.cuminwell.core.model.RegionId;
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.TicketNumber;
+import org.cuminwell.core.model.VersionId;
+import org.cuminwell.core.rollout.RolloutOrder;
 import org.cuminwell.core.ticket.Ticket;
 
 /**
@@ -53,6 +57,7 @@
   }
 
   private static final Duration STALL_AT = Duration.ofSeconds(5);
+  private static final Duration ROLLOUT_DURATION = Duration.ofSeconds(10);
   private static final Duration FAILOVER_TIME = Duration.ofSeconds(4);
   private static final Duration SUBMIT_PERIOD = Duration.ofMillis(200);
   private static final Instant START = Instant.parse("2030-01-01T00:00:00Z");
@@ -81,7 +86,7 @@
   private final StateMachineHistory history = new StateMachineHistory();
   private final List<SimulatedOperator> operators = new ArrayList<>();
   private final Map<RequestId, Consumer<CommandOutcome>> orderOutcomes = new HashMap<>();
-  private final Set<DataCentreId> orderedDataCentres = new HashSet<>();
+  private final Set<OrderSubject> orderSubjects = new HashSet<>();
   private Optional<OrderHistory> orderHistory = Optional.empty();
   private final Map<Membership, Instant> lastHeld = new HashMap<>();
   private Instant now = START;
@@ -171,9 +176,7 @@
   private RequestId newOrder(OperatorOrder order, Consumer<CommandOutcome> onOutcome) {
     RequestId id = new RequestId("r" + requests++);
     orderOutcomes.put(id, onOutcome);
-    switch (order) {
-      case OperatorOrder.Evacuate o -> orderedDataCentres.add(o.dataCentre());
-    }
+    orderSubjects.add(order.subject());
     return id;
   }
 
@@ -404,13 +407,31 @@
     }
   }
 
+  /** Returns an order for each subject that had one, which the configuration is as. */
   private List<OperatorOrder> ordersInForce(Configuration configuration) {
-    Set<DataCentreId> evacuated = configuration.forwarding().evacuated();
-    return orderedDataCentres.stream()
-        .<OperatorOrder>map(id -> new OperatorOrder.Evacuate(id, evacuated.contains(id)))
+    return orderSubjects.stream()
+        .flatMap(subject -> orderInForce(subject, configuration.forwarding()).stream())
         .toList();
   }
 
+  private static Optional<OperatorOrder> orderInForce(OrderSubject subject, Forwarding forwarding) {
+    return switch (subject) {
+      case OrderSubject.Evacuation s -> {
+        boolean evacuated = forwarding.evacuated().contains(s.dataCentre());
+        yield Optional.of(new OperatorOrder.Evacuate(s.dataCentre(), evacuated));
+      }
+      case OrderSubject.Rollouts s ->
+          Optional.ofNullable(forwarding.serviceRollouts().get(s.service()))
+              .map(rollouts -> rolloutTo(s.service(), rollouts.last().rollout().to()));
+    };
+  }
+
+  /** Returns an order to roll out a version. */
+  static OperatorOrder rolloutTo(String service, VersionId version) {
+    return new OperatorOrder.BeginRollout(
+        new RolloutOrder(service, version, ROLLOUT_DURATION, ExposureBounds.DEFAULT));
+  }
+
   /** Syncs a write whose completion was already reported. */
   private void syncWithoutEvent(SimulatedHost host, int startNumber, long sequence) {
     if (host.startCount == startNumber && host.stateMachine != null) {
--- a/shell/src/main/java/org/cuminwell/shell/control/OrderLog.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/OrderLog.java
@@ -23,6 +23,8 @@
     switch (decision.order()) {
       case OperatorOrder.Evacuate o ->
           line.put("evacuates", o.evacuated()).put("data_centre", o.dataCentre().value());
+      case OperatorOrder.BeginRollout o ->
+          line.put("rolls_out", o.rollout().to().value()).put("service", o.rollout().service());
     }
     return line.put("age_ms", decision.age().toMillis()).put("took_ms", decision.took().toMillis());
   }
--- a/wire/src/main/java/org/cuminwell/wire/StateCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/StateCodec.java
@@ -36,7 +36,6 @@
               .setDocument(toProto(c.document()))
               .setContent(ConfigurationCodec.toProto(c.content()));
       case Command.CarryOut c -> writeOrder(c, to);
-      case Command.BeginRollout c -> to.setBeginRollout(RolloutCodec.toProto(c.order()));
       case Command.AdvanceRollout c -> to.setAdvanceRollout(RolloutCodec.toProto(c.advance()));
     }
     return to.build();
@@ -54,7 +53,7 @@
               fromProto(from.getReplaceConfiguration().getDocument()),
               ConfigurationCodec.fromProto(from.getReplaceConfiguration().getContent()));
       case BEGIN_ROLLOUT ->
-          new Command.BeginRollout(RolloutCodec.fromProto(from.getBeginRollout()));
+          new Command.CarryOut(fromProto(from.getBeginRollout()), OptionalLong.empty());
       case EVACUATE -> new Command.CarryOut(fromProto(from.getEvacuate()), OptionalLong.empty());
       case CARRY_OUT ->
           new Command.CarryOut(
@@ -66,21 +65,34 @@
   /** Writes the order; one without a basis keeps the form of the builds that had none. */
   private static void writeOrder(
       Command.CarryOut from, org.cuminwell.wire.generated.Command.Builder to) {
+    if (from.basis().isEmpty()) {
+      switch (from.order()) {
+        case OperatorOrder.Evacuate order -> to.setEvacuate(toProto(order));
+        case OperatorOrder.BeginRollout order ->
+            to.setBeginRollout(RolloutCodec.toProto(order.rollout()));
+      }
+      return;
+    }
+    var carryOut = to.getCarryOutBuilder().setBasis(from.basis().getAsLong());
     switch (from.order()) {
-      case OperatorOrder.Evacuate order when from.basis().isEmpty() ->
-          to.setEvacuate(toProto(order));
-      case OperatorOrder.Evacuate order ->
-          to.getCarryOutBuilder().setEvacuate(toProto(order)).setBasis(from.basis().getAsLong());
+      case OperatorOrder.Evacuate order -> carryOut.setEvacuate(toProto(order));
+      case OperatorOrder.BeginRollout order ->
+          carryOut.setBeginRollout(RolloutCodec.toProto(order.rollout()));
     }
   }
 
   private static OperatorOrder orderOf(org.cuminwell.wire.generated.Command.CarryOut from) {
     return switch (from.getOrderCase()) {
       case EVACUATE -> fromProto(from.getEvacuate());
+      case BEGIN_ROLLOUT -> fromProto(from.getBeginRollout());
       case ORDER_NOT_SET -> throw new IllegalArgumentException("order without a kind");
     };
   }
 
+  private static OperatorOrder fromProto(org.cuminwell.wire.generated.RolloutOrder from) {
+    return new OperatorOrder.BeginRollout(RolloutCodec.fromProto(from));
+  }
+
   private static org.cuminwell.wire.generated.Command.Evacuate toProto(
       OperatorOrder.Evacuate from) {
     return org.cuminwell.wire.generated.Command.Evacuate.newBuilder()
@@ -97,6 +109,7 @@
     OrderCount.Builder to = OrderCount.newBuilder().setCount(count);
     switch (subject) {
       case OrderSubject.Evacuation s -> to.setEvacuatedDataCentre(s.dataCentre().value());
+      case OrderSubject.Rollouts s -> to.setRolledOutService(s.service());
     }
     return to.build();
   }
@@ -105,6 +118,7 @@
     return switch (from.getSubjectCase()) {
       case EVACUATED_DATA_CENTRE ->
           new OrderSubject.Evacuation(new DataCentreId(from.getEvacuatedDataCentre()));
+      case ROLLED_OUT_SERVICE -> new OrderSubject.Rollouts(from.getRolledOutService());
       case SUBJECT_NOT_SET -> throw new IllegalArgumentException("order count without a subject");
     };
   }
--- a/wire/src/test/java/org/cuminwell/wire/OrderCodecTest.java
+++ b/wire/src/test/java/org/cuminwell/wire/OrderCodecTest.java
@@ -56,6 +56,8 @@
   }
 
   private static Stream<Map<OrderSubject, Long>> counts() {
-    return Stream.of(Map.of(), Map.of(new OrderSubject.Evacuation(DATA_CENTRE), 7L));
+    return Stream.of(
+        Map.of(),
+        Map.of(new OrderSubject.Evacuation(DATA_CENTRE), 7L, new OrderSubject.Rollouts("app"), 1L));
   }
 }
--- a/wire/src/test/java/org/cuminwell/wire/ServiceMoveCodecTest.java
+++ b/wire/src/test/java/org/cuminwell/wire/ServiceMoveCodecTest.java
@@ -7,10 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.cuminwell.core.config.Forwarding;
 import org.cuminwell.core.control.Command;
+import org.cuminwell.core.control.OperatorOrder;
 import org.cuminwell.core.model.ExposureBounds;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.model.RouteId;
@@ -75,7 +77,8 @@
 
   private static Stream<Command> commands() {
     return Stream.of(
-        new Command.BeginRollout(ORDER),
+        new Command.CarryOut(new OperatorOrder.BeginRollout(ORDER), OptionalLong.of(3)),
+        new Command.CarryOut(new OperatorOrder.BeginRollout(ORDER), OptionalLong.empty()),
         new Command.AdvanceRollout(
             new RolloutAdvance(FIRST.rollout(), 2, new RolloutState.Canary(0.1))));
   }
