Let a late Deregister spare the next incarnation

Callers would see: a server that has started again under its id gets no requests for up to a minute.

Cause: Deregister's body was ignored, and without it the request took out whatever incarnation the host knew when it read it, however late that was. A host that knew none acknowledged and did nothing.

Change: `born` names the incarnation. Without it the request is answered 503 if it may be older than 500 ms, or if no incarnation is known. Servers keep their connections open, so the age counts from the arrival: RequestTimes tells what the listener's loop knows of it (LoopPulse).

Measured: LateDepartureSparesTheNextIncarnationTest; before, the answer was always an acknowledgement, and each row marked the known incarnation. That was read, not run: the test can't be compiled against the code before.

--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -90,6 +90,8 @@
           endpointHandler.onAnnouncement(e.announcement(), now);
       case ControlEvent.EndpointLeaving e ->
           endpointHandler.onLeaving(e.endpoint(), e.incarnation(), now);
+      case ControlEvent.DepartureRequested e ->
+          actions.add(endpointHandler.onDepartureRequested(e, now));
       case ControlEvent.JournalSynced e ->
           perform(replicatedStateMachine.onPersisted(e.sequence(), now), now, actions);
       case ControlEvent.PeerConnected e -> onPeerConnected(e.peer(), now, actions);
--- a/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
@@ -32,12 +32,18 @@
   /** Reports that an endpoint has announced itself. */
   record EndpointAnnounced(Announcement announcement) implements ControlEvent {}
 
+  /** Reports that an incarnation of an endpoint is shutting down. */
+  record EndpointLeaving(EndpointId endpoint, long incarnation) implements ControlEvent {}
+
   /**
-   * Reports that an endpoint is shutting down.
+   * Reports that an endpoint has asked to be taken out of use.
    *
-   * @param incarnation the incarnation that ends; empty for the one that is currently known
+   * @param incarnation the incarnation that asks; empty if the request doesn't tell, which then
+   *     means the one that is known when the request arrives
    */
-  record EndpointLeaving(EndpointId endpoint, OptionalLong incarnation) implements ControlEvent {}
+  record DepartureRequested(
+      RequestId id, EndpointId endpoint, OptionalLong incarnation, OrderAge age)
+      implements ControlEvent {}
 
   /** Reports that every journal write up to the sequence number is synced. */
   record JournalSynced(long sequence) implements ControlEvent {}
--- a/core/src/main/java/org/cuminwell/core/control/EndpointHandler.java
+++ b/core/src/main/java/org/cuminwell/core/control/EndpointHandler.java
@@ -12,6 +12,8 @@
 import org.cuminwell.core.membership.MembershipExchange;
 import org.cuminwell.core.membership.MembershipMessage;
 import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.ErrorCode;
+import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostId;
 import org.cuminwell.core.peer.OutgoingMessage;
 
@@ -23,6 +25,11 @@
  */
 final class EndpointHandler {
 
+  private static final Failure UNKNOWN_INCARNATION =
+      Failure.notRun(
+          ErrorCode.NO_ENDPOINT,
+          "this control host can't tell which incarnation is meant; name it or ask another host");
+
   private final EndpointTable table = new EndpointTable();
   private final TreeSet<HostId> controlHosts = new TreeSet<>();
   private final MembershipExchange exchange;
@@ -42,18 +49,33 @@
     exchange.onAnnouncement(announcement, now);
   }
 
+  /** Records that an incarnation of an endpoint is leaving. */
+  void onLeaving(EndpointId endpoint, long incarnation, Instant now) {
+    exchange.onLeaving(endpoint, incarnation, now);
+  }
+
   /**
-   * Records that an incarnation of an endpoint is leaving. If {@code incarnation} is empty, this is
-   * the incarnation in the table; if the table has none either, the call has no effect.
+   * Records that an endpoint is leaving, and returns the answer. A request that names no
+   * incarnation is refused if another one may have announced itself since it was sent, or if none
+   * is known.
    */
-  void onLeaving(EndpointId endpoint, OptionalLong incarnation, Instant now) {
-    OptionalLong known =
-        table
-            .find(endpoint)
-            .map(entry -> OptionalLong.of(entry.announcement().incarnation()))
-            .orElseGet(OptionalLong::empty);
-    (incarnation.isPresent() ? incarnation : known)
-        .ifPresent(leavingIncarnation -> exchange.onLeaving(endpoint, leavingIncarnation, now));
+  ControlAction.Answer onDepartureRequested(ControlEvent.DepartureRequested request, Instant now) {
+    OptionalLong incarnation = request.incarnation();
+    if (incarnation.isEmpty() && now.isBefore(request.age().proposalDeadline())) {
+      incarnation = knownIncarnation(request.endpoint());
+    }
+    if (incarnation.isEmpty()) {
+      return new ControlAction.AnswerFailure(request.id(), UNKNOWN_INCARNATION);
+    }
+    exchange.onLeaving(request.endpoint(), incarnation.getAsLong(), now);
+    return new ControlAction.AnswerCarriedOut(request.id());
+  }
+
+  private OptionalLong knownIncarnation(EndpointId endpoint) {
+    return table
+        .find(endpoint)
+        .map(entry -> OptionalLong.of(entry.announcement().incarnation()))
+        .orElseGet(OptionalLong::empty);
   }
 
   /** Adds a control host to the recipients of updates and requests a full update from it. */
--- /dev/null
+++ b/core/src/test/java/org/cuminwell/core/control/LateDepartureSparesTheNextIncarnationTest.java
@@ -0,0 +1,85 @@
+package org.cuminwell.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.cuminwell.core.membership.Announcement;
+import org.cuminwell.core.model.DataCentreId;
+import org.cuminwell.core.model.EndpointId;
+import org.cuminwell.core.model.HostAddress;
+import org.cuminwell.core.model.Place;
+import org.cuminwell.core.model.RegionId;
+import org.cuminwell.core.model.RequestId;
+import org.cuminwell.core.model.VersionId;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against a request to take an endpoint out of use, read late, taking out the incarnation
+ * that has started since under the same id.
+ */
+final class LateDepartureSparesTheNextIncarnationTest {
+
+  private static final Instant NOW = Instant.parse("2030-01-01T00:00:00Z");
+  private static final EndpointId ENDPOINT = new EndpointId("e1");
+  private static final long KNOWN_INCARNATION = 2;
+
+  @ParameterizedTest(name = "names {0}, {1} ms old: acknowledged {2}, leaves {3}")
+  @CsvSource({
+    "1,  0,     true,  false",
+    "1,  3000,  true,  false",
+    "2,  0,     true,  true",
+    "2,  3000,  true,  true",
+    "'', 0,     true,  true",
+    "'', 499,   true,  true",
+    "'', 500,   false, false",
+    "'', 3000,  false, false",
+  })
+  void onlyTheIncarnationThatIsMeantLeaves(
+      String named, long ageMillis, boolean acknowledged, boolean leaves) {
+    EndpointHandler handler = new EndpointHandler(List::of);
+    handler.onAnnouncement(announcement(), NOW);
+
+    ControlAction.Answer answer =
+        handler.onDepartureRequested(request(named, ageMillis, ENDPOINT), NOW);
+
+    assertThat(answer instanceof ControlAction.AnswerCarriedOut).isEqualTo(acknowledged);
+    assertThat(handler.table().find(ENDPOINT).orElseThrow().leaving()).isEqualTo(leaves);
+  }
+
+  @ParameterizedTest(name = "names {0}: acknowledged {1}")
+  @CsvSource({"'', false", "7, true"})
+  void requestOfAnUnknownEndpointIsNotAcknowledgedInVain(String named, boolean acknowledged) {
+    EndpointHandler handler = new EndpointHandler(List::of);
+    ControlAction.Answer answer =
+        handler.onDepartureRequested(request(named, 0, new EndpointId("other")), NOW);
+    assertThat(answer instanceof ControlAction.AnswerCarriedOut).isEqualTo(acknowledged);
+  }
+
+  private static ControlEvent.DepartureRequested request(
+      String named, long ageMillis, EndpointId endpoint) {
+    OptionalLong incarnation =
+        named.isEmpty() ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(named));
+    return new ControlEvent.DepartureRequested(
+        new RequestId("r"), endpoint, incarnation, new OrderAge(NOW.minusMillis(ageMillis)));
+  }
+
+  private static Announcement announcement() {
+    return new Announcement(
+        ENDPOINT,
+        KNOWN_INCARNATION,
+        new Place(new RegionId("r"), new DataCentreId("d")),
+        new HostAddress("10.0.0.1", 80),
+        Set.of("app"),
+        new VersionId("v1"),
+        4,
+        Duration.ofSeconds(10),
+        false,
+        1,
+        Duration.ZERO);
+  }
+}
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -213,8 +213,7 @@
             loops,
             front.address(),
             time,
-            establishedAfter ->
-                new FrontEndConnection(loops.exchangeLoop(), handler, establishedAfter)));
+            () -> new FrontEndConnection(loops.exchangeLoop(), handler)));
   }
 
   /** Handles one event on the decide thread and queues the resulting actions. */
--- a/shell/src/main/java/org/cuminwell/shell/control/FrontEndConnection.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/FrontEndConnection.java
@@ -2,21 +2,20 @@
 
 import io.netty.channel.EventLoop;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.shell.exchange.ExchangeHandler;
 import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.RequestTimes;
 import org.cuminwell.shell.exchange.ResponseMessage;
 import org.cuminwell.shell.exchange.ResponseWriter;
 
 /**
  * Passes the requests of one connection to the handler of its front end.
  *
- * <p>Every request counts as sent when the connection was established, since nothing tells how much
- * later it was sent. Confined to the event loop of the exchanges.
+ * <p>Confined to the event loop of the exchanges.
  */
 final class FrontEndConnection implements ExchangeHandler {
 
@@ -25,20 +24,18 @@
 
   private final EventLoop loop;
   private final FrontEndHandler handler;
-  private final Instant establishedAfter;
   private boolean disconnected;
 
-  FrontEndConnection(EventLoop loop, FrontEndHandler handler, Instant establishedAfter) {
+  FrontEndConnection(EventLoop loop, FrontEndHandler handler) {
     this.loop = loop;
     this.handler = handler;
-    this.establishedAfter = establishedAfter;
   }
 
   @Override
-  public void onRequest(RequestMessage request, Instant headReceivedAt, ResponseWriter writer) {
+  public void onRequest(RequestMessage request, RequestTimes times, ResponseWriter writer) {
     var _ =
         handler
-            .handle(new FrontEndRequest(request, establishedAfter, this::checkCaller))
+            .handle(new FrontEndRequest(request, times.bounds().orElseThrow(), this::checkCaller))
             .thenAccept(response -> respond(writer, response));
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/exchange/ExchangeHandler.java
+++ b/shell/src/main/java/org/cuminwell/shell/exchange/ExchangeHandler.java
@@ -1,6 +1,5 @@
 package org.cuminwell.shell.exchange;
 
-import java.time.Instant;
 import org.cuminwell.core.model.Failure;
 
 /**
@@ -9,12 +8,8 @@
  */
 public interface ExchangeHandler {
 
-  /**
-   * Handles a request that was received whole.
-   *
-   * @param headReceivedAt when its head had been received
-   */
-  void onRequest(RequestMessage request, Instant headReceivedAt, ResponseWriter writer);
+  /** Handles a request that was received whole. */
+  void onRequest(RequestMessage request, RequestTimes times, ResponseWriter writer);
 
   /** Returns the response to a request that could not be read. */
   ResponseMessage unreadable(Failure failure);
--- a/shell/src/main/java/org/cuminwell/shell/exchange/HttpServer.java
+++ b/shell/src/main/java/org/cuminwell/shell/exchange/HttpServer.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -52,11 +53,12 @@
         address,
         new MonotonicTime(),
         NioServerSocketChannel::new,
-        _ -> handlerFactory.get());
+        handlerFactory,
+        _ -> Optional.empty());
   }
 
   /**
-   * Starts to serve at the address, with handlers that learn how old their connections may be.
+   * Starts to serve at the address, with bounds for the ages of requests.
    *
    * @param time the clock of the ages, which must include suspensions of the process
    * @throws IllegalStateException if the address can't be bound
@@ -65,15 +67,21 @@
       HttpEventLoops loops,
       HostAddress address,
       InstantSource time,
-      ConnectionHandlerFactory handlerFactory) {
+      Supplier<ExchangeHandler> handlerFactory) {
     TimedServerChannel channel = new TimedServerChannel(time);
+    LoopPulse pulse = new LoopPulse(loops.exchangeLoop(), time);
+    pulse.start();
     ServerListener listener =
         bind(
             loops,
             address,
             time,
             () -> channel,
-            connection -> handlerFactory.create(TimedServerChannel.establishedAfter(connection)));
+            handlerFactory,
+            connection ->
+                Optional.of(
+                    new ArrivalBound(
+                        pulse, TimedServerChannel.establishedAfter(connection), time.instant())));
     channel.eventLoop().execute(channel::startPolling);
     return listener;
   }
@@ -83,7 +91,8 @@
       HostAddress address,
       InstantSource time,
       ChannelFactory<ServerChannel> channelFactory,
-      Function<Channel, ExchangeHandler> handlerFactory) {
+      Supplier<ExchangeHandler> handlerFactory,
+      Function<Channel, Optional<ArrivalBound>> arrival) {
     ServerListener listener = new ServerListener();
     AcceptHandler acceptor = new AcceptHandler(listener, time);
     ChannelFuture bound =
@@ -94,7 +103,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .handler(acceptor)
-            .childHandler(initializer(listener, acceptor, time, handlerFactory))
+            .childHandler(initializer(listener, acceptor, time, handlerFactory, arrival))
             .bind(address.host(), address.port())
             .awaitUninterruptibly();
     if (!bound.isSuccess()) {
@@ -120,7 +129,8 @@
       ServerListener listener,
       AcceptHandler acceptor,
       InstantSource time,
-      Function<Channel, ExchangeHandler> handlerFactory) {
+      Supplier<ExchangeHandler> handlerFactory,
+      Function<Channel, Optional<ArrivalBound>> arrival) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
@@ -137,10 +147,11 @@
         ServerConnection connection =
             new ServerConnection(
                 listener,
-                handlerFactory.apply(channel),
+                handlerFactory.get(),
                 acceptor.isLate(channel),
                 time,
-                acceptor::onSetUp);
+                acceptor::onSetUp,
+                arrival.apply(channel));
         channel
             .pipeline()
             .addLast(new IdleStateHandler(0, 0, IDLE_TIMEOUT_SECONDS, TimeUnit.SECONDS))
--- a/shell/src/main/java/org/cuminwell/shell/exchange/IncomingRequest.java
+++ b/shell/src/main/java/org/cuminwell/shell/exchange/IncomingRequest.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
-import java.time.Instant;
 
 /**
  * Gathers the body of a request that is being received. Confined to the event loop of its
@@ -18,19 +17,19 @@
   static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
 
   private final HttpRequest head;
-  private final Instant headReceivedAt;
+  private final RequestTimes times;
   private final Future<?> timeout;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
 
   /** Starts with the head; {@code timeout} ends the wait for the body. */
-  IncomingRequest(HttpRequest head, Instant headReceivedAt, Future<?> timeout) {
+  IncomingRequest(HttpRequest head, RequestTimes times, Future<?> timeout) {
     this.head = head;
-    this.headReceivedAt = headReceivedAt;
+    this.times = times;
     this.timeout = timeout;
   }
 
-  Instant headReceivedAt() {
-    return headReceivedAt;
+  RequestTimes times() {
+    return times;
   }
 
   /** Returns whether the connection can be used again after the response. */
--- a/shell/src/main/java/org/cuminwell/shell/exchange/ServerConnection.java
+++ b/shell/src/main/java/org/cuminwell/shell/exchange/ServerConnection.java
@@ -14,10 +14,10 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
@@ -49,6 +49,7 @@
   private final boolean late;
   private final InstantSource time;
   private final Runnable onSetUp;
+  private final Optional<ArrivalBound> arrival;
   private final Deque<Received> received = new ArrayDeque<>();
   private volatile @Nullable ChannelHandlerContext context;
   private @Nullable IncomingRequest incoming;
@@ -60,25 +61,28 @@
 
   /** Holds a whole request and how its connection goes on after it. */
   private record Received(
-      RequestMessage request, Instant headReceivedAt, boolean isHttp11, boolean allowsReuse) {}
+      RequestMessage request, RequestTimes times, boolean isHttp11, boolean allowsReuse) {}
 
   /**
    * Creates the connection.
    *
    * @param late whether it has waited so long that its caller may have left
    * @param onSetUp runs once when the connection has been set up
+   * @param arrival bounds when requests arrived, if that is known
    */
   ServerConnection(
       ServerListener listener,
       ExchangeHandler handler,
       boolean late,
       InstantSource time,
-      Runnable onSetUp) {
+      Runnable onSetUp,
+      Optional<ArrivalBound> arrival) {
     this.listener = listener;
     this.handler = handler;
     this.late = late;
     this.time = time;
     this.onSetUp = onSetUp;
+    this.arrival = arrival;
   }
 
   /** Ends the connection after the response that is due, or now if none is. Thread safe. */
@@ -159,7 +163,7 @@
     }
     incoming =
         new IncomingRequest(
-            head, time.instant(), schedule(ctx, BODY_TIMEOUT, () -> onBodyTimeout(ctx)));
+            head, timesOfHead(), schedule(ctx, BODY_TIMEOUT, () -> onBodyTimeout(ctx)));
     if (HttpUtil.is100ContinueExpected(head) && exchange == null) {
       var _ =
           ctx.writeAndFlush(
@@ -182,10 +186,7 @@
       request.cancelTimeout();
       received.add(
           new Received(
-              request.toMessage(),
-              request.headReceivedAt(),
-              request.isHttp11(),
-              request.allowsReuse()));
+              request.toMessage(), request.times(), request.isHttp11(), request.allowsReuse()));
       handleNext(ctx);
     }
   }
@@ -199,7 +200,7 @@
   /** Handles the next request unless one is being handled; then stops to read after it. */
   private void handleNext(ChannelHandlerContext ctx) {
     if (exchange != null) {
-      ctx.channel().config().setAutoRead(received.isEmpty());
+      setReading(ctx, received.isEmpty());
       return;
     }
     Received next = received.poll();
@@ -213,7 +214,7 @@
       current.disableReuse();
     }
     exchange = current;
-    ctx.channel().config().setAutoRead(true);
+    setReading(ctx, true);
     boolean holds = late && !firstRequestHandled;
     firstRequestHandled = true;
     if (holds) {
@@ -223,6 +224,19 @@
     }
   }
 
+  private void setReading(ChannelHandlerContext ctx, boolean reads) {
+    ctx.channel().config().setAutoRead(reads);
+    arrival.ifPresent(bound -> bound.setReading(reads, time.instant()));
+  }
+
+  /** Returns the times of a request whose head has just been received. */
+  private RequestTimes timesOfHead() {
+    return new RequestTimes(
+        time.instant(),
+        arrival.map(
+            bound -> new RequestTimes.AgeBounds(bound.establishedAfter(), bound.arrivedAfter())));
+  }
+
   private void handleIfConnected(ChannelHandlerContext ctx, Received next, ServerExchange current) {
     if (ctx.channel().isActive()) {
       handle(next, current);
@@ -233,7 +247,7 @@
 
   private void handle(Received next, ServerExchange current) {
     endSetUp();
-    handler.onRequest(next.request(), next.headReceivedAt(), current);
+    handler.onRequest(next.request(), next.times(), current);
   }
 
   private void onExchangeEnded(ChannelHandlerContext ctx) {
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardConnection.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardConnection.java
@@ -1,10 +1,10 @@
 package org.cuminwell.shell.forward;
 
-import java.time.Instant;
 import java.util.Optional;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.shell.exchange.ExchangeHandler;
 import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.RequestTimes;
 import org.cuminwell.shell.exchange.ResponseMessage;
 import org.cuminwell.shell.exchange.ResponseWriter;
 import org.jspecify.annotations.Nullable;
@@ -24,8 +24,8 @@
   }
 
   @Override
-  public void onRequest(RequestMessage request, Instant headReceivedAt, ResponseWriter writer) {
-    latestRequest = front.handle(request, headReceivedAt, writer).orElse(null);
+  public void onRequest(RequestMessage request, RequestTimes times, ResponseWriter writer) {
+    latestRequest = front.handle(request, times.headReceivedAt(), writer).orElse(null);
   }
 
   @Override
--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
@@ -1,7 +1,6 @@
 package org.cuminwell.shell.forward;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -14,6 +13,7 @@
 import org.cuminwell.shell.exchange.ExchangeHandler;
 import org.cuminwell.shell.exchange.HeaderList;
 import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.RequestTimes;
 import org.cuminwell.shell.exchange.ResponseMessage;
 import org.cuminwell.shell.exchange.ResponseReceiver;
 import org.cuminwell.shell.exchange.ResponseStart;
@@ -162,7 +162,7 @@
     private @Nullable RelayedRequest latestRequest;
 
     @Override
-    public void onRequest(RequestMessage request, Instant headReceivedAt, ResponseWriter writer) {
+    public void onRequest(RequestMessage request, RequestTimes times, ResponseWriter writer) {
       Optional<HostAddress> endpoint;
       try {
         endpoint = RelayHeaders.findRelayTarget(request);
--- a/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/WarmUp.java
@@ -53,6 +53,7 @@
 import org.cuminwell.shell.exchange.HttpEventLoops;
 import org.cuminwell.shell.exchange.HttpServer;
 import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.RequestTimes;
 import org.cuminwell.shell.exchange.ResponseMessage;
 import org.cuminwell.shell.exchange.ResponseStart;
 import org.cuminwell.shell.exchange.ResponseWriter;
@@ -225,7 +226,7 @@
   private final class EndpointConnection implements ExchangeHandler {
 
     @Override
-    public void onRequest(RequestMessage request, Instant headReceivedAt, ResponseWriter writer) {
+    public void onRequest(RequestMessage request, RequestTimes times, ResponseWriter writer) {
       ResponseMessage response = dialect.warmUpResponse(request);
       if (!request.path().startsWith(STREAM_PATH)) {
         writer.respond(response);
--- a/shell/src/main/java/org/cuminwell/shell/gateway/ReadinessConnection.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/ReadinessConnection.java
@@ -1,10 +1,10 @@
 package org.cuminwell.shell.gateway;
 
-import java.time.Instant;
 import java.util.function.BooleanSupplier;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.shell.exchange.ExchangeHandler;
 import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.RequestTimes;
 import org.cuminwell.shell.exchange.ResponseMessage;
 import org.cuminwell.shell.exchange.ResponseWriter;
 import org.cuminwell.shell.forward.ForwardDialect;
@@ -21,7 +21,7 @@
   }
 
   @Override
-  public void onRequest(RequestMessage request, Instant headReceivedAt, ResponseWriter writer) {
+  public void onRequest(RequestMessage request, RequestTimes times, ResponseWriter writer) {
     writer.respond(dialect.readinessResponse(request, isReady.getAsBoolean()));
   }
 
--- a/shell/src/test/java/org/cuminwell/shell/http/ServerKind.java
+++ b/shell/src/test/java/org/cuminwell/shell/http/ServerKind.java
@@ -1,6 +1,5 @@
 package org.cuminwell.shell.http;
 
-import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
@@ -12,6 +11,7 @@
 import org.cuminwell.shell.exchange.HttpEventLoops;
 import org.cuminwell.shell.exchange.HttpServer;
 import org.cuminwell.shell.exchange.RequestMessage;
+import org.cuminwell.shell.exchange.RequestTimes;
 import org.cuminwell.shell.exchange.ResponseMessage;
 import org.cuminwell.shell.exchange.ResponseWriter;
 
@@ -73,7 +73,7 @@
   private record ForwardingHandler(Consumer<String> onPath) implements ExchangeHandler {
 
     @Override
-    public void onRequest(RequestMessage request, Instant headReceivedAt, ResponseWriter writer) {
+    public void onRequest(RequestMessage request, RequestTimes times, ResponseWriter writer) {
       onPath.accept(request.path());
       writer.respond(ResponseMessage.empty(200));
     }
