Ignore heartbeats that waited for a frozen control host

Callers would see: requests go to an endpoint that ended seconds ago.

Cause: a heartbeat that a control host reads counted as of now, with all the life of an announcement before it, also after a freeze of the host.

Change: a heartbeat that may have arrived a second ago or more is ignored; its sender has turned to another host by then. OrderAge becomes RequestAge, as it bounds more than orders.

--- a/core/src/main/java/org/cuminwell/core/control/Control.java
+++ b/core/src/main/java/org/cuminwell/core/control/Control.java
@@ -87,7 +87,7 @@
       case ControlEvent.RolloutQueried e -> reads.addRolloutRead(e.id(), e.service(), now);
       case ControlEvent.ConfigurationQueried e -> reads.addDocumentRead(e.id(), now);
       case ControlEvent.EndpointAnnounced e ->
-          endpointHandler.onAnnouncement(e.announcement(), now);
+          endpointHandler.onAnnouncement(e.announcement(), e.age(), now);
       case ControlEvent.EndpointLeaving e ->
           endpointHandler.onLeaving(e.endpoint(), e.incarnation(), now);
       case ControlEvent.DepartureRequested e ->
--- a/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
+++ b/core/src/main/java/org/cuminwell/core/control/ControlEvent.java
@@ -21,7 +21,8 @@
       implements ControlEvent {}
 
   /** Reports that an operator has submitted an order. */
-  record OrderSubmitted(RequestId id, OperatorOrder order, OrderAge age) implements ControlEvent {}
+  record OrderSubmitted(RequestId id, OperatorOrder order, RequestAge age)
+      implements ControlEvent {}
 
   /** Reports that an operator asks for the progress of the last rollout of a service. */
   record RolloutQueried(RequestId id, String service) implements ControlEvent {}
@@ -30,7 +31,7 @@
   record ConfigurationQueried(RequestId id) implements ControlEvent {}
 
   /** Reports that an endpoint has announced itself. */
-  record EndpointAnnounced(Announcement announcement) implements ControlEvent {}
+  record EndpointAnnounced(Announcement announcement, RequestAge age) implements ControlEvent {}
 
   /** Reports that an incarnation of an endpoint is shutting down. */
   record EndpointLeaving(EndpointId endpoint, long incarnation) implements ControlEvent {}
@@ -42,7 +43,7 @@
    *     means the one that is known when the request arrives
    */
   record DepartureRequested(
-      RequestId id, EndpointId endpoint, OptionalLong incarnation, OrderAge age)
+      RequestId id, EndpointId endpoint, OptionalLong incarnation, RequestAge age)
       implements ControlEvent {}
 
   /** Reports that every journal write up to the sequence number is synced. */
--- a/core/src/main/java/org/cuminwell/core/control/EndpointHandler.java
+++ b/core/src/main/java/org/cuminwell/core/control/EndpointHandler.java
@@ -44,9 +44,14 @@
     return table;
   }
 
-  /** Records an endpoint's announcement, which {@link #onTick} sends to the recipients. */
-  void onAnnouncement(Announcement announcement, Instant now) {
-    exchange.onAnnouncement(announcement, now);
+  /**
+   * Records an endpoint's announcement, which {@link #onTick} sends to the recipients. One whose
+   * sender may have turned to another host is ignored, as it may tell of a state long past.
+   */
+  void onAnnouncement(Announcement announcement, RequestAge age, Instant now) {
+    if (now.isBefore(age.outcomeDeadline())) {
+      exchange.onAnnouncement(announcement, now);
+    }
   }
 
   /** Records that an incarnation of an endpoint is leaving. */
--- a/core/src/main/java/org/cuminwell/core/control/OrderHandler.java
+++ b/core/src/main/java/org/cuminwell/core/control/OrderHandler.java
@@ -32,7 +32,7 @@
   }
 
   /** Submits an order and returns the resulting actions, its outcome possibly among them. */
-  List<StateMachineAction> submit(RequestId id, OperatorOrder order, OrderAge age, Instant now) {
+  List<StateMachineAction> submit(RequestId id, OperatorOrder order, RequestAge age, Instant now) {
     pending.put(id, new Submission(order, Duration.between(age.sentAfter(), now), now));
     return replicatedStateMachine.submitOrder(id, order, age, now);
   }
--- a/core/src/main/java/org/cuminwell/core/control/PendingCommand.java
+++ b/core/src/main/java/org/cuminwell/core/control/PendingCommand.java
@@ -44,7 +44,7 @@
   }
 
   /** Tracks an order, which must not be proposed once its sender may have given it up. */
-  static PendingCommand ofOrder(Command.CarryOut command, OrderAge age) {
+  static PendingCommand ofOrder(Command.CarryOut command, RequestAge age) {
     return new PendingCommand(command, age.proposalDeadline(), age.outcomeDeadline());
   }
 
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
@@ -85,7 +85,7 @@
    * another order on its subject is carried out before it.
    */
   public List<StateMachineAction> submitOrder(
-      RequestId id, OperatorOrder order, OrderAge age, Instant now) {
+      RequestId id, OperatorOrder order, RequestAge age, Instant now) {
     // Always decided by the log: this host's state may be older than the order.
     OptionalLong basis = OptionalLong.of(state.orderCount(order.subject()));
     addPending(id, PendingCommand.ofOrder(new Command.CarryOut(order, basis), age), now);
--- a/core/src/test/java/org/cuminwell/core/control/LateDepartureSparesTheNextIncarnationTest.java
+++ b/core/src/test/java/org/cuminwell/core/control/LateDepartureSparesTheNextIncarnationTest.java
@@ -42,7 +42,7 @@
   void onlyTheIncarnationThatIsMeantLeaves(
       String named, long ageMillis, boolean acknowledged, boolean leaves) {
     EndpointHandler handler = new EndpointHandler(List::of);
-    handler.onAnnouncement(announcement(), NOW);
+    handler.onAnnouncement(announcement(), new RequestAge(NOW), NOW);
 
     ControlAction.Answer answer =
         handler.onDepartureRequested(request(named, ageMillis, ENDPOINT), NOW);
@@ -65,7 +65,7 @@
     OptionalLong incarnation =
         named.isEmpty() ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(named));
     return new ControlEvent.DepartureRequested(
-        new RequestId("r"), endpoint, incarnation, new OrderAge(NOW.minusMillis(ageMillis)));
+        new RequestId("r"), endpoint, incarnation, new RequestAge(NOW.minusMillis(ageMillis)));
   }
 
   private static Announcement announcement() {
--- a/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
@@ -161,7 +161,7 @@
   List<StateMachineAction> submitOrder(
       ReplicatedStateMachine machine,
       OperatorOrder order,
-      OrderAge age,
+      RequestAge age,
       Consumer<CommandOutcome> onOutcome) {
     return machine.submitOrder(newOrder(order, onOutcome), order, age, now);
   }
--- a/core/src/test/java/org/cuminwell/core/control/SimulatedOperator.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedOperator.java
@@ -104,7 +104,7 @@
     List<SimulatedHost> hosts = cluster.hosts();
     SimulatedHost host = hosts.get(random.nextInt(hosts.size()));
     Call call = new Call(sequence, history.onSent(sequence.order(), cluster.now()), host);
-    cluster.schedule(OrderAge.SENDER_TIMEOUT, () -> giveUp(call));
+    cluster.schedule(RequestAge.SENDER_TIMEOUT, () -> giveUp(call));
     if (fails(15)) {
       cluster.freeze(host, millis(random.nextInt(MIN_FREEZE_MILLIS, MAX_FREEZE_MILLIS)));
     }
@@ -141,7 +141,7 @@
       return List.of();
     }
     OperatorOrder order = call.sequence.order();
-    OrderAge age = new OrderAge(call.sentAfter(readAt));
+    RequestAge age = new RequestAge(call.sentAfter(readAt));
     return broken == BrokenRule.NO_BASIS
         ? cluster.submitWithoutBasis(machine, order, outcome -> onOutcome(call, outcome))
         : cluster.submitOrder(machine, order, age, outcome -> onOutcome(call, outcome));
--- a/wire/src/test/java/org/cuminwell/wire/CrashFleet.java
+++ b/wire/src/test/java/org/cuminwell/wire/CrashFleet.java
@@ -16,6 +16,7 @@
 import org.cuminwell.core.config.ConfigurationDocument;
 import org.cuminwell.core.config.Forwarding;
 import org.cuminwell.core.control.ControlEvent;
+import org.cuminwell.core.control.RequestAge;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardAttemptOutcome;
 import org.cuminwell.core.forward.ForwardEvent;
@@ -415,7 +416,10 @@
           endpoint.restart(random.nextBoolean());
         }
         endpoint.announcedAt = fleet.now();
-        fleet.handle(control, new ControlEvent.EndpointAnnounced(announcement(endpoint)));
+        fleet.handle(
+            control,
+            new ControlEvent.EndpointAnnounced(
+                announcement(endpoint), new RequestAge(fleet.now())));
       }
     }
   }
--- a/wire/src/test/java/org/cuminwell/wire/IdleFleet.java
+++ b/wire/src/test/java/org/cuminwell/wire/IdleFleet.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.stream.IntStream;
 import org.cuminwell.core.control.ControlEvent;
+import org.cuminwell.core.control.RequestAge;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.HostId;
@@ -71,7 +72,9 @@
     for (int i = 0; i < endpoints.size(); i++) {
       if ((step + i) % STEPS_AN_ANNOUNCEMENT == 0) {
         HostId control = controls.get(i % controls.size());
-        fleet.handle(control, new ControlEvent.EndpointAnnounced(endpoints.get(i)));
+        fleet.handle(
+            control,
+            new ControlEvent.EndpointAnnounced(endpoints.get(i), new RequestAge(fleet.now())));
       }
     }
   }
