Give elections a class of their own

Elections holds the role and takes it through pre-votes and votes; LocalMember tells what this host is in the membership of its log. Nothing is decided otherwise than before: the order of writes, messages and draws of the random source is the same.

--- a/core/src/main/java/org/cuminwell/core/consensus/Replica.java
+++ b/core/src/main/java/org/cuminwell/core/consensus/Replica.java
@@ -1,16 +1,13 @@
 package org.cuminwell.core.consensus;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.SortedSet;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.ToLongFunction;
-import java.util.stream.Collectors;
 import org.cuminwell.core.consensus.ConsensusMessage.AppendReply;
 import org.cuminwell.core.consensus.ConsensusMessage.AppendRequest;
 import org.cuminwell.core.consensus.ConsensusMessage.InstallSnapshot;
@@ -37,8 +34,7 @@
  */
 public final class Replica<C, S> {
 
-  private final HostId self;
-  private final HostAddress address;
+  private final LocalMember<C, S> local;
   private final Set<HostId> contacts = new TreeSet<>();
   private final SplittableRandom random;
   private final Outbox<C, S> outbox = new Outbox<>();
@@ -48,9 +44,7 @@
   private final LogReplicator<C, S> replicator;
   private final MembershipChanges changes;
 
-  private Role role = new Role.Follower(Optional.empty());
-  private Instant lastLeaderSignalAt;
-  private Instant electionDueAt;
+  private final Elections<C, S> elections;
   private Instant nextJoinRequestAt;
 
   /**
@@ -67,17 +61,14 @@
       ToLongFunction<C> commandBytes,
       SplittableRandom random,
       Instant now) {
-    this.self = self;
-    this.address = address;
     this.random = random;
     this.store = new ReplicaStore<>(durable, commandBytes, outbox);
+    this.local = new LocalMember<>(self, address, store);
     this.log = store.log();
     this.commits = new CommitProgress<>(store, outbox);
     this.replicator = new LogReplicator<>(log, outbox);
     this.changes = new MembershipChanges(self);
-    // The leader that this host followed before a restart may still hold its lease.
-    this.lastLeaderSignalAt = now;
-    this.electionDueAt = now.plus(electionTimeout());
+    this.elections = new Elections<>(local, store, outbox, random, now);
     this.nextJoinRequestAt = now;
   }
 
@@ -103,15 +94,15 @@
 
   /** Returns whether this host leads and its lease is valid. */
   public boolean leads(Instant now) {
-    return role instanceof Role.Leader leader && leaseHolds(leader, now);
+    return elections.role() instanceof Role.Leader leader && leaseHolds(leader, now);
   }
 
   /**
    * Returns the leader, if this host knows one. If this host itself leads, its lease must be valid.
    */
   public Optional<HostId> leader(Instant now) {
-    return switch (role) {
-      case Role.Leader l -> leaseHolds(l, now) ? Optional.of(self) : Optional.empty();
+    return switch (elections.role()) {
+      case Role.Leader l -> leaseHolds(l, now) ? Optional.of(local.host()) : Optional.empty();
       case Role.Follower f -> f.leader();
       case Role.Candidate c -> Optional.empty();
     };
@@ -123,7 +114,7 @@
    * everything that earlier leaders committed.
    */
   public Optional<Instant> confirmedAt(Instant now) {
-    return role instanceof Role.Leader leader
+    return elections.role() instanceof Role.Leader leader
             && log.termAt(commits.commitIndex()) == hardState().term()
         ? Optional.of(lastQuorumAcknowledgedSendTime(leader, now))
         : Optional.empty();
@@ -134,7 +125,7 @@
     if (hardState().founding().isPresent()) {
       return new VotingStatus.Founding();
     }
-    return isVoter() ? new VotingStatus.Voter() : new VotingStatus.Learner();
+    return local.isVoter() ? new VotingStatus.Voter() : new VotingStatus.Learner();
   }
 
   /** Returns who votes, by the newest entry of this host's log. */
@@ -146,14 +137,14 @@
    * Returns the hosts that this leader sends the log to and that don't vote; empty if it follows.
    */
   public List<HostId> learners() {
-    return role instanceof Role.Leader leader
+    return elections.role() instanceof Role.Leader leader
         ? changes.learners(leader, log.membership())
         : List.of();
   }
 
   /** Returns the voters that this leader has not heard for a while; empty if it follows. */
   public List<HostId> silentVoters(Instant now) {
-    return role instanceof Role.Leader leader
+    return elections.role() instanceof Role.Leader leader
         ? changes.silentVoters(leader, log.membership(), now)
         : List.of();
   }
@@ -180,10 +171,10 @@
 
   private void onTick(Instant now) {
     boolean isStalled = outbox.isStalled(now);
-    if (isStalled && role instanceof Role.Leader) {
-      resign(now);
+    if (isStalled && elections.role() instanceof Role.Leader) {
+      elections.resign(now);
     }
-    switch (role) {
+    switch (elections.role()) {
       case Role.Leader leader -> {
         replicator.sendHeartbeatIfDue(leader, hardState().term(), commits.commitIndex(), now);
         changeMembershipIfDue(leader, now);
@@ -194,38 +185,31 @@
   }
 
   private void onTickAsNonLeader(Instant now) {
-    if (!isVoter() || hasNoLeader()) {
+    if (!local.isVoter() || hasNoLeader()) {
       requestJoinIfDue(now);
     }
-    if (now.isBefore(electionDueAt)) {
-      return;
-    }
-    if (mayBeElected()) {
-      startElection(true, now);
-    } else {
-      resign(now);
-    }
+    elections.startIfDue(now).ifPresent(candidate -> becomeLeader(candidate, now));
   }
 
   private boolean hasNoLeader() {
-    return !(role instanceof Role.Follower follower && follower.leader().isPresent());
+    return !(elections.role() instanceof Role.Follower follower && follower.leader().isPresent());
   }
 
   /** Asks every known control host to join, since the leader may not send to this one. */
   private void requestJoinIfDue(Instant now) {
     if (!now.isBefore(nextJoinRequestAt)) {
       nextJoinRequestAt = now.plus(ConsensusTimeouts.JOIN_REQUEST_INTERVAL);
-      JoinRequest<C, S> request = new JoinRequest<>(hardState().term(), selfMember());
-      Set<HostId> receivers = memberHosts();
+      JoinRequest<C, S> request = new JoinRequest<>(hardState().term(), local.member());
+      Set<HostId> receivers = local.memberHosts();
       receivers.addAll(contacts);
-      receivers.remove(self);
+      receivers.remove(local.host());
       receivers.forEach(host -> outbox.sendWhenDurable(host, request));
     }
   }
 
   private void onMessage(HostId from, ConsensusMessage<C, S> message, Instant now) {
     switch (message) {
-      case VoteRequest<C, S> m -> onVoteRequest(from, m, now);
+      case VoteRequest<C, S> m -> elections.onVoteRequest(from, m, now);
       case VoteReply<C, S> m -> onVoteReply(from, m, now);
       case AppendRequest<C, S> m -> onAppendRequest(from, m, now);
       case InstallSnapshot<C, S> m -> onInstallSnapshot(from, m, now);
@@ -234,97 +218,8 @@
     }
   }
 
-  // Elections.
-
-  /** Starts a pre-vote, or the election proper in a new term. */
-  private void startElection(boolean preVote, Instant now) {
-    electionDueAt = now.plus(electionTimeout());
-    if (!preVote) {
-      store.replaceHardState(hardState().inTerm(hardState().term() + 1).votingFor(self));
-    }
-    Role.Candidate candidate = Role.Candidate.starting(preVote, selfMember(), now);
-    role = candidate;
-    VoteRequest<C, S> request =
-        new VoteRequest<>(
-            preVote ? hardState().term() + 1 : hardState().term(),
-            preVote,
-            hardState().founding().isPresent(),
-            log.lastIndex(),
-            log.lastTerm());
-    electors().forEach(host -> outbox.sendWhenDurable(host, request));
-    advanceElectionIfWon(candidate, now);
-  }
-
-  /**
-   * Grants the vote only if no message of a leader was received recently and the candidate is
-   * eligible.
-   */
-  private void onVoteRequest(HostId from, VoteRequest<C, S> request, Instant now) {
-    boolean isLeaderSilent =
-        !now.isBefore(lastLeaderSignalAt.plus(ConsensusTimeouts.VOTE_HOLD_OFF));
-    boolean wouldElect =
-        isLeaderSilent
-            && !(role instanceof Role.Leader)
-            && VoteRules.mayVoteFor(hardState().founding(), log, request);
-    if (request.preVote()) {
-      boolean granted = wouldElect && request.term() > hardState().term();
-      replyToVote(from, request, granted);
-      return;
-    }
-    if (!isLeaderSilent || role instanceof Role.Leader) {
-      replyToVote(from, request, false);
-      return;
-    }
-    adoptTerm(request.term());
-    boolean granted =
-        wouldElect
-            && request.term() == hardState().term()
-            && hardState().votedFor().map(from::equals).orElse(true);
-    if (granted) {
-      // The lease of the candidate begins before this vote; another must not be elected within it.
-      lastLeaderSignalAt = now;
-      electionDueAt = now.plus(electionTimeout());
-      store.replaceHardState(hardState().votingFor(from));
-    }
-    replyToVote(from, request, granted);
-  }
-
-  private void replyToVote(HostId from, VoteRequest<C, S> request, boolean granted) {
-    outbox.sendWhenDurable(
-        from,
-        new VoteReply<>(
-            granted ? request.term() : hardState().term(),
-            request.preVote(),
-            granted,
-            selfMember()));
-  }
-
   private void onVoteReply(HostId from, VoteReply<C, S> reply, Instant now) {
-    if (!reply.granted()) {
-      adoptTerm(reply.term());
-      return;
-    }
-    if (role instanceof Role.Candidate candidate
-        && candidate.preVote() == reply.preVote()
-        && reply.term() == (reply.preVote() ? hardState().term() + 1 : hardState().term())) {
-      candidate.votesFrom().put(from, reply.voter());
-      advanceElectionIfWon(candidate, now);
-    }
-  }
-
-  /**
-   * Goes from a won pre-vote to the election, and from a won election to leadership. Waits for
-   * durable writes before leading.
-   */
-  private void advanceElectionIfWon(Role.Candidate candidate, Instant now) {
-    if (!VoteRules.isElected(hardState().founding(), log.membership(), candidate)) {
-      return;
-    }
-    if (candidate.preVote()) {
-      startElection(false, now);
-    } else if (outbox.isDurable()) {
-      becomeLeader(candidate, now);
-    }
+    elections.onVoteReply(from, reply, now).ifPresent(candidate -> becomeLeader(candidate, now));
   }
 
   /**
@@ -340,9 +235,9 @@
             : log.membership();
     membership.members().stream()
         .map(Member::host)
-        .filter(host -> !host.equals(self))
+        .filter(host -> !host.equals(local.host()))
         .forEach(host -> addFollower(leader, membership.memberAt(host).orElseThrow(), now));
-    role = leader;
+    elections.lead(leader);
     appendAsLeader(
         hardState().founded(),
         isFounding ? new EntryContent.ChangeMembership<>(membership) : new EntryContent.NoOp<>(),
@@ -357,21 +252,13 @@
             host -> new FollowerProgress(log.lastIndex() + 1, member.incarnation(), now));
   }
 
-  /** Adopts a later term, stepping down if this host leads or is a candidate. */
-  private void adoptTerm(long term) {
-    if (term > hardState().term()) {
-      role = new Role.Follower(Optional.empty());
-      store.replaceHardState(hardState().inTerm(term));
-    }
-  }
-
   // Followers.
 
   private void onAppendRequest(HostId from, AppendRequest<C, S> request, Instant now) {
     if (!followIfCurrent(from, request.term(), request.sentAt(), now)) {
       return;
     }
-    if (isVoter() && log.lastIndex() < request.acknowledgedIndex()) {
+    if (local.isVoter() && log.lastIndex() < request.acknowledgedIndex()) {
       store.replaceHardState(hardState().withIncarnation(newIncarnation()));
     }
     if (!log.contains(request.previousIndex(), request.previousTerm())) {
@@ -411,10 +298,8 @@
       reply(from, false, commits.commitIndex(), sentAt);
       return false;
     }
-    adoptTerm(term);
-    role = new Role.Follower(Optional.of(from));
-    lastLeaderSignalAt = now;
-    electionDueAt = now.plus(electionTimeout());
+    elections.adoptTerm(term);
+    elections.follow(from, now);
     return true;
   }
 
@@ -434,8 +319,8 @@
   // Leadership.
 
   private void onAppendReply(HostId from, AppendReply<C, S> reply, Instant now) {
-    adoptTerm(reply.term());
-    if (role instanceof Role.Leader leader && reply.term() == hardState().term()) {
+    elections.adoptTerm(reply.term());
+    if (elections.role() instanceof Role.Leader leader && reply.term() == hardState().term()) {
       replicator.onReply(leader, from, reply, hardState().term(), commits.commitIndex(), now);
       advanceCommit(leader, now);
     }
@@ -443,7 +328,7 @@
 
   /** Sends the log to the member from now on; it becomes a voter once it has caught up. */
   private void onJoinRequest(HostId from, JoinRequest<C, S> request, Instant now) {
-    if (role instanceof Role.Leader leader && request.member().host().equals(from)) {
+    if (elections.role() instanceof Role.Leader leader && request.member().host().equals(from)) {
       addFollower(leader, request.member(), now).onJoinRequest(request.member(), now);
     }
   }
@@ -456,8 +341,8 @@
     boolean mayChange =
         log.membershipIndex() <= commits.commitIndex()
             && log.termAt(commits.commitIndex()) == hardState().term();
-    if (mayChange && !isVoter()) {
-      resign(now);
+    if (mayChange && !local.isVoter()) {
+      elections.resign(now);
     } else if (mayChange) {
       changes.forgetLearners(leader, log.membership(), now);
       changes
@@ -467,7 +352,7 @@
   }
 
   private void onPropose(RequestId id, C command, Instant now) {
-    if (role instanceof Role.Leader) {
+    if (elections.role() instanceof Role.Leader) {
       outbox.add(new ProposalAppended<>(id, log.lastIndex() + 1, hardState().term()));
       appendAsLeader(new EntryContent.Proposed<>(command), now);
     } else {
@@ -487,7 +372,7 @@
     store.append(
         hardState,
         List.of(new LogEntry<>(log.lastIndex() + 1, hardState.term(), createdAt, content)));
-    if (role instanceof Role.Leader leader) {
+    if (elections.role() instanceof Role.Leader leader) {
       sendAll(leader, now);
     }
   }
@@ -503,17 +388,11 @@
   }
 
   private void expireLease(Instant now) {
-    if (role instanceof Role.Leader leader && !leaseHolds(leader, now)) {
-      resign(now);
+    if (elections.role() instanceof Role.Leader leader && !leaseHolds(leader, now)) {
+      elections.resign(now);
     }
   }
 
-  /** Follows no leader, in the present term. */
-  private void resign(Instant now) {
-    role = new Role.Follower(Optional.empty());
-    electionDueAt = now.plus(electionTimeout());
-  }
-
   private boolean leaseHolds(Role.Leader leader, Instant now) {
     return now.isBefore(
         lastQuorumAcknowledgedSendTime(leader, now).plus(ConsensusTimeouts.LEADER_LEASE));
@@ -532,14 +411,14 @@
 
   /** Returns when the member acknowledged what was sent; this host has done so until now. */
   private Instant acknowledgedSendTimeOf(Role.Leader leader, Member member, Instant now) {
-    return isSelf(member)
+    return local.is(member)
         ? now
         : leader.progressOf(member).map(p -> p.acknowledgedSentAt).orElse(Instant.MIN);
   }
 
   /** Returns the highest index that is durable at the member. */
   private long matchIndexOf(Role.Leader leader, Member member) {
-    return isSelf(member)
+    return local.is(member)
         ? log.durableIndex()
         : leader.progressOf(member).map(p -> p.matchIndex).orElse(0L);
   }
@@ -550,9 +429,10 @@
 
   private void onPersisted(long sequence, Instant now) {
     store.onPersisted(sequence);
-    switch (role) {
+    switch (elections.role()) {
       case Role.Leader leader -> advanceCommit(leader, now);
-      case Role.Candidate candidate -> advanceElectionIfWon(candidate, now);
+      case Role.Candidate c ->
+          elections.findElected(now).ifPresent(elected -> becomeLeader(elected, now));
       case Role.Follower f -> {}
     }
   }
@@ -561,56 +441,7 @@
     return store.hardState();
   }
 
-  /** Returns this host with its present disk. */
-  private Member selfMember() {
-    return new Member(self, address, hardState().incarnation());
-  }
-
-  private boolean isSelf(Member member) {
-    return member.is(self, hardState().incarnation());
-  }
-
-  /** Returns whether this host votes, by the newest entry of its log. */
-  private boolean isVoter() {
-    return log.membership().contains(self, hardState().incarnation());
-  }
-
-  private boolean mayBeElected() {
-    return hardState().founding().map(f -> f.voters().contains(self)).orElseGet(this::isVoter);
-  }
-
-  /** Returns the other hosts whose votes this one needs. */
-  private SortedSet<HostId> electors() {
-    SortedSet<HostId> hosts =
-        hardState()
-            .founding()
-            .map(f -> (SortedSet<HostId>) new TreeSet<>(f.voters()))
-            .orElseGet(this::memberHosts);
-    hosts.remove(self);
-    return hosts;
-  }
-
-  private SortedSet<HostId> memberHosts() {
-    return log.membership().members().stream()
-        .map(Member::host)
-        .collect(Collectors.toCollection(TreeSet::new));
-  }
-
   private long newIncarnation() {
     return random.nextLong(1, Long.MAX_VALUE);
   }
-
-  /**
-   * Returns a random timeout from this host's slot of the possible ones. Each elector has a slot of
-   * its own, in the order of host ids, so that few hosts ask for votes at the same time.
-   */
-  private Duration electionTimeout() {
-    SortedSet<HostId> electors = electors();
-    electors.add(self);
-    long slotMillis =
-        Math.max(1, ConsensusTimeouts.MAX_ELECTION_JITTER.toMillis() / electors.size());
-    long slot = electors.headSet(self).size();
-    return ConsensusTimeouts.MIN_ELECTION_TIMEOUT.plusMillis(
-        slot * slotMillis + random.nextLong(slotMillis));
-  }
 }
