Give the disk losses of simulated clusters a class of their own

DiskLosses tells which disks may be lost and whether a cluster bears what it should; the checks are as before.

--- a/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedCluster.java
@@ -8,7 +8,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
@@ -18,13 +17,11 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.config.ConfigurationChange;
 import org.cuminwell.core.config.Forwarding;
 import org.cuminwell.core.consensus.Founding;
 import org.cuminwell.core.consensus.HardState;
-import org.cuminwell.core.consensus.Member;
 import org.cuminwell.core.consensus.Membership;
 import org.cuminwell.core.model.DataCentreId;
 import org.cuminwell.core.model.ExposureBounds;
@@ -64,9 +61,6 @@
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration FAULTS_END = Duration.ofSeconds(15);
 
-  /** The maximum time for which a message may be on its way, with a freeze of its receiver. */
-  private static final Duration MAX_DELAY = Duration.ofSeconds(5);
-
   private static final Duration SETTLE_TIME = Duration.ofSeconds(15);
   private static final Duration CONTACT_PERIOD = Duration.ofMillis(500);
   private static final Duration END = Duration.ofSeconds(40);
@@ -84,11 +78,11 @@
   private final List<SimulatedHost> hosts;
   private final Set<Set<HostId>> partitions = new HashSet<>();
   private final StateMachineHistory history = new StateMachineHistory();
+  private final DiskLosses losses;
   private final List<SimulatedOperator> operators = new ArrayList<>();
   private final Map<RequestId, Consumer<CommandOutcome>> orderOutcomes = new HashMap<>();
   private final Set<OrderSubject> orderSubjects = new HashSet<>();
   private Optional<OrderHistory> orderHistory = Optional.empty();
-  private final Map<Membership, Instant> lastHeld = new HashMap<>();
   private Instant now = START;
   private long order;
   private long requests;
@@ -112,6 +106,7 @@
             .mapToObj(SimulatedCluster::hostId)
             .collect(Collectors.toSet());
     this.hosts = new ArrayList<>();
+    this.losses = new DiskLosses(hosts);
     for (machines = 0; machines < size; machines++) {
       HostId id = hostId(machines);
       HardState fresh =
@@ -321,17 +316,10 @@
               + (replicatedStateMachine == null ? "down" : replicatedStateMachine.status(now)));
     } else {
       history.checkFinalState(replicatedStateMachine);
-      checkVotes(host, replicatedStateMachine.membership());
-    }
-  }
-
-  /** Checks that the host votes, and that as many losses are borne as its cluster should bear. */
-  private void checkVotes(SimulatedHost host, Membership membership) {
-    long lost = membership.voters().stream().filter(member -> !isIntact(member)).count();
-    if (membership.isChanging()
-        || !membership.contains(host.id, host.incarnation())
-        || membership.lossesBorne() - lost < (hosts.size() - 1) / 2) {
-      history.addFault(host.id + " is in a cluster that bears too few losses: " + membership);
+      Membership membership = replicatedStateMachine.membership();
+      if (!losses.isSettled(host, membership)) {
+        history.addFault(host.id + " is in a cluster that bears too few losses: " + membership);
+      }
     }
   }
 
@@ -368,7 +356,7 @@
     try {
       event.apply(replicatedStateMachine).forEach(action -> perform(host, action));
       history.observe(host, replicatedStateMachine, now);
-      lastHeld.put(replicatedStateMachine.membership(), now);
+      losses.onMembershipHeld(replicatedStateMachine.membership(), now);
     } catch (IllegalStateException e) {
       history.addFault(host.id + " stopped with an exception: " + e.getMessage());
       host.crash();
@@ -564,7 +552,7 @@
   /** Crashes a host, if it runs, and wipes its disk, if the loss is to be borne. */
   private void wipeDisk(SimulatedHost host) {
     boolean isBroken = brokenRule == BrokenRule.EMPTY_DISK_VOTES;
-    if (isLossBorne(host) && !(isBroken && diskLost)) {
+    if (losses.areBorneWithout(host, now) && !(isBroken && diskLost)) {
       crash(host);
       diskLost = true;
       host.wipe(HardState.joining(isBroken ? host.incarnation() : newIncarnation()));
@@ -573,63 +561,12 @@
 
   /** Removes a machine for good, if the loss is to be borne, and starts an empty one later. */
   private void replaceMachine(SimulatedHost host) {
-    if (hosts.size() > 1 && host.stateMachine != null && isLossBorne(host)) {
+    if (hosts.size() > 1 && host.stateMachine != null && losses.areBorneWithout(host, now)) {
       SimulatedHost successor = replace(host);
       schedule(millis(random.nextInt(1, 2_500)), () -> restart(successor));
     }
   }
 
-  /**
-   * Returns whether the loss of this host's disk is to be borne: the cluster is founded and has
-   * committed something, a minority of its hosts don't vote yet, and by every membership that a
-   * host has, or that may still be on its way, a quorum keeps its disks.
-   */
-  private boolean isLossBorne(SimulatedHost lost) {
-    Membership newest = newestMembership();
-    long learners =
-        hosts.stream()
-            .filter(host -> host != lost && !newest.contains(host.id, host.incarnation()))
-            .count();
-    return hosts.stream().noneMatch(SimulatedHost::isFounding)
-        && !newest.voters().isEmpty()
-        && learners + 1 <= (hosts.size() - 1) / 2
-        && Stream.concat(
-                hosts.stream().flatMap(host -> host.memberships().stream()),
-                lastHeld.entrySet().stream()
-                    .filter(held -> now.isBefore(held.getValue().plus(MAX_DELAY)))
-                    .map(Map.Entry::getKey))
-            .allMatch(membership -> hasQuorumWithout(lost, membership));
-  }
-
-  /** Returns the membership of the running host that has applied most. */
-  private Membership newestMembership() {
-    return hosts.stream()
-        .map(host -> host.stateMachine)
-        .filter(Objects::nonNull)
-        .filter(machine -> machine.appliedIndex() > 0)
-        .max(Comparator.comparingLong(ReplicatedStateMachine::appliedIndex))
-        .map(ReplicatedStateMachine::membership)
-        .orElse(Membership.NONE);
-  }
-
-  private boolean hasQuorumWithout(SimulatedHost lost, Membership membership) {
-    return Stream.of(membership.voters(), membership.nextVoters())
-        .filter(voters -> !voters.isEmpty())
-        .allMatch(
-            voters ->
-                voters.stream()
-                        .filter(member -> !member.host().equals(lost.id) && isIntact(member))
-                        .count()
-                    > voters.size() / 2);
-  }
-
-  /** Returns whether the member's machine is there with its disk. */
-  private boolean isIntact(Member member) {
-    return findHost(member.host())
-        .filter(host -> host.incarnation() == member.incarnation())
-        .isPresent();
-  }
-
   /** Tells the hosts of each other, as their connections do. */
   private void connectAll() {
     for (SimulatedHost host : hosts) {
