Log when a gateway's shares end or are adopted

One gateway's lease ended at 5.55 s, and it heard of the new leader at 5.72 s; it had its floor alone until 11.5 s and refused 159 requests. The other six adopted theirs in time.

--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -161,6 +161,9 @@
     }
     advanceStop(now, actions);
     crashes.takeLogEvents().forEach(e -> actions.add(new GatewayAction.LogCrashEvidence(e)));
+    if (limits != null) {
+      limits.takeLogEvents().forEach(e -> actions.add(new GatewayAction.LogShares(e)));
+    }
     return actions;
   }
 
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayAction.java
@@ -7,6 +7,7 @@
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.idempotency.CallOutcome;
+import org.cuminwell.core.limit.ShareLogEvent;
 import org.cuminwell.core.model.CallRecord;
 import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.Failure;
@@ -97,6 +98,9 @@
   /** Logs a change in what this gateway believes about crashes of endpoints. */
   record LogCrashEvidence(CrashLogEvent event) implements GatewayAction {}
 
+  /** Logs a change in which shares this gateway may use. */
+  record LogShares(ShareLogEvent event) implements GatewayAction {}
+
   /** Reports that all requests have ended after a stop was requested. */
   record ReportStopCompleted() implements GatewayAction {}
 }
--- a/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
+++ b/core/src/main/java/org/cuminwell/core/limit/ShareHolder.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +48,7 @@
   private final Instant startedAt;
   private final Map<CustomerId, LocalLimit> limits = new HashMap<>();
   private final ArrayDeque<SentReport> sentReports = new ArrayDeque<>();
+  private List<ShareLogEvent> logEvents = new ArrayList<>();
 
   private Configuration configuration = Configuration.EMPTY;
   private Optional<HostId> leader = Optional.empty();
@@ -222,6 +224,13 @@
   /** Pairs a message with its receiver. Immutable and thread safe. */
   public record AddressedMessage(HostId to, LimitMessage message) {}
 
+  /** Returns what has changed since the last call. */
+  public List<ShareLogEvent> takeLogEvents() {
+    List<ShareLogEvent> taken = logEvents;
+    logEvents = new ArrayList<>();
+    return taken;
+  }
+
   /** Returns the share held of a customer's limit, without the floor. */
   public Share shareOf(CustomerId customer) {
     LocalLimit limit = limits.get(customer);
@@ -282,6 +291,7 @@
       leader = Optional.of(from);
       answeredSequence = 0;
       isReportUrgent = true;
+      logEvents.add(new ShareLogEvent.LeaderFollowed(from, newEpoch));
     }
   }
 
@@ -308,6 +318,8 @@
     }
     if (isFromNewLeader) {
       limits.values().forEach(LocalLimit::resetCredit);
+      logEvents.add(
+          new ShareLogEvent.SharesAdopted(grant.epoch(), Duration.between(now, leaseEnd)));
     }
     leaseEnd = end.isAfter(leaseEnd) ? end : leaseEnd;
     grantEpoch = grant.epoch();
@@ -362,6 +374,7 @@
       return;
     }
     limits.values().forEach(limit -> limit.dropShare(leaseEnd));
+    logEvents.add(new ShareLogEvent.LeaseExpired(epoch, grantEpoch));
     session++;
     nextSequence = FIRST_SEQUENCE;
     answeredSequence = 0;
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -278,6 +278,7 @@
       case GatewayAction.CloseListener a -> closeListener();
       case GatewayAction.LogStopProgress a -> StopLog.write(a.event());
       case GatewayAction.LogCrashEvidence a -> crashLog.write(a.event());
+      case GatewayAction.LogShares a -> ShareLog.write(a.event());
       case GatewayAction.ReportStopCompleted a -> stopped.countDown();
     }
   }
