Show that the loss of one core machine at the first start stops the system

Cause: the first leader needs the votes of all founders, so a founder that is gone for good before the first election leaves the others without a leader, and nothing admits its successor.

--- a/review/second/Lab.java
+++ b/review/second/Lab.java
@@ -13,6 +13,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -95,7 +96,7 @@
   private final Path root = Path.of("").toAbsolutePath();
   private final Path temp;
   private final PrintWriter record;
-  private final List<Host> hosts = new ArrayList<>();
+  private final List<Host> hosts = new CopyOnWriteArrayList<>();
   private final int basePort;
   private final String net;
 
@@ -170,6 +171,20 @@
     }
   }
 
+  /** Returns the core hosts whose processes run. */
+  List<Host> runningCore() {
+    return core().stream().filter(Host::isAlive).toList();
+  }
+
+  /** Starts an empty core host at another address in the place of one that is gone for good. */
+  Host startSuccessor(Host gone) throws IOException {
+    hosts.remove(gone);
+    Host host = new Host("core-" + (core().size() + 2), net + 14, gone.zone, true);
+    hosts.add(host);
+    start(host, false);
+    return host;
+  }
+
   /** Starts a gateway and waits until it has warmed up, since all share one loopback address. */
   Host startFront(String zone) throws Exception {
     int number = fronts().size() + 1;
