Show that a 503 of a server that ran an unsafe request is passed on as a promise

Cause: a failed response of an endpoint is passed on with its status if the request can't be repeated; 503 promises the caller that nothing has run.

--- a/review/second/Lab.java
+++ b/review/second/Lab.java
@@ -319,6 +319,21 @@
     throw new CannotRun("no control host acknowledged " + path);
   }
 
+  /** Sends the first configuration and waits until the gateways take callers. */
+  void configure() throws InterruptedException {
+    order("/api/Config.Replace", Documents.configuration(1));
+    for (Host front : fronts()) {
+      await(
+          front.name + " to be ready",
+          30,
+          () ->
+              Http.call(
+                          front.readiness(), "GET", "/api/ready", "x", Map.of(), new byte[0], 500)
+                      .status
+                  == 200);
+    }
+  }
+
   /** Copies the last lines that a process wrote to the record. */
   void logTail(Host host, int lines) {
     try {
--- a/review/second/LeavingCase.java
+++ b/review/second/LeavingCase.java
@@ -40,12 +40,7 @@
           new Server(lab, "i-desk-" + (i + 1), lab.address(60 + i), lab.port(30), "desk",
               Lab.ZONES[i % 3], WORK_MILLIS));
     }
-    lab.order("/api/Config.Replace", Documents.configuration(1));
-    for (Lab.Host front : fronts) {
-      lab.await(front.name + " to be ready", 30,
-          () -> Http.call(front.readiness(), "GET", "/api/ready", "x", Map.of(), new byte[0], 500)
-              .status == 200);
-    }
+    lab.configure();
     List<Seen> seen = new CopyOnWriteArrayList<>();
     List<Thread> clients = new ArrayList<>();
     double end = lab.seconds() + 14;
--- a/review/second/Server.java
+++ b/review/second/Server.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -43,6 +44,9 @@
   volatile boolean drainAcknowledged;
   private volatile boolean ended;
 
+  /** Which part of the requests that it has run this server answers with 503. */
+  volatile double failingPart;
+
   Server(Lab lab, String id, String ip, int port, String service, String zone, int workMillis)
       throws IOException {
     this.lab = lab;
@@ -197,6 +201,13 @@
     lab.log("run " + request + " at " + id + (leaving ? " (leaving)" : ""));
     try {
       sleep(workMillis);
+      if (ThreadLocalRandom.current().nextDouble() < failingPart) {
+        lab.log("failed " + request + " at " + id + " after its run: 503");
+        write(
+            socket, 503, "Attempt-Id: " + request + "\r\nResponse-Stamp: s." + id + "." + request,
+            "the work is done, but the reply could not be made");
+        return;
+      }
       write(
           socket,
           200,
