Show that a completed rollout is rolled back by a restart of the system

Where the two differ the leader's later steps name another rollout than the copies hold, and are dropped there, so the replicas differ and a restart finds a rollout that never began. Its version is then barred.

--- a/review/second/Lab.java
+++ b/review/second/Lab.java
@@ -334,6 +334,30 @@
     }
   }
 
+  /** Returns the core host that leads, by the metrics of the operators' address. */
+  Host leader() throws InterruptedException {
+    Host[] found = new Host[1];
+    await(
+        "a leader",
+        20,
+        () -> {
+          for (Host host : core()) {
+            String metrics =
+                new String(
+                    Http.call(
+                            host.ip + ":" + port(25), "GET", "/metrics", "x", Map.of(),
+                            new byte[0], 1_000)
+                        .body,
+                    StandardCharsets.UTF_8);
+            if (metrics.lines().anyMatch(line -> line.matches("\\S*agreement_leads\\S* 1(\\.0)?"))) {
+              found[0] = host;
+            }
+          }
+          return found[0] != null;
+        });
+    return found[0];
+  }
+
   /** Copies the last lines that a process wrote to the record. */
   void logTail(Host host, int lines) {
     try {
--- a/review/second/Server.java
+++ b/review/second/Server.java
@@ -31,6 +31,7 @@
   private final Lab lab;
   private final String service;
   private final String zone;
+  private final String version;
   private final int workMillis;
   private final long born = System.currentTimeMillis();
   private final ServerSocket listener;
@@ -49,6 +50,20 @@
 
   Server(Lab lab, String id, String ip, int port, String service, String zone, int workMillis)
       throws IOException {
+    this(lab, id, ip, port, service, zone, "v1", workMillis);
+  }
+
+  Server(
+      Lab lab,
+      String id,
+      String ip,
+      int port,
+      String service,
+      String zone,
+      String version,
+      int workMillis)
+      throws IOException {
+    this.version = version;
     this.lab = lab;
     this.id = id;
     this.address = ip + ":" + port;
@@ -111,10 +126,10 @@
   private boolean beat(boolean draining) {
     String body =
         """
-        {"service":"%s","address":"%s","zone":"%s","version":"v1","slots":64,"state":"%s",\
+        {"service":"%s","address":"%s","zone":"%s","version":"%s","slots":64,"state":"%s",\
         "coldRemainingMs":0,"seq":%d,"born":%d}"""
             .formatted(
-                service, address, zone, draining ? "draining" : "ready",
+                service, address, zone, version, draining ? "draining" : "ready",
                 sequence.incrementAndGet(), born);
     for (int attempt = 0; attempt < 3 && !ended; attempt++) {
       Lab.Host host = lab.core().get(Math.floorMod(daemon, lab.core().size()));
