Propose commands in the form in which the log holds them

Cause: a leader applied the command that its front end had made. RolloutDialect read 16.4 s as 16.399999999 s, RolloutCodec wrote 16399 ms, so the leader's rollout was equal to that of no other replica and its steps were dropped there and by its own replay. Any field that an encoding rounds or drops has the effect.

Ruled out: that the duration is the only such field. With the encoding left out of the new history, deadlines of routes' rollouts, run limits and odd texts differ as well.

Change: a host encodes and decodes each command of its own clients before it proposes or forwards it, and answers "not run" if that fails.

--- a/core/src/main/java/org/cuminwell/core/control/PendingCommand.java
+++ b/core/src/main/java/org/cuminwell/core/control/PendingCommand.java
@@ -44,7 +44,7 @@
   }
 
   /** Tracks an order, which must not be proposed once its sender may have given it up. */
-  static PendingCommand ofOrder(Command.CarryOut command, RequestAge age) {
+  static PendingCommand ofOrder(Command command, RequestAge age) {
     return new PendingCommand(command, age.proposalDeadline(), age.outcomeDeadline());
   }
 
@@ -130,4 +130,11 @@
     return new CommandOutcome.Failed(
         Failure.notRun(ErrorCode.NO_QUORUM, why + "; nothing was changed; submit it again"));
   }
+
+  /** Returns the outcome of a command that the log can't hold. */
+  static CommandOutcome invalidOutcome(IllegalArgumentException why) {
+    return new CommandOutcome.Failed(
+        Failure.notRun(
+            ErrorCode.BAD_REQUEST, why.getMessage() + "; nothing was changed; send other values"));
+  }
 }
--- a/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
+++ b/core/src/main/java/org/cuminwell/core/control/ReplicatedStateMachine.java
@@ -31,7 +31,8 @@
  *
  * <p>Invariants: the state changes only by committed entries; each submitted command is answered
  * once; a result is returned only after the command is committed, and a verdict of "not run" only
- * when the command can no longer be committed. Not thread safe: one thread owns it.
+ * when the command can no longer be committed; every command is proposed in the form in which it is
+ * read back from the log. Not thread safe: one thread owns it.
  */
 public final class ReplicatedStateMachine {
 
@@ -40,6 +41,7 @@
   private final Replica<Command, StateSnapshot> replica;
   private final HostId self;
   private final LogLimits limits;
+  private final CommandEncoding encoding;
   private final ReplicatedState state = new ReplicatedState();
   private final ReadIndexTracker readIndex = new ReadIndexTracker();
   private final Map<RequestId, PendingCommand> pending = new LinkedHashMap<>();
@@ -51,6 +53,7 @@
    *
    * @param address where other control hosts reach this one
    * @param limits the size of the log above which a snapshot is made
+   * @param encoding how the log holds commands
    */
   public ReplicatedStateMachine(
       HostId self,
@@ -58,23 +61,25 @@
       DurableState<Command, StateSnapshot> durable,
       SplittableRandom random,
       LogLimits limits,
+      CommandEncoding encoding,
       Instant now) {
     this.self = self;
     this.limits = limits;
+    this.encoding = encoding;
     this.replica = new Replica<>(self, address, durable, Command::bytes, random, now);
     durable.snapshot().map(Snapshot::state).ifPresent(state::restore);
   }
 
   /**
    * Submits a command of one of this host's own clients. The answer is returned as an action, by
-   * this call or a later one.
+   * this call or a later one. A command that the log can't hold is answered as not run.
    */
   public List<StateMachineAction> submit(RequestId id, Command command, Instant now) {
     Optional<CommandResult> existingResult = findResult(command);
     if (existingResult.isPresent()) {
       answer(id, new CommandOutcome.Committed(existingResult.get()));
     } else {
-      addPending(id, PendingCommand.of(command, now), now);
+      encode(id, command).ifPresent(c -> addPending(id, PendingCommand.of(c, now), now));
     }
     return drain();
   }
@@ -88,10 +93,21 @@
       RequestId id, OperatorOrder order, RequestAge age, Instant now) {
     // Always decided by the log: this host's state may be older than the order.
     OptionalLong basis = OptionalLong.of(state.orderCount(order.subject()));
-    addPending(id, PendingCommand.ofOrder(new Command.CarryOut(order, basis), age), now);
+    encode(id, new Command.CarryOut(order, basis))
+        .ifPresent(c -> addPending(id, PendingCommand.ofOrder(c, age), now));
     return drain();
   }
 
+  /** Returns the command as the log holds it, or answers it as not run if the log can't. */
+  private Optional<Command> encode(RequestId id, Command command) {
+    try {
+      return Optional.of(encoding.roundTrip(command));
+    } catch (IllegalArgumentException e) {
+      answer(id, PendingCommand.invalidOutcome(e));
+      return Optional.empty();
+    }
+  }
+
   private void addPending(RequestId id, PendingCommand command, Instant now) {
     if (command.isExpired(now)) {
       answer(id, command.timeoutOutcome());
--- a/core/src/test/java/org/cuminwell/core/control/KnownControlHostsAreDialledTest.java
+++ b/core/src/test/java/org/cuminwell/core/control/KnownControlHostsAreDialledTest.java
@@ -74,6 +74,7 @@
             List.of(first)),
         new SplittableRandom(1),
         new LogLimits(1_024, 1_000_000),
+        command -> command,
         START);
   }
 
--- a/core/src/test/java/org/cuminwell/core/control/LargeConfigurationsFillTheLogTest.java
+++ b/core/src/test/java/org/cuminwell/core/control/LargeConfigurationsFillTheLogTest.java
@@ -79,7 +79,8 @@
   /** Starts a host from the disk and elects it if it can be. */
   private ReplicatedStateMachine start() {
     ReplicatedStateMachine stateMachine =
-        new ReplicatedStateMachine(SELF, ADDRESS, disk, new SplittableRandom(1), LIMITS, START);
+        new ReplicatedStateMachine(
+            SELF, ADDRESS, disk, new SplittableRandom(1), LIMITS, command -> command, START);
     perform(stateMachine, stateMachine.onTick(START.plus(ELECTION_TIME)));
     return stateMachine;
   }
--- a/core/src/test/java/org/cuminwell/core/control/SimulatedHost.java
+++ b/core/src/test/java/org/cuminwell/core/control/SimulatedHost.java
@@ -56,7 +56,9 @@
     startCount++;
     lastRevision = 0;
     HostAddress address = new HostAddress(id.value(), PORT);
-    stateMachine = new ReplicatedStateMachine(id, address, disk, random.split(), LOG_LIMITS, now);
+    stateMachine =
+        new ReplicatedStateMachine(
+            id, address, disk, random.split(), LOG_LIMITS, command -> command, now);
   }
 
   /** Crashes the process. A random prefix of the unsynced writes reaches the disk. */
--- a/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/control/ControlProcess.java
@@ -45,6 +45,7 @@
 import org.cuminwell.shell.peer.PeerListener;
 import org.cuminwell.shell.peer.PeerNode;
 import org.cuminwell.shell.peer.PeerTls;
+import org.cuminwell.wire.CommandCodec;
 
 /**
  * Runs a control host: network threads put events into one ring, and the decide thread turns them
@@ -262,6 +263,7 @@
         journal.recovered(),
         new SplittableRandom(new SecureRandom().nextLong()),
         LogLimits.forHeap(Runtime.getRuntime().maxMemory()),
+        CommandCodec::roundTrip,
         time.instant());
   }
 
--- a/shell/src/test/java/org/cuminwell/shell/journal/JournalTest.java
+++ b/shell/src/test/java/org/cuminwell/shell/journal/JournalTest.java
@@ -35,6 +35,7 @@
 import org.cuminwell.core.model.RequestId;
 import org.cuminwell.core.model.TicketNumber;
 import org.cuminwell.core.ticket.Ticket;
+import org.cuminwell.wire.CommandCodec;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -243,6 +244,7 @@
         journal.recovered(),
         new SplittableRandom(1),
         new LogLimits(compactEntries, Long.MAX_VALUE),
+        CommandCodec::roundTrip,
         ENTRY_TIME);
   }
 
--- a/wire/src/main/java/org/cuminwell/wire/RolloutCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/RolloutCodec.java
@@ -90,11 +90,16 @@
         .build();
   }
 
+  /**
+   * Reads an order. Earlier builds wrote longer durations than an order may have now, which would
+   * keep a journal with such an entry from being applied.
+   */
   static RolloutOrder fromProto(org.cuminwell.wire.generated.RolloutOrder from) {
+    long maxMillis = RolloutOrder.MAX_DURATION.toMillis();
     return new RolloutOrder(
         from.getService(),
         new VersionId(from.getToVersion()),
-        Duration.ofMillis(from.getDurationMillis()),
+        Duration.ofMillis(Math.min(from.getDurationMillis(), maxMillis)),
         fromProto(from.getExposure()));
   }
 
--- a/wire/src/test/java/org/cuminwell/wire/CoreFleet.java
+++ b/wire/src/test/java/org/cuminwell/wire/CoreFleet.java
@@ -155,6 +155,7 @@
             DurableState.empty(HardState.founding(new Founding(Set.copyOf(voters), Set.of()), 1)),
             new SplittableRandom(id.hashCode()),
             LogLimits.forHeap(Runtime.getRuntime().maxMemory()),
+            CommandCodec::roundTrip,
             now);
     return new Control(id, Set.of(), replicatedStateMachine, now);
   }
