Hide a refusal of an endpoint that may have run the request

Only a gateway's own failures were given a status by their verdict.

Ruled out: that the gateway that relays is at fault; it passes heads on and its own failures carry a verdict.

Change: such a response is an UnconfirmedRefusal. A request that may run again is tried again or gets the response as it is; any other gets it with status 502 and without Retry-After.

--- a/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
@@ -47,8 +47,13 @@
       boolean isRepeatable)
       implements ForwardAction {}
 
-  /** Passes the response of the attempt on to the caller. */
-  record PassResponse(RequestId id, int attempt) implements ForwardAction {}
+  /**
+   * Passes the response of the attempt on to the caller.
+   *
+   * @param hidesRefusal whether its status is replaced by one that does not say that the request
+   *     has not run
+   */
+  record PassResponse(RequestId id, int attempt, boolean hidesRefusal) implements ForwardAction {}
 
   /** Cancels the running attempt and closes its connection. */
   record CancelAttempt(RequestId id, int attempt) implements ForwardAction {}
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -400,19 +400,15 @@
         if (call.isResponsePassed() && head.status() != OK) {
           cancelAndRetryOrFail(call, failedWith(head.status()), context, now, actions);
         } else {
-          passResponse(call, actions);
+          passResponse(call, false, actions);
         }
       }
-      case ResponseHead.Failed head -> {
-        versionRouter.recordEndpointFailure(call);
-        boolean another =
-            call.route().retrySemantics().allowsRetry()
-                && retries.isAllowed(call, Verdict.ran(), now);
-        if (another || call.isResponsePassed()) {
-          cancelAndRetryOrFail(call, failedWith(head.status()), context, now, actions);
-        } else {
-          passResponse(call, actions);
-        }
+      case ResponseHead.Failed head ->
+          onEndpointFailure(call, head.status(), false, context, now, actions);
+      case ResponseHead.UnconfirmedRefusal head -> {
+        // A caller may send the request again after a refusal, which is wrong if it has run.
+        boolean hidesRefusal = !call.route().retrySemantics().allowsRetry();
+        onEndpointFailure(call, head.status(), hidesRefusal, context, now, actions);
       }
       case ResponseHead.NotRun head -> {
         if (head.misdirected()) {
@@ -437,13 +433,32 @@
     }
   }
 
+  /** Retries a request that its endpoint has failed, or passes the response on. */
+  private void onEndpointFailure(
+      ForwardedCall call,
+      int status,
+      boolean hidesRefusal,
+      Context context,
+      Instant now,
+      List<ForwardAction> actions) {
+    versionRouter.recordEndpointFailure(call);
+    boolean another =
+        call.route().retrySemantics().allowsRetry() && retries.isAllowed(call, Verdict.ran(), now);
+    if (another || call.isResponsePassed()) {
+      cancelAndRetryOrFail(call, failedWith(status), context, now, actions);
+    } else {
+      passResponse(call, hidesRefusal, actions);
+    }
+  }
+
   private static Failure failedWith(int status) {
     return Failure.ran(ErrorCode.ENDPOINT_FAILED, "the endpoint failed with status " + status);
   }
 
-  private static void passResponse(ForwardedCall call, List<ForwardAction> actions) {
+  private static void passResponse(
+      ForwardedCall call, boolean hidesRefusal, List<ForwardAction> actions) {
     call.markResponsePassed();
-    actions.add(new ForwardAction.PassResponse(call.id(), call.attempts()));
+    actions.add(new ForwardAction.PassResponse(call.id(), call.attempts(), hidesRefusal));
   }
 
   private void cancelAndRetryOrFail(
--- a/core/src/main/java/org/cuminwell/core/forward/ResponseHead.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ResponseHead.java
@@ -12,6 +12,12 @@
   /** Reports that the endpoint ran the request and failed. */
   record Failed(int status) implements ResponseHead {}
 
+  /**
+   * Reports that the endpoint refused the request without saying that it did not run it, with a
+   * status by which callers conclude that. The request may have run.
+   */
+  record UnconfirmedRefusal(int status) implements ResponseHead {}
+
   /**
    * Reports that the endpoint did not run the request.
    *
--- a/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
+++ b/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
@@ -90,6 +90,12 @@
     "idempotent,       1, FAILED,        PASSED",
     "once,             1, FAILED,        PASSED",
     "stream_once,      2, FAILED,        PASSED",
+    "once,             2, UNCONFIRMED,   PASSED_WITHOUT_REFUSAL",
+    "stream_once,      2, UNCONFIRMED,   PASSED_WITHOUT_REFUSAL",
+    "idempotent,       2, UNCONFIRMED,   SENT_AGAIN",
+    "idempotent,       1, UNCONFIRMED,   PASSED",
+    "resumable_stream, 2, UNCONFIRMED,   SENT_AGAIN",
+    "resumable_stream, 1, UNCONFIRMED,   PASSED",
     "idempotent,       1, NOT_RUN,       SENT_AGAIN",
     "once,             1, NOT_RUN,       SENT_AGAIN",
     "once,             1, MISDIRECTED,   SENT_AGAIN",
@@ -302,6 +308,7 @@
   enum Step {
     FINAL,
     FAILED,
+    UNCONFIRMED,
     NOT_RUN,
     MISDIRECTED,
     UNRECOGNIZED,
@@ -311,6 +318,7 @@
 
   enum Outcome {
     PASSED,
+    PASSED_WITHOUT_REFUSAL,
     SENT_AGAIN,
     REFUSED_MAYBE_RUN,
     REFUSED_NOT_RUN,
@@ -324,6 +332,7 @@
     switch (step) {
       case FINAL -> receiveResponse(send, new ResponseHead.Final(200));
       case FAILED -> receiveResponse(send, new ResponseHead.Failed(500));
+      case UNCONFIRMED -> receiveResponse(send, new ResponseHead.UnconfirmedRefusal(503));
       case NOT_RUN -> receiveResponse(send, new ResponseHead.NotRun(503, false, Optional.empty()));
       case MISDIRECTED ->
           receiveResponse(send, new ResponseHead.NotRun(421, true, Optional.empty()));
@@ -348,7 +357,7 @@
           return Outcome.SENT_AGAIN;
         }
         case ForwardAction.PassResponse a -> {
-          return Outcome.PASSED;
+          return a.hidesRefusal() ? Outcome.PASSED_WITHOUT_REFUSAL : Outcome.PASSED;
         }
         case ForwardAction.Refuse a -> {
           return a.failure().verdict().label().equals("not_run")
--- a/shell/src/main/java/org/cuminwell/shell/exchange/ResponseStart.java
+++ b/shell/src/main/java/org/cuminwell/shell/exchange/ResponseStart.java
@@ -18,6 +18,11 @@
     return status >= FIRST_SUCCESS && status < FIRST_REDIRECTION;
   }
 
+  /** Returns the same head with another status. */
+  public ResponseStart withStatus(int other) {
+    return new ResponseStart(other, headers, length);
+  }
+
   /** Returns the same head with other headers. */
   public ResponseStart withHeaders(HeaderList other) {
     return new ResponseStart(status, other, length);
--- a/shell/src/main/java/org/cuminwell/shell/forward/CallerResponse.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/CallerResponse.java
@@ -71,13 +71,16 @@
     writer.onWritable(this::resumeReading);
   }
 
-  /** Passes the response of an attempt on, or continues with it the one that broke off. */
-  void pass(ForwardAttempt attempt) {
+  /**
+   * Passes the response of an attempt on, or continues with it the one that broke off.
+   *
+   * @param response the head that the caller gets
+   */
+  void pass(ForwardAttempt attempt, ResponseStart response) {
     if (ended) {
       attempt.end(new CallerDisconnected());
       return;
     }
-    ResponseStart response = attempt.response();
     passing = attempt;
     if (head == null) {
       head = response.withHeaders(HopByHopHeaders.endToEnd(response.headers()));
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardDialect.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardDialect.java
@@ -43,6 +43,12 @@
   /** Parses the head of an endpoint's response to a request. */
   ResponseHead parseResponseHead(ResponseStart response, ForwardRequest head);
 
+  /**
+   * Returns the response head with a status that does not say that the request has not run, and
+   * without an invitation to send it again.
+   */
+  ResponseStart hideRefusal(ResponseStart response);
+
   /**
    * Builds the response that reports a failure to the caller.
    *
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardFront.java
@@ -20,6 +20,7 @@
 import org.cuminwell.shell.exchange.HttpEventLoops;
 import org.cuminwell.shell.exchange.RequestMessage;
 import org.cuminwell.shell.exchange.ResponseMessage;
+import org.cuminwell.shell.exchange.ResponseStart;
 import org.cuminwell.shell.exchange.ResponseWriter;
 
 /**
@@ -136,7 +137,7 @@
   private void performInLoop(ForwardAction action) {
     switch (action) {
       case ForwardAction.Send a -> ifOpen(a.id(), open -> client.send(open.call(), a));
-      case ForwardAction.PassResponse a -> ifOpen(a.id(), ForwardFront::passResponse);
+      case ForwardAction.PassResponse a -> ifOpen(a.id(), open -> passResponse(open, a));
       case ForwardAction.CancelAttempt a ->
           ifOpen(a.id(), open -> open.call().latestAttempt().ifPresent(ForwardAttempt::cancel));
       case ForwardAction.Refuse a -> {
@@ -149,8 +150,13 @@
     }
   }
 
-  private static void passResponse(OpenForward open) {
-    open.call().latestAttempt().ifPresent(open.response()::pass);
+  private void passResponse(OpenForward open, ForwardAction.PassResponse action) {
+    open.call().latestAttempt().ifPresent(attempt -> pass(open, attempt, action.hidesRefusal()));
+  }
+
+  private void pass(OpenForward open, ForwardAttempt attempt, boolean hidesRefusal) {
+    ResponseStart received = attempt.response();
+    open.response().pass(attempt, hidesRefusal ? dialect.hideRefusal(received) : received);
   }
 
   /** Ends a request with a failure, or closes its connection if its response has started. */
--- a/shell/src/test/java/org/cuminwell/shell/forward/PlainDialect.java
+++ b/shell/src/test/java/org/cuminwell/shell/forward/PlainDialect.java
@@ -28,6 +28,8 @@
   static final String TOKENS = "Tokens";
 
   private static final int FIRST_SERVER_ERROR = 500;
+  private static final int UNAVAILABLE = 503;
+  private static final int BAD_GATEWAY = 502;
 
   @Override
   public ForwardRequest parseRequest(RequestId id, RequestMessage request, Instant arrivedAt) {
@@ -60,11 +62,19 @@
 
   @Override
   public ResponseHead parseResponseHead(ResponseStart response, ForwardRequest head) {
+    if (response.status() == UNAVAILABLE) {
+      return new ResponseHead.UnconfirmedRefusal(UNAVAILABLE);
+    }
     return response.status() >= FIRST_SERVER_ERROR
         ? new ResponseHead.Failed(response.status())
         : new ResponseHead.Final(response.status());
   }
 
+  @Override
+  public ResponseStart hideRefusal(ResponseStart response) {
+    return response.withStatus(BAD_GATEWAY);
+  }
+
   @Override
   public ResponseMessage failureResponse(Optional<ForwardRequest> head, Failure failure) {
     return ResponseMessage.text(failure.code().httpStatus(), failure.message())
