Repeat a departure for as long as the announcement is held

Read by the reviewer: a gateway that connects 5 to 10 s after an endpoint left takes it for ready, as full updates hold the announcement for its 10 s and the departure for 5 s.

Change: a departure stays in updates while the announcement of its incarnation does.

--- a/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
+++ b/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
@@ -33,7 +33,10 @@
   /** How often endpoints that keep announcing themselves are renewed, and their loads are sent. */
   static final Duration RENEW_PERIOD = Duration.ofSeconds(1);
 
-  /** How long messages repeat that an endpoint leaves. */
+  /**
+   * How long messages repeat that an endpoint leaves, or longer while its announcement is held: a
+   * process that gets the announcement later must not take it for one that stays.
+   */
   static final Duration LEAVING_REPEAT_PERIOD = Duration.ofSeconds(5);
 
   private final Supplier<List<HostId>> recipients;
@@ -176,9 +179,7 @@
     }
     List<Item> items = new ArrayList<>();
     removeExpired(now, items);
-    leavingEndpoints
-        .values()
-        .removeIf(entry -> !now.isBefore(entry.at().plus(LEAVING_REPEAT_PERIOD)));
+    leavingEndpoints.entrySet().removeIf(entry -> !isRepeated(entry, now));
     boolean isRenewalDue =
         renewedAt.equals(Instant.MIN) || !now.isBefore(renewedAt.plus(RENEW_PERIOD));
     if (isRenewalDue) {
@@ -310,6 +311,13 @@
     return items;
   }
 
+  private boolean isRepeated(Map.Entry<EndpointId, DirectLeaving> departure, Instant now) {
+    DirectEndpoint held = endpoints.get(departure.getKey());
+    boolean isAnnounced =
+        held != null && held.announcement().incarnation() == departure.getValue().incarnation();
+    return isAnnounced || now.isBefore(departure.getValue().at().plus(LEAVING_REPEAT_PERIOD));
+  }
+
   /** Removes expired endpoints, and adds items so that the receivers no longer renew them. */
   private void removeExpired(Instant now, List<Item> items) {
     endpoints
--- a/core/src/test/java/org/cuminwell/core/membership/MembershipExchangeTest.java
+++ b/core/src/test/java/org/cuminwell/core/membership/MembershipExchangeTest.java
@@ -147,6 +147,11 @@
   }
 
   static Announcement announcement(String endpoint, long incarnation, int port) {
+    return announcement(endpoint, incarnation, port, TIME_TO_LIVE);
+  }
+
+  static Announcement announcement(
+      String endpoint, long incarnation, int port, Duration timeToLive) {
     return new Announcement(
         new EndpointId(endpoint),
         incarnation,
@@ -155,7 +160,7 @@
         Set.of("chat"),
         new VersionId("v1"),
         4,
-        TIME_TO_LIVE,
+        timeToLive,
         false);
   }
 
@@ -231,6 +236,32 @@
     assertThat(deliver(receiving, sender, sending.tick(renewed), renewed)).isEmpty();
   }
 
+  /** Guards against a peer that connects late and takes an endpoint that left for a ready one. */
+  @ParameterizedTest(name = "{0} ms after the announcement")
+  @ValueSource(longs = {500, 2_900, 5_100, 7_000, 9_900})
+  void aFullUpdateNeverShowsAnEndpointThatLeftAsReady(long millis) {
+    HostId sender = new HostId("teller");
+    var sending = new MembershipExchange(List::of, new EndpointTable());
+    EndpointTable table = new EndpointTable();
+    var receiving = new MembershipExchange(List::of, table);
+    Instant start = Instant.ofEpochSecond(1_000);
+    Announcement lasting = announcement("e1", 1, 1, Duration.ofSeconds(10));
+    sending.onAnnouncement(lasting, start);
+    sending.onLeaving(lasting.endpoint(), lasting.incarnation(), start);
+    Instant end = start.plusMillis(millis);
+    for (Instant now = start; now.isBefore(end); now = now.plus(STEP)) {
+      sending.tick(now);
+    }
+
+    deliver(
+        receiving,
+        sender,
+        sending.onMessage(new HostId("listener"), new MembershipMessage.FullUpdateRequest(), end),
+        end);
+
+    assertThat(table.findServing("chat", end)).isEmpty();
+  }
+
   /** Delivers the messages, and returns the receiver's replies. */
   private static List<OutgoingMessage> deliver(
       MembershipExchange receiving, HostId sender, List<OutgoingMessage> messages, Instant now) {
