Take endpoints out of use whose responses say that they leave

Cause: nothing read the header. A departure was only what an endpoint tells control hosts.

Ruled out: that its silence would take it out in time; an announcement counts for 10 s.

Change: the dialect reads the header; Forwarder marks that incarnation before it decides on the response and logs endpoint_leaving; the gateway tells neighbours and control hosts, which tell all. A relay remembers what it passed on, refuses more for that incarnation as not run, and says why.

--- a/core/src/main/java/org/cuminwell/core/control/EndpointHandler.java
+++ b/core/src/main/java/org/cuminwell/core/control/EndpointHandler.java
@@ -7,6 +7,7 @@
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import org.cuminwell.core.control.ControlAction.SendToPeer;
+import org.cuminwell.core.crash.EndpointIncarnation;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.membership.EndpointTable;
 import org.cuminwell.core.membership.MembershipExchange;
@@ -94,10 +95,22 @@
     exchange.onDisconnected(peer);
   }
 
+  /** Handles a message of a control host, or of a gateway that has seen endpoints leave. */
   void onMessage(HostId peer, MembershipMessage message, Instant now, List<ControlAction> actions) {
+    if (message instanceof MembershipMessage.Update update && !controlHosts.contains(peer)) {
+      update.items().forEach(item -> recordObservedDeparture(item, now));
+    }
     addSends(exchange.onMessage(peer, message, now), actions);
   }
 
+  /** Tells the recipients what only a gateway knows; control hosts hear of each other's news. */
+  private void recordObservedDeparture(MembershipMessage.Item item, Instant now) {
+    if (item instanceof MembershipMessage.Item.Leaving leaving
+        && !table.isLeaving(new EndpointIncarnation(leaving.endpoint(), leaving.incarnation()))) {
+      exchange.onLeaving(leaving.endpoint(), leaving.incarnation(), now);
+    }
+  }
+
   /** Removes expired endpoints and sends the update that is due. */
   void onTick(Instant now, List<ControlAction> actions) {
     table.removeExpired(now);
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
@@ -19,6 +19,7 @@
    * Sends an attempt of a request to an endpoint.
    *
    * @param attempt the number of the attempt, counted from 1
+   * @param incarnation the incarnation of the endpoint
    * @param relay the gateway that relays the request, if the endpoint is in another region
    * @param timeLeft the time until the deadline of the request
    * @param firstByteTimeout how long to wait for the first byte of the response
@@ -35,6 +36,7 @@
       RequestId id,
       int attempt,
       EndpointId endpoint,
+      long incarnation,
       HostAddress address,
       Optional<HostAddress> relay,
       Duration timeLeft,
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardEvent.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardEvent.java
@@ -20,6 +20,9 @@
   record ResponseHeadReceived(RequestId id, int attempt, ResponseHead head)
       implements ForwardEvent {}
 
+  /** Reports that the endpoint of an attempt has said that it leaves. */
+  record EndpointLeaving(RequestId id, int attempt) implements ForwardEvent {}
+
   /** Reports that the first part of the response body was passed to the caller. */
   record BodyStarted(RequestId id) implements ForwardEvent {}
 
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardLogEvent.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardLogEvent.java
@@ -55,6 +55,10 @@
       List<Trait> traits)
       implements ForwardLogEvent {}
 
+  /** Reports that the response to the request said that its endpoint leaves. */
+  record EndpointLeaving(int attempt, EndpointId endpoint, long incarnation)
+      implements ForwardLogEvent {}
+
   /**
    * Reports that the request has ended.
    *
@@ -72,11 +76,15 @@
       Optional<Failure> failure)
       implements ForwardLogEvent {}
 
-  /** Returns whether the event reports a failure, or a retry that follows from one. */
-  default boolean isFailure() {
+  /**
+   * Returns whether the event is logged for each request: a failure, a retry that follows from one,
+   * or news of an endpoint.
+   */
+  default boolean isAlwaysLogged() {
     return switch (this) {
       case Sent n -> n.attempt() > 1;
       case AttemptFailed n -> true;
+      case EndpointLeaving n -> true;
       case Ended n -> n.failure().isPresent();
     };
   }
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardLogEvents.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardLogEvents.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import org.cuminwell.core.crash.EndpointIncarnation;
 import org.cuminwell.core.membership.Announcement;
 import org.cuminwell.core.model.CallRecord;
 import org.cuminwell.core.model.Customer;
@@ -43,6 +44,13 @@
             connectionLost ? call.traits() : List.of()));
   }
 
+  static ForwardAction endpointLeaving(ForwardedCall call, EndpointIncarnation endpoint) {
+    return logAction(
+        call,
+        new ForwardLogEvent.EndpointLeaving(
+            call.attempts(), endpoint.endpoint(), endpoint.incarnation()));
+  }
+
   static ForwardAction ended(
       ForwardedCall call, CallRecord record, Forwarder.Context context, Instant now) {
     return logAction(
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -11,6 +11,7 @@
 import org.cuminwell.core.config.ConfigurationIndex;
 import org.cuminwell.core.config.Forwarding;
 import org.cuminwell.core.crash.CrashEvidence;
+import org.cuminwell.core.crash.EndpointIncarnation;
 import org.cuminwell.core.directory.HostDirectory;
 import org.cuminwell.core.limit.Admission;
 import org.cuminwell.core.limit.LimitRefusal;
@@ -66,6 +67,7 @@
   private final Map<RequestId, ForwardedCall> calls = new HashMap<>();
   private final ShareWaitQueue<ForwardedCall> shareWaitQueue = new ShareWaitQueue<>();
   private final ResponseTimeEstimator responseTimes = new ResponseTimeEstimator();
+  private final List<EndpointIncarnation> observedDepartures = new ArrayList<>();
 
   /**
    * Creates the forwarder of a gateway at {@code localPlace}; {@code random} is used to select
@@ -125,6 +127,7 @@
     switch (event) {
       case ForwardEvent.RequestReceived e -> onRequestReceived(e, context, now, actions);
       case ForwardEvent.ResponseHeadReceived e -> onResponseHead(e, context, now, actions);
+      case ForwardEvent.EndpointLeaving e -> onEndpointLeaving(e, now, actions);
       case ForwardEvent.BodyStarted e -> {
         ForwardedCall call = calls.get(e.id());
         if (call != null) {
@@ -372,6 +375,7 @@
             call.id(),
             attempt,
             endpoint.endpoint(),
+            endpoint.incarnation(),
             endpoint.address(),
             target.relay(),
             timeLeft,
@@ -384,6 +388,28 @@
             call.route().retrySemantics().allowsRetry()));
   }
 
+  /** Sends nothing more to the endpoint, also where nobody else has heard that it leaves. */
+  private void onEndpointLeaving(
+      ForwardEvent.EndpointLeaving event, Instant now, List<ForwardAction> actions) {
+    ForwardedCall call = findRunningAttempt(event.id(), event.attempt());
+    if (call == null) {
+      return;
+    }
+    EndpointIncarnation endpoint = call.endpoint().orElseThrow().endpointIncarnation();
+    if (!endpoints.isLeaving(endpoint)) {
+      endpoints.markLeaving(endpoint.endpoint(), endpoint.incarnation(), now);
+      observedDepartures.add(endpoint);
+      actions.add(ForwardLogEvents.endpointLeaving(call, endpoint));
+    }
+  }
+
+  /** Returns the endpoints that have said in a response that they leave, since the last call. */
+  public List<EndpointIncarnation> takeObservedDepartures() {
+    List<EndpointIncarnation> result = List.copyOf(observedDepartures);
+    observedDepartures.clear();
+    return result;
+  }
+
   private void onResponseHead(
       ForwardEvent.ResponseHeadReceived event,
       Context context,
--- a/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import java.util.SplittableRandom;
 import org.cuminwell.core.config.Configuration;
 import org.cuminwell.core.crash.CrashEvidence;
+import org.cuminwell.core.crash.EndpointIncarnation;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.directory.HostDirectory;
 import org.cuminwell.core.distribution.ConfigurationHolder;
@@ -143,6 +144,9 @@
       case GatewayEvent.ReplayableResponseReceived e -> onReplayableResponse(e);
       case GatewayEvent.Forwarded e -> {
         addForwardActions(forwarder.handle(e.event(), forwardContext(now), now), actions);
+        forwarder
+            .takeObservedDepartures()
+            .forEach(endpoint -> peers.onDepartureObserved(endpoint, now, actions));
         reportShares(now, actions);
       }
       case GatewayEvent.ModelsRequested e -> listModels(e, actions);
@@ -150,6 +154,7 @@
       case GatewayEvent.EndpointAnnounced e -> peers.onAnnouncement(e.announcement(), now);
       case GatewayEvent.EndpointReported e -> peers.onLoadReport(e.report());
       case GatewayEvent.EndpointLeaving e -> peers.onLeaving(e.endpoint(), e.incarnation(), now);
+      case GatewayEvent.DepartureObserved e -> onDepartureObserved(e.endpoint(), now, actions);
       case GatewayEvent.PeerConnected e -> peers.onConnected(e.peer(), actions);
       case GatewayEvent.PeerDisconnected e -> {
         peers.onDisconnected(e.peer());
@@ -175,6 +180,13 @@
     return canServe && !stop.isRequested();
   }
 
+  private void onDepartureObserved(
+      EndpointIncarnation endpoint, Instant now, List<GatewayAction> actions) {
+    if (!endpoints.isLeaving(endpoint)) {
+      peers.onDepartureObserved(endpoint, now, actions);
+    }
+  }
+
   private void addForwardActions(List<ForwardAction> forwardActions, List<GatewayAction> actions) {
     forwardActions.forEach(action -> actions.add(new GatewayAction.Forward(action)));
   }
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayEvent.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayEvent.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.cuminwell.core.crash.EndpointIncarnation;
 import org.cuminwell.core.forward.ForwardEvent;
 import org.cuminwell.core.idempotency.CallOutcome;
 import org.cuminwell.core.membership.Announcement;
@@ -60,6 +61,9 @@
   /** Reports that an endpoint has announced that it is about to stop. */
   record EndpointLeaving(EndpointId endpoint, long incarnation) implements GatewayEvent {}
 
+  /** Reports that an endpoint has said, in a response that this gateway relays, that it leaves. */
+  record DepartureObserved(EndpointIncarnation endpoint) implements GatewayEvent {}
+
   /** Reports that a connection to another process of the system was established. */
   record PeerConnected(HostId peer) implements GatewayEvent {}
 
--- a/core/src/main/java/org/cuminwell/core/gateway/GatewayPeers.java
+++ b/core/src/main/java/org/cuminwell/core/gateway/GatewayPeers.java
@@ -7,6 +7,7 @@
 import org.cuminwell.core.crash.CrashEvidence;
 import org.cuminwell.core.crash.CrashExchange;
 import org.cuminwell.core.crash.CrashUpdate;
+import org.cuminwell.core.crash.EndpointIncarnation;
 import org.cuminwell.core.directory.ConnectedPeers;
 import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
@@ -122,6 +123,7 @@
         connectedPeers.addControlHost(peer);
         hello.controlAddresses().forEach(address -> actions.add(new Dial(address)));
         addMessages(membership.onConnected(peer), actions);
+        addMessages(membership.departuresTo(List.of(peer)), actions);
         addMessages(crashes.onConnected(peer, now), actions);
       }
       case DirectoryMessage.Hosts hosts -> onHosts(peer, hosts, actions);
@@ -160,6 +162,15 @@
     membership.onLeaving(endpoint, incarnation, now);
   }
 
+  /**
+   * Tells the neighbours and the control hosts, which tell all other gateways, that an endpoint has
+   * said in a response that it leaves.
+   */
+  void onDepartureObserved(EndpointIncarnation endpoint, Instant now, List<GatewayAction> actions) {
+    membership.onLeaving(endpoint.endpoint(), endpoint.incarnation(), now);
+    addMessages(membership.departuresTo(connectedPeers.controlHosts()), actions);
+  }
+
   /** Sends the messages that are due. */
   void tick(Instant now, List<GatewayAction> actions) {
     addMessages(subscriber.tick(now), actions);
--- a/core/src/main/java/org/cuminwell/core/membership/Announcement.java
+++ b/core/src/main/java/org/cuminwell/core/membership/Announcement.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Set;
+import org.cuminwell.core.crash.EndpointIncarnation;
 import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.core.model.Names;
@@ -83,6 +84,11 @@
     }
   }
 
+  /** Returns the start of the endpoint that the announcement is of. */
+  public EndpointIncarnation endpointIncarnation() {
+    return new EndpointIncarnation(endpoint, incarnation);
+  }
+
   /**
    * Returns whether {@code later}, by the same endpoint, says nothing new but that the endpoint is
    * alive. An announcement in slow start is never renewed this way.
--- a/core/src/main/java/org/cuminwell/core/membership/EndpointTable.java
+++ b/core/src/main/java/org/cuminwell/core/membership/EndpointTable.java
@@ -97,7 +97,7 @@
     removeOthersAt(announcement, receivedAt);
     entries.put(
         announcement.endpoint(),
-        new Entry(announcement, receivedAt, isLeaving(announcement), load));
+        new Entry(announcement, receivedAt, isLeaving(announcement.endpointIncarnation()), load));
   }
 
   /** Records that an incarnation leaves, whether its announcement has arrived yet or not. */
@@ -114,6 +114,12 @@
                 : old);
   }
 
+  /** Returns whether the incarnation is remembered as one that leaves. */
+  public boolean isLeaving(EndpointIncarnation endpoint) {
+    Departure departure = departures.get(endpoint.endpoint());
+    return departure != null && departure.incarnation() == endpoint.incarnation();
+  }
+
   /** Records a load report, unless a later one is known. */
   public void recordLoad(LoadReport report) {
     entries.computeIfPresent(
@@ -201,12 +207,6 @@
         .removeIf(departure -> !now.isBefore(departure.at().plus(DEPARTURE_RETENTION)));
   }
 
-  /** Returns whether this incarnation has said that it leaves. */
-  private boolean isLeaving(Announcement announcement) {
-    Departure departure = departures.get(announcement.endpoint());
-    return departure != null && departure.incarnation() == announcement.incarnation();
-  }
-
   /** Returns whether a later incarnation has said that it leaves. */
   private boolean isOlderThanDeparture(Announcement announcement) {
     Departure departure = departures.get(announcement.endpoint());
--- a/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
+++ b/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
@@ -152,6 +152,18 @@
     leavingEndpoints.put(endpoint, new DirectLeaving(incarnation, now, true));
   }
 
+  /**
+   * Returns the departures that this process still repeats as messages to the peers, which need not
+   * receive its other updates.
+   */
+  public List<OutgoingMessage> departuresTo(List<HostId> peers) {
+    if (leavingEndpoints.isEmpty()) {
+      return List.of();
+    }
+    Update message = new Update(start, 0, version, departureItems());
+    return peers.stream().map(peer -> messageTo(peer, message)).toList();
+  }
+
   /** Forgets the versions of a disconnected peer, which may restart them. */
   public void onDisconnected(HostId peer) {
     receivedVersions.remove(peer);
@@ -306,8 +318,7 @@
         }
       }
     }
-    leavingEndpoints.forEach(
-        (id, leaving) -> items.add(new Item.Leaving(id, leaving.incarnation())));
+    items.addAll(departureItems());
     return items;
   }
 
@@ -318,6 +329,12 @@
     return isAnnounced || now.isBefore(departure.getValue().at().plus(LEAVING_REPEAT_PERIOD));
   }
 
+  private List<Item> departureItems() {
+    return leavingEndpoints.entrySet().stream()
+        .<Item>map(entry -> new Item.Leaving(entry.getKey(), entry.getValue().incarnation()))
+        .toList();
+  }
+
   /** Removes expired endpoints, and adds items so that the receivers no longer renew them. */
   private void removeExpired(Instant now, List<Item> items) {
     endpoints
@@ -344,8 +361,7 @@
         .map(endpoint -> endpoint.age(now))
         .max(Comparator.naturalOrder())
         .ifPresent(age -> items.add(new Item.AllRenewed(age)));
-    leavingEndpoints.forEach(
-        (id, leaving) -> items.add(new Item.Leaving(id, leaving.incarnation())));
+    items.addAll(departureItems());
   }
 
   /** Adds what the renewal of all endpoints does not say of this one. */
--- a/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
+++ b/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
@@ -15,6 +15,7 @@
 import org.cuminwell.core.config.ConfigurationIndex;
 import org.cuminwell.core.config.Forwarding;
 import org.cuminwell.core.crash.CrashEvidence;
+import org.cuminwell.core.crash.EndpointIncarnation;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.directory.HostDirectory;
 import org.cuminwell.core.limit.ShareHolder;
@@ -45,6 +46,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /**
  * Tests how forwarded requests are routed, retried and ended, depending on endpoints and callers.
@@ -305,6 +307,26 @@
     assertThat(forwarder.isIdle()).isTrue();
   }
 
+  /** Guards against requests to an endpoint of which only its responses say that it leaves. */
+  @ParameterizedTest(name = "its response is {0}")
+  @EnumSource(names = {"FINAL", "FAILED", "UNCONFIRMED", "NOT_RUN"})
+  void endpointThatSaysThatItLeavesGetsNoFurtherRequest(Step response) {
+    configureWithEndpoints(new RetrySemantics.AtMostOnce(), 3, LOCAL, LOCAL);
+    open(ID);
+    ForwardAction.Send first = lastSend();
+    handle(new ForwardEvent.EndpointLeaving(first.id(), first.attempt()));
+    handle(new ForwardEvent.EndpointLeaving(first.id(), first.attempt()));
+    perform(response, first);
+    for (int i = 0; i < 20; i++) {
+      open(new RequestId("later" + i));
+    }
+
+    assertThat(sends()).filteredOn(send -> send.endpoint().equals(first.endpoint())).hasSize(1);
+    assertThat(forwarder.takeObservedDepartures())
+        .containsExactly(new EndpointIncarnation(first.endpoint(), first.incarnation()));
+    assertThat(forwarder.takeObservedDepartures()).isEmpty();
+  }
+
   enum Step {
     FINAL,
     FAILED,
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
@@ -4,11 +4,10 @@
 import java.util.Deque;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardAttemptOutcome;
 import org.cuminwell.core.forward.ForwardEvent;
-import org.cuminwell.core.forward.ResponseHead;
+import org.cuminwell.core.forward.ForwardRequest;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.shell.exchange.CallFailure;
 import org.cuminwell.shell.exchange.ClientCall;
@@ -38,7 +37,8 @@
   private final ForwardAction.Send sendAction;
   private final Consumer<ForwardEvent> events;
   private final ClientCall call;
-  private final Function<ResponseStart, ResponseHead> parser;
+  private final ForwardDialect dialect;
+  private final ForwardRequest request;
   private final Runnable onHeadOrFailure;
   private final Deque<byte[]> keptParts = new ArrayDeque<>();
   private int keptBytes;
@@ -51,19 +51,22 @@
   /**
    * Creates an attempt that has not been sent.
    *
-   * @param parser parses the endpoint's response head
+   * @param dialect parses the endpoint's response head
+   * @param request the caller's request
    * @param onHeadOrFailure runs when the first byte is not awaited any more
    */
   ForwardAttempt(
       ForwardAction.Send sendAction,
       ClientCall call,
       Consumer<ForwardEvent> events,
-      Function<ResponseStart, ResponseHead> parser,
+      ForwardDialect dialect,
+      ForwardRequest request,
       Runnable onHeadOrFailure) {
     this.sendAction = sendAction;
     this.call = call;
     this.events = events;
-    this.parser = parser;
+    this.dialect = dialect;
+    this.request = request;
     this.onHeadOrFailure = onHeadOrFailure;
   }
 
@@ -95,6 +98,9 @@
       close();
       return;
     }
+    if (dialect.saysLeaving(head) || RelayHeaders.saysLeaving(head)) {
+      events.accept(new ForwardEvent.EndpointLeaving(sendAction.id(), sendAction.attempt()));
+    }
     Optional<Failure> relayFailure =
         sendAction.relay().flatMap(_ -> RelayHeaders.findFailure(head));
     if (relayFailure.isPresent()) {
@@ -105,7 +111,7 @@
     state = State.HEAD_RECEIVED;
     events.accept(
         new ForwardEvent.ResponseHeadReceived(
-            sendAction.id(), sendAction.attempt(), parser.apply(head)));
+            sendAction.id(), sendAction.attempt(), dialect.parseResponseHead(head, request)));
   }
 
   @Override
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
@@ -49,11 +49,7 @@
     FirstByteTimer timer = new FirstByteTimer();
     ForwardAttempt attempt =
         new ForwardAttempt(
-            sendAction,
-            connections.newCall(),
-            events,
-            response -> dialect.parseResponseHead(response, call.head()),
-            timer::cancel);
+            sendAction, connections.newCall(), events, dialect, call.head(), timer::cancel);
     if (!call.tryBegin(attempt)) {
       attempt.end(new ForwardAttemptOutcome.CallerDisconnected());
       return;
@@ -78,7 +74,7 @@
     RequestMessage request =
         dialect.endpointRequest(call.request(), call.head(), sendAction, resumeAfter);
     return sendAction.relay().isPresent()
-        ? RelayHeaders.addRelayTarget(request, sendAction.address(), sendAction.isRepeatable())
+        ? RelayHeaders.addRelayTarget(request, sendAction)
         : request;
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardDialect.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardDialect.java
@@ -43,6 +43,9 @@
   /** Parses the head of an endpoint's response to a request. */
   ResponseHead parseResponseHead(ResponseStart response, ForwardRequest head);
 
+  /** Returns whether the endpoint that sent the response says that it leaves. */
+  boolean saysLeaving(ResponseStart response);
+
   /**
    * Returns the response head with a status that does not say that the request has not run, and
    * without an invitation to send it again.
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardLog.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardLog.java
@@ -23,10 +23,10 @@
 
   private static final System.Logger LOG = System.getLogger("org.cuminwell.request");
 
-  /** Logs the event if its request is sampled or if it is a failure or a retry. */
+  /** Logs the event if its request is sampled or if the event is always logged. */
   void write(ForwardAction.Log log) {
     boolean sampled = Math.floorMod(log.callerRequestId().hashCode(), SAMPLED_ONE_IN) == 0;
-    if (sampled || log.event().isFailure()) {
+    if (sampled || log.event().isAlwaysLogged()) {
       LOG.log(System.Logger.Level.INFO, () -> toJson(log).toString());
     }
   }
@@ -55,6 +55,11 @@
         putTraits(e.traits(), line);
         putFailure(Optional.of(e.failure()), line);
       }
+      case ForwardLogEvent.EndpointLeaving e ->
+          line.put("did", "endpoint_leaving")
+              .put("attempt", e.attempt())
+              .put("endpoint", e.endpoint().value())
+              .put("incarnation", e.incarnation());
       case ForwardLogEvent.Ended e -> {
         line.put("did", e.failure().isPresent() ? "failed" : "answered")
             .put("attempts", e.attempts())
--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
@@ -1,9 +1,12 @@
 package org.cuminwell.shell.forward;
 
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import org.cuminwell.core.crash.EndpointIncarnation;
+import org.cuminwell.core.membership.ObservedDepartures;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
@@ -26,26 +29,61 @@
  *
  * <p>A relayed request is always sent to an endpoint, never to a further gateway. Requests without
  * the header are passed to the fallback handler. Invariant: after {@link #refuseNewRequests} new
- * requests fail as not run, and requests in progress continue. Thread safe.
+ * requests fail as not run, and requests in progress continue; no request is sent to an endpoint
+ * that has said in a response passed on from here that it leaves. Thread safe.
  */
 public final class RelayFront {
 
   private static final Failure STOPPING =
       Failure.notRun(ErrorCode.STOPPING, "this gateway is stopping; use another gateway");
 
+  private static final Failure MALFORMED =
+      Failure.notRun(
+          ErrorCode.BAD_REQUEST, "a header for the relay holds no valid address or endpoint");
+
   /** The idle timeout that is announced to other gateways; connections are kept longer. */
   private static final String KEEP_ALIVE = "timeout=60";
 
   private final ClientConnections connections;
+  private final InstantSource time;
   private final BiConsumer<RequestMessage, ResponseWriter> fallback;
+  private final Departures departures;
+  private final ObservedDepartures observed = new ObservedDepartures();
   private boolean refusing;
   private int openRelays;
 
+  /** Reads departures of endpoints from responses, and receives them. */
+  public interface Departures {
+
+    /** Finds none. */
+    Departures NONE =
+        new Departures() {
+          @Override
+          public boolean saysLeaving(ResponseStart response) {
+            return false;
+          }
+
+          @Override
+          public void onObserved(EndpointIncarnation endpoint) {}
+        };
+
+    /** Returns whether the endpoint that sent the response says that it leaves. */
+    boolean saysLeaving(ResponseStart response);
+
+    /** Receives an endpoint that was not known to leave. */
+    void onObserved(EndpointIncarnation endpoint);
+  }
+
   /** Creates a front end; {@code fallback} handles requests that are not to be relayed. */
   public RelayFront(
-      ClientConnections connections, BiConsumer<RequestMessage, ResponseWriter> fallback) {
+      ClientConnections connections,
+      InstantSource time,
+      BiConsumer<RequestMessage, ResponseWriter> fallback,
+      Departures departures) {
     this.connections = connections;
+    this.time = time;
     this.fallback = fallback;
+    this.departures = departures;
   }
 
   /** Returns the handler for a new connection of another gateway. */
@@ -73,6 +111,16 @@
     return openRelays;
   }
 
+  private synchronized void recordDeparture(EndpointIncarnation endpoint) {
+    if (observed.record(endpoint, time.instant())) {
+      departures.onObserved(endpoint);
+    }
+  }
+
+  private synchronized boolean isLeaving(EndpointIncarnation endpoint) {
+    return observed.contains(endpoint, time.instant());
+  }
+
   /** Counts a new relayed request; returns false if new requests are refused. */
   private synchronized boolean tryBegin() {
     if (!refusing) {
@@ -93,11 +141,13 @@
   private final class RelayedRequest implements ResponseReceiver {
 
     private final ClientCall call = connections.newCall();
+    private final Optional<EndpointIncarnation> endpoint;
     private final ResponseWriter writer;
     private boolean started;
     private boolean ended;
 
-    RelayedRequest(ResponseWriter writer) {
+    RelayedRequest(Optional<EndpointIncarnation> endpoint, ResponseWriter writer) {
+      this.endpoint = endpoint;
       this.writer = writer;
       writer.onWritable(() -> call.setReading(true));
     }
@@ -105,6 +155,9 @@
     @Override
     public void onHead(ResponseStart head) {
       started = true;
+      if (departures.saysLeaving(head)) {
+        endpoint.ifPresent(RelayFront.this::recordDeparture);
+      }
       writer.start(
           head.withHeaders(
               HopByHopHeaders.endToEnd(head.headers()).with("Keep-Alive", KEEP_ALIVE)));
@@ -163,21 +216,15 @@
 
     @Override
     public void onRequest(RequestMessage request, RequestTimes times, ResponseWriter writer) {
-      Optional<HostAddress> endpoint;
       try {
-        endpoint = RelayHeaders.findRelayTarget(request);
+        Optional<HostAddress> address = RelayHeaders.findRelayTarget(request);
+        if (address.isPresent()) {
+          relay(request, address.get(), RelayHeaders.findEndpoint(request), writer);
+        } else {
+          fallback.accept(request, writer);
+        }
       } catch (IllegalArgumentException e) {
-        writer.respond(
-            RelayHeaders.failureResponse(
-                Failure.notRun(
-                    ErrorCode.BAD_REQUEST,
-                    "the header Cuminwell-Relay-To is not a valid HOST:PORT address")));
-        return;
-      }
-      if (endpoint.isPresent()) {
-        relay(request, endpoint.get(), writer);
-      } else {
-        fallback.accept(request, writer);
+        writer.respond(RelayHeaders.failureResponse(MALFORMED));
       }
     }
 
@@ -194,18 +241,26 @@
     }
 
     /** Sends the request to the endpoint without its hop-by-hop headers and the relay header. */
-    private void relay(RequestMessage request, HostAddress endpoint, ResponseWriter writer) {
+    private void relay(
+        RequestMessage request,
+        HostAddress address,
+        Optional<EndpointIncarnation> endpoint,
+        ResponseWriter writer) {
+      if (endpoint.filter(RelayFront.this::isLeaving).isPresent()) {
+        writer.respond(RelayHeaders.leavingResponse());
+        return;
+      }
       if (!tryBegin()) {
         writer.respond(RelayHeaders.failureResponse(STOPPING));
         return;
       }
-      RelayedRequest relayed = new RelayedRequest(writer);
+      RelayedRequest relayed = new RelayedRequest(endpoint, writer);
       latestRequest = relayed;
       HeaderList headers =
           HopByHopHeaders.endToEnd(request.headers())
               .filter(header -> !RelayHeaders.isForRelay(header));
       relayed.call.send(
-          endpoint, request.withHeaders(headers), RelayHeaders.isRepeatable(request), relayed);
+          address, request.withHeaders(headers), RelayHeaders.isRepeatable(request), relayed);
     }
   }
 }
--- a/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
+++ b/shell/src/main/java/org/cuminwell/shell/gateway/GatewayProcess.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.stream.Stream;
+import org.cuminwell.core.crash.EndpointIncarnation;
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardAttemptOutcome;
 import org.cuminwell.core.forward.ForwardBounds;
@@ -31,6 +32,7 @@
 import org.cuminwell.shell.exchange.ClientConnections;
 import org.cuminwell.shell.exchange.HttpEventLoops;
 import org.cuminwell.shell.exchange.HttpServer;
+import org.cuminwell.shell.exchange.ResponseStart;
 import org.cuminwell.shell.exchange.ServerListener;
 import org.cuminwell.shell.forward.ForwardFront;
 import org.cuminwell.shell.forward.ForwardSettings;
@@ -137,7 +139,12 @@
     OpsPages pages = new OpsPages(() -> process.ready, process.telemetry);
     InnerFront inner = new InnerFront(process.events, pages);
     process.listenForCallers(settings.self().callerAddress());
-    RelayFront relay = new RelayFront(process.connections, inner::handle);
+    RelayFront relay =
+        new RelayFront(
+            process.connections,
+            process.time,
+            inner::handle,
+            settings.forwarding().map(process::departures).orElse(RelayFront.Departures.NONE));
     process.relay = relay;
     process.innerListener =
         HttpServer.bind(process.loops, settings.self().internalAddress(), relay::newConnection);
@@ -293,6 +300,20 @@
         event -> events.force(new GatewayEvent.Forwarded(event)));
   }
 
+  private RelayFront.Departures departures(ForwardSettings settings) {
+    return new RelayFront.Departures() {
+      @Override
+      public boolean saysLeaving(ResponseStart response) {
+        return settings.dialect().saysLeaving(response);
+      }
+
+      @Override
+      public void onObserved(EndpointIncarnation endpoint) {
+        events.force(new GatewayEvent.DepartureObserved(endpoint));
+      }
+    };
+  }
+
   private void warmUp(ForwardSettings settings) {
     settings.warmUp().ifPresent(how -> WarmUp.run(loops, time, settings.dialect(), how));
   }
--- a/shell/src/test/java/org/cuminwell/shell/forward/ForwardFixture.java
+++ b/shell/src/test/java/org/cuminwell/shell/forward/ForwardFixture.java
@@ -190,9 +190,11 @@
     RelayFront relay =
         new RelayFront(
             connections,
+            time,
             (_, _) -> {
               throw new IllegalStateException("only marked requests are expected");
-            });
+            },
+            RelayFront.Departures.NONE);
     HttpServer.bind(loops, internalAddress, relay::newConnection);
     return new HostDescription(
         new HostId("g1"),
--- a/shell/src/test/java/org/cuminwell/shell/forward/PlainDialect.java
+++ b/shell/src/test/java/org/cuminwell/shell/forward/PlainDialect.java
@@ -27,6 +27,9 @@
   /** The header with the declared token count; every request must have it. */
   static final String TOKENS = "Tokens";
 
+  /** The header by which an endpoint says that it leaves. */
+  static final String LEAVING = "Leaving";
+
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int UNAVAILABLE = 503;
   private static final int BAD_GATEWAY = 502;
@@ -70,6 +73,11 @@
         : new ResponseHead.Final(response.status());
   }
 
+  @Override
+  public boolean saysLeaving(ResponseStart response) {
+    return response.headers().contains(LEAVING);
+  }
+
   @Override
   public ResponseStart hideRefusal(ResponseStart response) {
     return response.withStatus(BAD_GATEWAY);
