Drop the signature from a response whose refusal is hidden

Cause: the response of an endpoint that may have run kept its signature beside the status 502 that a gateway gave it; "A failure bears a server's Response-Stamp and another status than that server gave" breaks MIXED.

--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardDialect.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardDialect.java
@@ -47,8 +47,8 @@
   boolean saysLeaving(ResponseStart response);
 
   /**
-   * Returns the response head with a status that does not say that the request has not run, and
-   * without an invitation to send it again.
+   * Returns the response head with a status that does not say that the request has not run, without
+   * an invitation to send it again, and without a signature, which vouches for the old status.
    */
   ResponseStart hideRefusal(ResponseStart response);
 
