Let gateways earn their retries instead of starting with them

Cause: a gateway's part of the extra retries was fixed by how many gateways it knew at its first retry, and each process began with all of it. One that knew none took seven tenths of the whole.

Ruled out by reading: that both sides of a relay retry. What was saved before a window and earned in it is allowed.

Change: a budget starts empty; its part follows the largest number of gateways known so far; an attempt that reached no endpoint is not charged for.

Not reproduced by real processes.

--- a/core/src/main/java/org/cuminwell/core/forward/ForwardRetries.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardRetries.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.cuminwell.core.directory.HostDirectory;
+import org.cuminwell.core.model.ErrorCode;
+import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.Verdict;
 import org.cuminwell.core.retry.RetryBudget;
 
@@ -12,9 +14,9 @@
  * Decides whether a request is retried after an attempt without a complete response.
  *
  * <p>Invariants: a request that may run only once is retried only after attempts that have
- * certainly not run; no request runs at more endpoints than its route allows; retries stay within
- * this gateway's part of the retry budget of the service. Not thread safe: the thread of its {@link
- * Forwarder} owns it.
+ * certainly not run; no request runs at more endpoints than its route allows; retries that reach an
+ * endpoint stay within this gateway's part of the retry budget of the service, over all of its
+ * processes. Not thread safe: the thread of its {@link Forwarder} owns it.
  */
 final class ForwardRetries {
 
@@ -36,6 +38,9 @@
   private final HostDirectory directory;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
 
+  /** The largest number of gateways known so far; one that is cut off still spends its part. */
+  private int knownGateways = 1;
+
   ForwardRetries(ForwardBounds bounds, HostDirectory directory) {
     this.bounds = bounds;
     this.directory = directory;
@@ -66,10 +71,17 @@
   }
 
   /**
-   * Takes a retry from the budget and returns true if another attempt may follow, or returns false.
+   * Returns whether another attempt may follow the one that failed so. It is taken from the budget
+   * unless the failed attempt did not reach an endpoint, since then the next is the first that
+   * does.
    */
-  boolean tryRetry(ForwardedCall call, Verdict last, Instant now) {
-    return isAllowed(call, last, now) && budget(call).trySpend();
+  boolean tryRetry(ForwardedCall call, Failure last, Instant now) {
+    return isAllowed(call, last.verdict(), now)
+        && (!reachedEndpoint(last) || budget(call).trySpend());
+  }
+
+  private static boolean reachedEndpoint(Failure failure) {
+    return !(failure.verdict() instanceof Verdict.NotRun) || failure.code() == ErrorCode.BUSY;
   }
 
   /** Returns how long to wait for the first byte of a response if another attempt could follow. */
@@ -78,14 +90,18 @@
     return targets.compareTo(MIN_FIRST_BYTE_TIMEOUT) > 0 ? targets : MIN_FIRST_BYTE_TIMEOUT;
   }
 
+  /**
+   * Returns the budget of the request's service. It starts without a balance, so that a gateway
+   * that is started again has no retry that its earlier process may have used already.
+   */
   private RetryBudget budget(ForwardedCall call) {
-    return budgets.computeIfAbsent(
-        call.service(),
-        _ -> {
-          double gateways = Math.max(1, directory.all().size());
-          return new RetryBudget(
-              bounds.retryRatio() * BUDGET_FRACTION,
-              Math.max(1, bounds.retryBurst() * BUDGET_FRACTION / gateways));
-        });
+    knownGateways = Math.max(knownGateways, directory.all().size());
+    double maxBalance = Math.max(1, bounds.retryBurst() * BUDGET_FRACTION / knownGateways);
+    RetryBudget budget =
+        budgets.computeIfAbsent(
+            call.service(),
+            _ -> RetryBudget.empty(bounds.retryRatio() * BUDGET_FRACTION, maxBalance));
+    budget.setMaxBalance(maxBalance);
+    return budget;
   }
 }
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -543,7 +543,7 @@
         !call.isResponsePassed() || (isResumable(call) && isResumableFailure(failure));
     if (canContinue
         && crashWatch.allowsRetry(call)
-        && retries.tryRetry(call, failure.verdict(), now)) {
+        && retries.tryRetry(call, failure, now)) {
       startAttempt(call, context, now, actions);
     } else {
       fail(call, failure, context, now, actions);
--- a/core/src/main/java/org/cuminwell/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/cuminwell/core/retry/RetryBudget.java
@@ -17,7 +17,7 @@
   public static final double MAX_BALANCE = 20;
 
   private final double retriesPerRequest;
-  private final double maxBalance;
+  private double maxBalance;
   private double balance;
 
   /** Creates a budget with the default ratio and balance. */
@@ -37,6 +37,19 @@
     this.balance = maxBalance;
   }
 
+  /** Creates a budget without a balance, which first attempts have to earn. */
+  public static RetryBudget empty(double retriesPerRequest, double maxBalance) {
+    RetryBudget budget = new RetryBudget(retriesPerRequest, maxBalance);
+    budget.balance = 0;
+    return budget;
+  }
+
+  /** Limits the balance from now on to the given one. */
+  public void setMaxBalance(double retries) {
+    maxBalance = retries;
+    balance = Math.min(balance, retries);
+  }
+
   /** Records a first attempt, which adds to the balance. */
   public void recordFirstAttempt() {
     balance = Math.min(maxBalance, balance + retriesPerRequest);
