--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -541,9 +541,7 @@
     endAttempt(call, failure.code() != ErrorCode.BUSY, now);
     boolean canContinue =
         !call.isResponsePassed() || (isResumable(call) && isResumableFailure(failure));
-    if (canContinue
-        && crashWatch.allowsRetry(call)
-        && retries.tryRetry(call, failure, now)) {
+    if (canContinue && crashWatch.allowsRetry(call) && retries.tryRetry(call, failure, now)) {
       startAttempt(call, context, now, actions);
     } else {
       fail(call, failure, context, now, actions);
