Leave a silent endpoint only for another one

Cause: a silence of 1.5 s ended an attempt whether or not another could follow. At the second pause no attempt was left, and the response was cut. The timeout for the first byte judged that when the request was sent.

Ruled out for these: late notice of the signal, late requests, the last bytes. A relay that stops is a second cause, seen once and not mended.

Change: silence is an event that core decides on. It sends the request elsewhere only if it may run again, another endpoint can take it and a retry is left; else the attempt goes on.

--- a/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardAction.java
@@ -22,8 +22,8 @@
    * @param incarnation the incarnation of the endpoint
    * @param relay the gateway that relays the request, if the endpoint is in another region
    * @param timeLeft the time until the deadline of the request
-   * @param firstByteTimeout how long to wait for the first byte of the response
-   * @param streamIdleTimeout the longest pause within a response that has started
+   * @param firstByteTimeout the silence before the response that is reported
+   * @param streamIdleTimeout the silence within a resumable stream that is reported
    * @param customer the customer whose key the request has; empty on anonymous routes, whose
    *     requests are charged to no customer even if they have a key
    * @param isResumption whether the endpoint continues after the last event that the caller
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardEvent.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardEvent.java
@@ -33,6 +33,12 @@
    */
   record EventGapMeasured(RequestId id, int attempt, Duration meanGap) implements ForwardEvent {}
 
+  /**
+   * Reports that the endpoint of an attempt has sent nothing for the time that {@link
+   * ForwardAction.Send} names; repeated while it goes on.
+   */
+  record EndpointSilent(RequestId id, int attempt) implements ForwardEvent {}
+
   /** Reports that an attempt has ended. */
   record AttemptEnded(RequestId id, int attempt, ForwardAttemptOutcome outcome)
       implements ForwardEvent {}
--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -21,6 +21,7 @@
 import org.cuminwell.core.membership.EndpointTable;
 import org.cuminwell.core.model.CallRecord;
 import org.cuminwell.core.model.Customer;
+import org.cuminwell.core.model.EndpointId;
 import org.cuminwell.core.model.ErrorCode;
 import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.ForwardRoute;
@@ -58,6 +59,10 @@
   private static final Failure CALLER_DISCONNECTED =
       Failure.mayHaveRun(ErrorCode.CALL_DROPPED, "the caller disconnected");
 
+  private static final Failure ENDPOINT_SILENT =
+      Failure.mayHaveRun(
+          ErrorCode.ENDPOINT_FAILED, "the endpoint has sent nothing for a while; another is tried");
+
   private final ForwardBounds bounds;
   private final EndpointTable endpoints;
   private final EndpointSelector endpointSelector;
@@ -148,6 +153,7 @@
           versionRouter.recordEventGap(call, e.meanGap(), now);
         }
       }
+      case ForwardEvent.EndpointSilent e -> onEndpointSilent(e, context, now, actions);
       case ForwardEvent.AttemptEnded e -> onAttemptEnded(e, context, now, actions);
       case ForwardEvent.CallerDisconnected e -> onCallerDisconnected(e.id(), context, now, actions);
     }
@@ -369,7 +375,6 @@
     versionRouter.recordSent(call, endpoint, now);
     actions.add(ForwardLogEvents.sent(call, target, now));
     Duration timeLeft = Duration.between(now, call.deadline());
-    boolean another = retries.isRetryAvailable(call, Verdict.mayHaveRun(), now);
     actions.add(
         new ForwardAction.Send(
             call.id(),
@@ -379,7 +384,9 @@
             endpoint.address(),
             target.relay(),
             timeLeft,
-            another ? min(ForwardRetries.firstByteTimeout(call), timeLeft) : timeLeft,
+            call.route().retrySemantics().allowsRetry()
+                ? min(ForwardRetries.firstByteTimeout(call), timeLeft)
+                : timeLeft,
             STREAM_IDLE_TIMEOUT,
             call.customerIfAny().map(Customer::id),
             call.isResponsePassed(),
@@ -530,6 +537,39 @@
     }
   }
 
+  /**
+   * Sends the request to another endpoint in place of the silent one. If it can't be sent to any,
+   * the attempt goes on, since a sound endpoint may be silent for a while.
+   */
+  private void onEndpointSilent(
+      ForwardEvent.EndpointSilent event,
+      Context context,
+      Instant now,
+      List<ForwardAction> actions) {
+    ForwardedCall call = findRunningAttempt(event.id(), event.attempt());
+    if (call == null || !canLeaveSilentEndpoint(call, now)) {
+      return;
+    }
+    EndpointId silent = call.endpoint().orElseThrow().endpoint();
+    if (endpointSelector.choose(call, context.forwarding(), now)
+            instanceof EndpointSelector.Decision.Send d
+        && !d.target().announcement().endpoint().equals(silent)
+        && retries.tryRetry(call, ENDPOINT_SILENT, now)) {
+      actions.add(ForwardLogEvents.attemptFailed(call, ENDPOINT_SILENT, false, now));
+      actions.add(new ForwardAction.CancelAttempt(call.id(), call.attempts()));
+      call.addVerdict(ENDPOINT_SILENT.verdict());
+      endAttempt(call, true, now);
+      send(call, d.target(), now, actions);
+    }
+  }
+
+  private boolean canLeaveSilentEndpoint(ForwardedCall call, Instant now) {
+    return (!call.isResponsePassed() || isResumable(call))
+        && retries.isRetryAvailable(call, ENDPOINT_SILENT.verdict(), now)
+        && crashWatch.allowsRetry(call)
+        && crashWatch.findSuspension(call, now).isEmpty();
+  }
+
   /** Retries the request after an attempt without a complete response, or fails it. */
   private void retryOrFail(
       ForwardedCall call,
--- a/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
+++ b/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -47,6 +48,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests how forwarded requests are routed, retried and ended, depending on endpoints and callers.
@@ -324,6 +326,58 @@
     assertThat(forwarder.takeObservedDepartures()).isEmpty();
   }
 
+  /** Guards against a sound endpoint's response that is cut since the endpoint pauses. */
+  @ParameterizedTest(name = "{0}, {1} attempts, {2} endpoints, response begun {3}: {4}")
+  @CsvSource({
+    "idempotent,       2, 2, false, SENT_AGAIN",
+    "idempotent,       1, 2, false, NOTHING",
+    "idempotent,       2, 1, false, NOTHING",
+    "once,             2, 2, false, NOTHING",
+    "once,             2, 2, true,  NOTHING",
+    "stream_once,      2, 2, true,  NOTHING",
+    "resumable_stream, 2, 2, false, SENT_AGAIN",
+    "resumable_stream, 2, 2, true,  SENT_AGAIN",
+    "resumable_stream, 1, 2, true,  NOTHING",
+    "resumable_stream, 2, 1, true,  NOTHING",
+  })
+  void silentEndpointIsLeftOnlyForAnother(
+      String repeat, int attempts, int count, boolean begun, Outcome expected) {
+    Place[] places = new Place[count];
+    Arrays.fill(places, LOCAL);
+    configureWithEndpoints(RetrySemantics.fromLabel(repeat), attempts, places);
+    open(ID);
+    ForwardAction.Send first = lastSend();
+    if (begun) {
+      perform(Step.FINAL, first);
+    }
+    actions.clear();
+    handle(new ForwardEvent.EndpointSilent(first.id(), first.attempt()));
+    assertThat(outcome()).isEqualTo(expected);
+
+    if (expected == Outcome.SENT_AGAIN) {
+      ForwardAction.Send second = lastSend();
+      actions.clear();
+      handle(new ForwardEvent.EndpointSilent(second.id(), second.attempt()));
+      assertThat(outcome()).isEqualTo(Outcome.NOTHING);
+    }
+  }
+
+  /** Guards against a response that is cut because the retries that its silence needs are spent. */
+  @ParameterizedTest(name = "response begun: {0}")
+  @ValueSource(booleans = {true, false})
+  void silentEndpointIsNotLeftWithoutARetry(boolean begun) {
+    forwarder = forwarder(0);
+    configureWithEndpoints(new RetrySemantics.ResumableStream(), 4, LOCAL, LOCAL, LOCAL);
+    open(ID);
+    ForwardAction.Send first = lastSend();
+    if (begun) {
+      perform(Step.FINAL, first);
+    }
+    actions.clear();
+    handle(new ForwardEvent.EndpointSilent(first.id(), first.attempt()));
+    assertThat(actions).isEmpty();
+  }
+
   enum Step {
     FINAL,
     FAILED,
--- a/shell/src/main/java/org/cuminwell/shell/forward/AttemptFailures.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/AttemptFailures.java
@@ -51,11 +51,6 @@
     return new ConnectionLost(incomplete("the response from the endpoint broke off"));
   }
 
-  /** Returns the outcome of an attempt whose response body did not go on. */
-  static ForwardAttemptOutcome stalled() {
-    return new Failed(incomplete("the response from the endpoint stalled"));
-  }
-
   /** Returns the outcome of an attempt whose response body is no event stream. */
   static ForwardAttemptOutcome noEventStream(String why) {
     return new Failed(incomplete(why));
--- a/shell/src/main/java/org/cuminwell/shell/forward/CallerResponse.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/CallerResponse.java
@@ -215,7 +215,7 @@
     }
   }
 
-  /** Fails the attempt when nothing has arrived for the time, unless reading was paused. */
+  /** Reports that nothing has arrived for the time, unless reading was paused. */
   private void scheduleStallCheck(ForwardAttempt attempt, Duration in) {
     stallTimer = loop.schedule(() -> checkForStall(attempt), in.toNanos(), TimeUnit.NANOSECONDS);
   }
@@ -229,7 +229,8 @@
     if (isReadingPaused || silence.compareTo(timeout) < 0) {
       scheduleStallCheck(attempt, isReadingPaused ? timeout : timeout.minus(silence));
     } else {
-      onFailure(AttemptFailures.stalled());
+      scheduleStallCheck(attempt, timeout);
+      attempt.reportSilence();
     }
   }
 
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardAttempt.java
@@ -169,6 +169,18 @@
     }
   }
 
+  /** Reports that the endpoint has been silent, unless the attempt has ended. */
+  void reportSilence() {
+    if (state != State.ENDED) {
+      events.accept(new ForwardEvent.EndpointSilent(sendAction.id(), sendAction.attempt()));
+    }
+  }
+
+  /** Returns whether neither the response head nor the end has been reported. */
+  boolean isWaiting() {
+    return state == State.WAITING;
+  }
+
   /** Ends the attempt and closes its connection, unless the response head was received. */
   void endIfWaiting(ForwardAttemptOutcome outcome) {
     if (state == State.WAITING) {
--- a/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/ForwardClient.java
@@ -8,8 +8,6 @@
 import org.cuminwell.core.forward.ForwardAction;
 import org.cuminwell.core.forward.ForwardAttemptOutcome;
 import org.cuminwell.core.forward.ForwardEvent;
-import org.cuminwell.core.model.ErrorCode;
-import org.cuminwell.core.model.Failure;
 import org.cuminwell.core.model.HostAddress;
 import org.cuminwell.shell.exchange.ClientConnections;
 import org.cuminwell.shell.exchange.RequestMessage;
@@ -23,11 +21,6 @@
  */
 final class ForwardClient {
 
-  private static final Failure FIRST_BYTE_TIMED_OUT =
-      Failure.mayHaveRun(
-          ErrorCode.ENDPOINT_FAILED,
-          "the endpoint sent no response head within the first-byte timeout");
-
   private final EventLoop loop;
   private final ForwardDialect dialect;
   private final ClientConnections connections;
@@ -78,7 +71,7 @@
         : request;
   }
 
-  /** Fails an attempt whose response head is not received in time. Confined to the event loop. */
+  /** Reports while no response head is received in time. Confined to the event loop. */
   private final class FirstByteTimer {
 
     private @Nullable Future<?> running;
@@ -88,12 +81,19 @@
       if (sendAction.firstByteTimeout().compareTo(sendAction.timeLeft()) < 0) {
         running =
             loop.schedule(
-                () -> attempt.endIfWaiting(new ForwardAttemptOutcome.Failed(FIRST_BYTE_TIMED_OUT)),
+                () -> reportIfWaiting(attempt),
                 sendAction.firstByteTimeout().toNanos(),
                 TimeUnit.NANOSECONDS);
       }
     }
 
+    private void reportIfWaiting(ForwardAttempt attempt) {
+      if (attempt.isWaiting()) {
+        start(attempt);
+        attempt.reportSilence();
+      }
+    }
+
     void cancel() {
       if (running != null) {
         running.cancel(false);
