--- a/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
+++ b/core/src/main/java/org/cuminwell/core/forward/Forwarder.java
@@ -232,6 +232,13 @@
         self, entry -> endpointSelector.isInSlowStart(entry, now), now);
   }
 
+  /** Returns the endpoints that have said in a response that they leave, since the last call. */
+  public List<EndpointIncarnation> takeObservedDepartures() {
+    List<EndpointIncarnation> result = List.copyOf(observedDepartures);
+    observedDepartures.clear();
+    return result;
+  }
+
   /** Returns whether no request is open. */
   public boolean isIdle() {
     return calls.isEmpty();
@@ -369,13 +376,6 @@
     }
   }
 
-  /** Returns the endpoints that have said in a response that they leave, since the last call. */
-  public List<EndpointIncarnation> takeObservedDepartures() {
-    List<EndpointIncarnation> result = List.copyOf(observedDepartures);
-    observedDepartures.clear();
-    return result;
-  }
-
   private void onResponseHead(
       ForwardEvent.ResponseHeadReceived event,
       Context context,
--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
@@ -111,12 +111,17 @@
     return openRelays;
   }
 
-  private synchronized void recordDeparture(EndpointIncarnation endpoint) {
-    if (observed.record(endpoint, time.instant())) {
+  private void recordDeparture(EndpointIncarnation endpoint) {
+    if (remember(endpoint)) {
       departures.onObserved(endpoint);
     }
   }
 
+  /** Remembers that the endpoint leaves, and returns whether that was not known. */
+  private synchronized boolean remember(EndpointIncarnation endpoint) {
+    return observed.record(endpoint, time.instant());
+  }
+
   private synchronized boolean isLeaving(EndpointIncarnation endpoint) {
     return observed.contains(endpoint, time.instant());
   }
