Bound how long a departure is repeated for a held announcement

Cause: repeated a departure for as long as the announcement of its incarnation was held. An endpoint that names no start has the same incarnation in its next life and renews it, so it would have got no work for good. Found by reading the change again, in no run.

Change: repeated for two times to live of the announcement at most.

Evidence: anEndpointThatIsBackUnderItsIncarnationGetsWorkAgain fails 2 of 2 rows on, passes now with the 619 others of MembershipExchangeTest.

--- a/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
+++ b/core/src/main/java/org/cuminwell/core/membership/MembershipExchange.java
@@ -34,11 +34,15 @@
   static final Duration RENEW_PERIOD = Duration.ofSeconds(1);
 
   /**
-   * How long messages repeat that an endpoint leaves, or longer while its announcement is held: a
-   * process that gets the announcement later must not take it for one that stays.
+   * How long messages repeat that an endpoint leaves. They do so longer while its announcement is
+   * held, since a process that gets the announcement later must not take it for one that stays, but
+   * no longer than {@link #ANNOUNCED_REPEAT_LIVES} of its times to live.
    */
   static final Duration LEAVING_REPEAT_PERIOD = Duration.ofSeconds(5);
 
+  /** One for the announcement that is held, and one for another that comes late. */
+  private static final int ANNOUNCED_REPEAT_LIVES = 2;
+
   private final Supplier<List<HostId>> recipients;
   private final EndpointTable table;
 
@@ -323,10 +327,15 @@
   }
 
   private boolean isRepeated(Map.Entry<EndpointId, DirectLeaving> departure, Instant now) {
-    DirectEndpoint held = endpoints.get(departure.getKey());
-    boolean isAnnounced =
-        held != null && held.announcement().incarnation() == departure.getValue().incarnation();
-    return isAnnounced || now.isBefore(departure.getValue().at().plus(LEAVING_REPEAT_PERIOD));
+    DirectLeaving leaving = departure.getValue();
+    Duration repeated =
+        Optional.ofNullable(endpoints.get(departure.getKey()))
+            .map(DirectEndpoint::announcement)
+            .filter(held -> held.incarnation() == leaving.incarnation())
+            .map(held -> held.timeToLive().multipliedBy(ANNOUNCED_REPEAT_LIVES))
+            .filter(lives -> lives.compareTo(LEAVING_REPEAT_PERIOD) > 0)
+            .orElse(LEAVING_REPEAT_PERIOD);
+    return now.isBefore(leaving.at().plus(repeated));
   }
 
   private List<Item> departureItems() {
--- a/core/src/test/java/org/cuminwell/core/membership/MembershipExchangeTest.java
+++ b/core/src/test/java/org/cuminwell/core/membership/MembershipExchangeTest.java
@@ -262,6 +262,28 @@
     assertThat(table.findServing("chat", end)).isEmpty();
   }
 
+  /** Guards against a departure that is repeated for as long as the endpoint's next life lasts. */
+  @ParameterizedTest(name = "incarnation of both lives {0}")
+  @ValueSource(longs = {0, 7})
+  void anEndpointThatIsBackUnderItsIncarnationGetsWorkAgain(long incarnation) {
+    HostId receiver = new HostId("listener");
+    HostId sender = new HostId("teller");
+    var sending = new MembershipExchange(() -> List.of(receiver), new EndpointTable());
+    EndpointTable table = new EndpointTable();
+    var receiving = new MembershipExchange(List::of, table);
+    Instant now = Instant.ofEpochSecond(1_000);
+    sending.onAnnouncement(announcement("e1", incarnation), now);
+    sending.onLeaving(new EndpointId("e1"), incarnation, now);
+    Instant end = now.plus(EndpointTable.DEPARTURE_RETENTION).plus(TIME_TO_LIVE.multipliedBy(4));
+    for (; now.isBefore(end); now = now.plusSeconds(1)) {
+      sending.onAnnouncement(announcement("e1", incarnation), now);
+      table.removeExpired(now);
+      deliver(receiving, sender, sending.tick(now), now);
+    }
+
+    assertThat(table.findServing("chat", now)).hasSize(1);
+  }
+
   /** Delivers the messages, and returns the receiver's replies. */
   private static List<OutgoingMessage> deliver(
       MembershipExchange receiving, HostId sender, List<OutgoingMessage> messages, Instant now) {
