Keep a gateway's part of a cold endpoint's rate while others are away

Cause: the same as of the retry budget. A part went by the gateways known at the moment, so it grew while others were stopped or not heard of yet.

Change: HostDirectory keeps the largest number known at one time; the rate of cold endpoints and the retry budget both go by it.

--- a/core/src/main/java/org/cuminwell/core/directory/HostDirectory.java
+++ b/core/src/main/java/org/cuminwell/core/directory/HostDirectory.java
@@ -21,22 +21,26 @@
 
   private final TreeMap<HostId, HostDescription> lastKnown = new TreeMap<>();
   private final TreeMap<HostId, HostDescription> connected = new TreeMap<>();
+  private int mostKnown;
 
   /** Replaces the last known descriptions of these hosts by relayed ones. */
   public void update(Collection<HostDescription> hosts) {
     hosts.forEach(host -> lastKnown.put(host.id(), host));
+    recordCount();
   }
 
   /** Applies a relayed update: replaces descriptions and removes hosts. */
   public void update(DirectoryMessage.Hosts update) {
-    update(update.hosts());
+    update.hosts().forEach(host -> lastKnown.put(host.id(), host));
     update.removed().forEach(lastKnown::remove);
+    recordCount();
   }
 
   /** Records the description that a connected host sent of itself. */
   public void recordConnected(HostDescription host) {
     lastKnown.put(host.id(), host);
     connected.put(host.id(), host);
+    recordCount();
   }
 
   /**
@@ -77,6 +81,18 @@
     return List.copyOf(all.values());
   }
 
+  /**
+   * Returns the largest number of hosts that were known at one time. What the hosts of a system
+   * share out by their number must not grow while some of them are only stopped or cut off.
+   */
+  public int mostKnown() {
+    return mostKnown;
+  }
+
+  private void recordCount() {
+    mostKnown = Math.max(mostKnown, all().size());
+  }
+
   /** Returns 0 within a data centre, 1 within a region and 2 between regions. */
   private static int distance(Place from, Place to) {
     if (from.equals(to)) {
--- a/core/src/main/java/org/cuminwell/core/forward/EndpointSelector.java
+++ b/core/src/main/java/org/cuminwell/core/forward/EndpointSelector.java
@@ -251,7 +251,7 @@
     if (service == null || service.slowStartRequestsPerSecond() <= 0) {
       return _ -> true;
     }
-    double gateways = Math.max(1, directory.all().size());
+    double gateways = Math.max(1, directory.mostKnown());
     Duration minInterval =
         Duration.ofNanos(
             (long) (NANOS_PER_SECOND * gateways / service.slowStartRequestsPerSecond()));
--- a/core/src/main/java/org/cuminwell/core/forward/ForwardRetries.java
+++ b/core/src/main/java/org/cuminwell/core/forward/ForwardRetries.java
@@ -38,9 +38,6 @@
   private final HostDirectory directory;
   private final Map<String, RetryBudget> budgets = new HashMap<>();
 
-  /** The largest number of gateways known so far; one that is cut off still spends its part. */
-  private int knownGateways = 1;
-
   ForwardRetries(ForwardBounds bounds, HostDirectory directory) {
     this.bounds = bounds;
     this.directory = directory;
@@ -95,8 +92,8 @@
    * that is started again has no retry that its earlier process may have used already.
    */
   private RetryBudget budget(ForwardedCall call) {
-    knownGateways = Math.max(knownGateways, directory.all().size());
-    double maxBalance = Math.max(1, bounds.retryBurst() * BUDGET_FRACTION / knownGateways);
+    int gateways = Math.max(1, directory.mostKnown());
+    double maxBalance = Math.max(1, bounds.retryBurst() * BUDGET_FRACTION / gateways);
     RetryBudget budget =
         budgets.computeIfAbsent(
             call.service(),
--- a/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
+++ b/core/src/test/java/org/cuminwell/core/forward/ForwarderTest.java
@@ -17,6 +17,7 @@
 import org.cuminwell.core.config.Forwarding;
 import org.cuminwell.core.crash.CrashEvidence;
 import org.cuminwell.core.crash.EndpointIncarnation;
+import org.cuminwell.core.directory.DirectoryMessage;
 import org.cuminwell.core.directory.HostDescription;
 import org.cuminwell.core.directory.HostDirectory;
 import org.cuminwell.core.limit.ShareHolder;
@@ -237,6 +238,27 @@
     assertThat(sends()).hasSize(sent);
   }
 
+  /** Guards against a larger part for each gateway while others are stopped for a moment. */
+  @ParameterizedTest(name = "{0} of 8 gateways are known no more: at most {1} requests")
+  @CsvSource({"0, 1", "4, 1", "7, 1"})
+  void slowStartRateDoesNotGrowWhileGatewaysAreAway(int away, int sent) {
+    configure(new RetrySemantics.AtMostOnce(), 1, Set.of(), Set.of());
+    List<HostId> others = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      HostId id = new HostId("g" + i);
+      others.add(id);
+      directory.update(List.of(new HostDescription(id, REMOTE, RELAY, RELAY, RELAY, 0, false)));
+    }
+    directory.update(new DirectoryMessage.Hosts(List.of(), others.subList(0, away)));
+    for (int i = 0; i < 10; i++) {
+      announce("e1", LOCAL, Duration.ofSeconds(5));
+      open(new RequestId("r" + i));
+      now = now.plusMillis(100);
+      currentAsOf = now;
+    }
+    assertThat(sends()).hasSize(sent);
+  }
+
   @ParameterizedTest(name = "{0}, response started {1}: {2}")
   @CsvSource({
     "once,        false, REFUSED_MAYBE_RUN",
