Name the fault of a ticket whose deadline is too far away

Cause: a deadline beyond what milliseconds hold threw ArithmeticException out of TicketJson, which reports every other fault with its path.

Change: it is a fault like an unreadable deadline. A command that the log can't hold is refused with the reason.

--- a/wire/src/main/java/org/cuminwell/wire/CommandCodec.java
+++ b/wire/src/main/java/org/cuminwell/wire/CommandCodec.java
@@ -18,7 +18,7 @@
       byte[] encoded = StateCodec.toProto(command).toByteArray();
       return StateCodec.fromProto(org.cuminwell.wire.generated.Command.parseFrom(encoded));
     } catch (InvalidProtocolBufferException | ArithmeticException e) {
-      throw new IllegalArgumentException("not a command that the log can hold", e);
+      throw new IllegalArgumentException("the log can't hold the command: " + e.getMessage(), e);
     }
   }
 }
--- a/wire/src/main/java/org/cuminwell/wire/TicketJson.java
+++ b/wire/src/main/java/org/cuminwell/wire/TicketJson.java
@@ -163,7 +163,7 @@
   private static Instant deadline(JsonObjectReader in) {
     try {
       return Instant.ofEpochMilli(Instant.parse(in.requiredText("deadline")).toEpochMilli());
-    } catch (DateTimeParseException e) {
+    } catch (DateTimeParseException | ArithmeticException e) {
       throw new IllegalArgumentException("deadline must be a time like 2030-01-31T12:00:00Z", e);
     }
   }
--- a/wire/src/test/java/org/cuminwell/wire/TicketJsonTest.java
+++ b/wire/src/test/java/org/cuminwell/wire/TicketJsonTest.java
@@ -48,6 +48,7 @@
         "{'schema':1,'routes':{'r':{'model':'m','hops':2}}}                 | routes.r.hops",
         "{'schema':1,'rollouts':{'r':{'from':'v1','to':'v1','deadline':'2030-01-01T00:00:00Z'}}} | rollouts.r",
         "{'schema':1,'rollouts':{'r':{'from':'v1','to':'v2','deadline':'soon'}}} | rollouts.r",
+        "{'schema':1,'rollouts':{'r':{'from':'v1','to':'v2','deadline':'+999999999-01-01T00:00:00Z'}}} | rollouts.r",
       })
   void faultyTicketNamesThePath(String json, String path) {
     assertThat(TicketJson.read(NUMBER, bytes(json)))
