Answer only what can't be read of a relayed request as malformed

Cause: put the handling of the request inside the try that is for its headers, so a fault of the handler would have been answered a second time.

--- a/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
+++ b/shell/src/main/java/org/cuminwell/shell/forward/RelayFront.java
@@ -221,15 +221,19 @@
 
     @Override
     public void onRequest(RequestMessage request, RequestTimes times, ResponseWriter writer) {
+      Optional<HostAddress> address;
+      Optional<EndpointIncarnation> endpoint;
       try {
-        Optional<HostAddress> address = RelayHeaders.findRelayTarget(request);
-        if (address.isPresent()) {
-          relay(request, address.get(), RelayHeaders.findEndpoint(request), writer);
-        } else {
-          fallback.accept(request, writer);
-        }
+        address = RelayHeaders.findRelayTarget(request);
+        endpoint = RelayHeaders.findEndpoint(request);
       } catch (IllegalArgumentException e) {
         writer.respond(RelayHeaders.failureResponse(MALFORMED));
+        return;
+      }
+      if (address.isPresent()) {
+        relay(request, address.get(), endpoint, writer);
+      } else {
+        fallback.accept(request, writer);
       }
     }
 
