Put back the retry burst that a test fixture had

Cause: ForwardFixture's burst had risen from the default's 20 to 50 together with the ratio, which alone is needed.

Result: UnconfirmedRefusalTest, SilentEndpointTest and StreamEndedInsideEventTest pass (34).

--- a/shell/src/test/java/org/cuminwell/shell/forward/ForwardFixture.java
+++ b/shell/src/test/java/org/cuminwell/shell/forward/ForwardFixture.java
@@ -64,7 +64,6 @@
   /** So many that every request may be retried. */
   private static final double RETRIES_PER_REQUEST = 20;
 
-  private static final int MAX_RETRIES = 50;
   private static final Duration TARGET = Duration.ofMillis(100);
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Place LOCAL_PLACE =
@@ -105,7 +104,10 @@
             endpoints,
             directory,
             CrashEvidence.ofGateway(new HostId("g0"), () -> 1, new SplittableRandom(1)),
-            new ForwardBounds(ForwardBounds.DEFAULT.keyLease(), RETRIES_PER_REQUEST, MAX_RETRIES),
+            new ForwardBounds(
+                ForwardBounds.DEFAULT.keyLease(),
+                RETRIES_PER_REQUEST,
+                ForwardBounds.DEFAULT.retryBurst()),
             new SplittableRandom(1));
     context =
         new Forwarder.Context(
